hookhall: the whole path, thin, in separate processes

Cause: an empty repository; every later change needs a path to be measured on. What stands: entry, admin, hookhallctl, hookhall-load and hookhall-standin; a request goes through encode, retrieve, rerank and generate; the table is edited with hookhallctl and reaches entries by watch; claims by owner and standby. Ruled out: the etcd API as the key-value interface, its module is refused here; the published HTTP key-value interface with cas and waiting reads took its place. Conclusion: the path stands; its promises are not yet proved under failure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Copyright 2026 The hookhall authors.
+# SPDX-License-Identifier: Apache-2.0
+
+GO := go
+export GOFLAGS := -mod=readonly
+SEEDS ?= 50
+
+.PHONY: build demo test lint unit integration soak experiments slopes generate fuzz
+
+build:
+	$(GO) build -o bin ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+# Everything that CI runs.
+test: lint unit integration
+
+lint:
+	@u=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$u" || { echo "not gofmt-clean: $$u"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race ./cmd/... ./internal/... .
+
+integration: build
+	$(GO) test -count=1 ./test/...
+
+# Random schedules of faults over real processes: make soak SEEDS=200
+soak: build
+	HOOKHALL_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 80m -run TestSchedules ./test/...
+
+experiments: build
+	bash scripts/experiments.sh
+
+slopes: build
+	bash scripts/slopes.sh
+
+generate:
+	cd internal/protocol/peerpb && protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/cmd/hookhallctl/cmd/delete.go
@@ -0,0 +1,26 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package cmd
+
+import "github.com/hookhall/hookhall"
+
+const longDelete = `Deletes a row with all its cells.
+
+Example:
+  hookhallctl delete accounts/acme`
+
+type deleteCommand struct {
+	Args struct {
+		Row string `positional-arg-name:"SHEET/ROW" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *deleteCommand) Execute([]string) error {
+	sheet, row, err := splitRow(c.Args.Row)
+	if err != nil {
+		return err
+	}
+	return editAndPrint([]hookhall.Edit{{Sheet: sheet, Row: row, Delete: true}})
+}
--- /dev/null
+++ b/cmd/hookhallctl/cmd/hashkey.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package cmd
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+const longHashKey = `Prints the SHA-256 of an account's key, for the cell key_sha256. The key is read
+from standard input, so that it does not show in the process list.
+
+Example:
+  printf %s "$KEY" | hookhallctl hash-key`
+
+type hashKeyCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *hashKeyCommand) Execute([]string) error {
+	s := bufio.NewScanner(stdin)
+	s.Scan()
+	if err := s.Err(); err != nil {
+		return err
+	}
+	sum := sha256.Sum256([]byte(strings.TrimSpace(s.Text())))
+	fmt.Fprintln(stdout, hex.EncodeToString(sum[:]))
+	return nil
+}
--- /dev/null
+++ b/internal/app/entry/handlers.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/pipeline"
+	"github.com/hookhall/hookhall/internal/state/table"
+)
+
+// service is the entry as the callers' interface sees it.
+type service struct{ e *Entry }
+
+// Table implements callers.Service.
+func (s service) Table() *table.Snapshot { return s.e.tables.Current().Snapshot }
+
+// Ready implements callers.Service.
+func (s service) Ready() bool { return s.e.ready.Load() && !s.e.draining.Load() }
+
+// Accepting implements callers.Service.
+func (s service) Accepting() (bool, hookhall.Cause) {
+	switch {
+	case s.e.closed.Load():
+		return false, hookhall.CauseStopping
+	case !s.e.ready.Load():
+		return false, hookhall.CauseNotReady
+	}
+	return true, ""
+}
+
+// Run implements callers.Service.
+func (s service) Run(ctx context.Context, q *hookhall.Request, emit pipeline.Emit) (*hookhall.Answer, error) {
+	return s.e.runner.Run(ctx, q, emit)
+}
+
+// peerHandler is the entry as its peers see it.
+type peerHandler struct{ e *Entry }
+
+// HandleProbe implements peers.Handler.
+func (h peerHandler) HandleProbe(ctx context.Context, p hookhall.Probe) hookhall.ProbeReply {
+	return h.e.fleet.HandleProbe(ctx, p)
+}
+
+// HandleProbeFor implements peers.Handler.
+func (h peerHandler) HandleProbeFor(ctx context.Context, address string) bool {
+	return h.e.fleet.HandleProbeFor(ctx, address)
+}
+
+// HandleClaim implements peers.Handler.
+func (h peerHandler) HandleClaim(ctx context.Context, q hookhall.ClaimRequest) hookhall.ClaimReply {
+	return h.e.claims.Handle(ctx, q)
+}
+
+// HandleCopy implements peers.Handler.
+func (h peerHandler) HandleCopy(epoch uint64, r hookhall.Record) hookhall.CopyReply {
+	return h.e.claims.HandleCopy(epoch, r)
+}
+
+// HandleSettle implements peers.Handler.
+func (h peerHandler) HandleSettle(ctx context.Context, s hookhall.Settlement) hookhall.CopyReply {
+	return h.e.claims.HandleSettle(ctx, s)
+}
+
+// HandleFetch implements peers.Handler.
+func (h peerHandler) HandleFetch(q hookhall.FetchRequest) hookhall.FetchReply {
+	return h.e.fleet.HandleFetch(q)
+}
+
+// HandleWhole implements peers.Handler.
+func (h peerHandler) HandleWhole(epoch uint64) bool { return h.e.store.Whole(epoch) }
+
+// HandleTake implements peers.Handler.
+func (h peerHandler) HandleTake(q hookhall.TakeRequest) hookhall.TakeReply {
+	return h.e.limits.Handle(q)
+}
+
+// HandleTable implements peers.Handler.
+func (h peerHandler) HandleTable(have uint64) hookhall.TableDocument { return h.e.tables.Serve(have) }
--- /dev/null
+++ b/internal/coordination/fleet/heartbeat.go
@@ -0,0 +1,203 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/state/view"
+)
+
+// witnesses is how many others are asked about a member that does not answer.
+const witnesses = 2
+
+// heartbeats probes this member's successors.
+func (f *Fleet) heartbeats(ctx context.Context) {
+	for retry.Sleep(ctx, retry.Jitter(f.timing.Heartbeat)) {
+		var wg sync.WaitGroup
+		for _, m := range successors(f.View().Members, f.self.ID, Successors) {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f.check(ctx, m)
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+// successors are the n members after self on a ring ordered by hash. A process
+// that is not a member probes from where it would stand.
+func successors(members []hookhall.Member, self string, n int) []hookhall.Member {
+	ring := make([]hookhall.Member, 0, len(members))
+	for _, m := range members {
+		if m.ID != self {
+			ring = append(ring, m)
+		}
+	}
+	at := xxhash.Sum64String(self)
+	sort.Slice(ring, func(i, j int) bool {
+		// Distance on the ring: unsigned arithmetic wraps round.
+		return xxhash.Sum64String(ring[i].ID)-at < xxhash.Sum64String(ring[j].ID)-at
+	})
+	return ring[:min(n, len(ring))]
+}
+
+// check probes one member and acts on repeated failure.
+func (f *Fleet) check(ctx context.Context, m hookhall.Member) {
+	err := f.Probe(ctx, m)
+	f.mu.Lock()
+	if err == nil {
+		delete(f.failed, m.ID)
+	} else {
+		f.failed[m.ID]++
+	}
+	n := f.failed[m.ID]
+	f.mu.Unlock()
+	if n < f.timing.Suspect || ctx.Err() != nil || f.leaving.Load() {
+		return
+	}
+	if f.seenByOthers(ctx, m) {
+		return
+	}
+	f.remove(ctx, m)
+}
+
+// Probe sends one heartbeat and takes in what the reply brings.
+func (f *Fleet) Probe(ctx context.Context, m hookhall.Member) error {
+	return f.probe(ctx, m, nil)
+}
+
+// Push sends a heartbeat that carries the view, to a member that is behind.
+func (f *Fleet) Push(ctx context.Context, m hookhall.Member) error {
+	return f.probe(ctx, m, view.Encode(f.View()))
+}
+
+func (f *Fleet) probe(ctx context.Context, m hookhall.Member, encoded []byte) error {
+	limit := f.timing.Heartbeat
+	pctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	peer := f.peers.Peer(m.Address)
+	sent := f.View().Epoch
+	reply, err := peer.Probe(pctx, hookhall.Probe{
+		From: f.self.ID, Epoch: sent, TableVersion: f.tables.Version(), View: encoded,
+	})
+	if err != nil {
+		return err
+	}
+	f.takeView(reply.View)
+	f.tables.Hint(ctx, reply.TableVersion, peer)
+	if reply.Epoch < sent && encoded == nil {
+		return f.Push(ctx, m)
+	}
+	return nil
+}
+
+func (f *Fleet) takeView(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	v, err := view.Decode(b)
+	if err != nil {
+		f.log.Warn("A peer sent a wrong view.", "error", err)
+		return
+	}
+	f.Adopt(v)
+}
+
+// HandleProbe answers a heartbeat.
+func (f *Fleet) HandleProbe(ctx context.Context, p hookhall.Probe) hookhall.ProbeReply {
+	f.takeView(p.View)
+	v := f.View()
+	if m, ok := view.Find(v, p.From); ok {
+		f.tables.Hint(context.WithoutCancel(ctx), p.TableVersion, f.peers.Peer(m.Address))
+	}
+	r := hookhall.ProbeReply{ID: f.self.ID, Epoch: v.Epoch, TableVersion: f.tables.Version()}
+	if p.Epoch < v.Epoch && p.From != "admin" {
+		r.View = view.Encode(v)
+	}
+	return r
+}
+
+// HandleProbeFor probes an address for another member.
+func (f *Fleet) HandleProbeFor(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, f.timing.Heartbeat)
+	defer cancel()
+	_, err := f.peers.Peer(address).Probe(ctx, hookhall.Probe{From: f.self.ID, Epoch: f.View().Epoch})
+	return err == nil
+}
+
+// seenByOthers asks witnesses, drawn by hash so that they differ by member.
+func (f *Fleet) seenByOthers(ctx context.Context, m hookhall.Member) bool {
+	for _, w := range successors(f.View().Members, m.ID+"/witness", witnesses+1) {
+		if w.ID == m.ID || w.ID == f.self.ID {
+			continue
+		}
+		wctx, cancel := context.WithTimeout(ctx, 2*f.timing.Heartbeat)
+		reached, err := f.peers.Peer(w.Address).ProbeFor(wctx, m.Address)
+		cancel()
+		if err == nil && reached {
+			return true
+		}
+	}
+	return false
+}
+
+// remove takes a member out of the view that nobody can reach.
+func (f *Fleet) remove(ctx context.Context, m hookhall.Member) {
+	gone := f.surelyGone(m)
+	f.log.Warn("Member does not answer; taking it out.", "member", m.ID, "gone", gone)
+	err := f.change(ctx, "remove", func(v *hookhall.View) *hookhall.View { return view.Leave(v, m.ID, gone) })
+	if err != nil {
+		f.log.Warn("Can't take it out.", "member", m.ID, "error", err)
+		return
+	}
+	f.mu.Lock()
+	delete(f.failed, m.ID)
+	f.mu.Unlock()
+}
+
+// surelyGone tells whether the platform's list, read lately, lacks the
+// member's instance.
+func (f *Fleet) surelyGone(m hookhall.Member) bool {
+	l := f.listed.Load()
+	return l != nil && time.Since(l.At) < 3*f.timing.List && len(l.Instances) > 0 && !l.Has(m.Instance)
+}
+
+// readList reads the platform's list, and fences members that it says are gone.
+func (f *Fleet) readList(ctx context.Context) {
+	for {
+		list, err := f.list.List(ctx)
+		if err == nil {
+			f.listed.Store(&Listing{list, time.Now()})
+			f.fenceGone(ctx)
+		} else if ctx.Err() == nil {
+			f.log.Warn("Can't read the instance list.", "error", err)
+		}
+		if !retry.Sleep(ctx, retry.Jitter(f.timing.List)) {
+			return
+		}
+	}
+}
+
+// fenceGone is done by one member for each gone one: the first on the ring.
+func (f *Fleet) fenceGone(ctx context.Context) {
+	v := f.View()
+	for _, m := range v.Unfenced {
+		first := successors(v.Members, m.ID, 1)
+		if len(first) == 0 || first[0].ID != f.self.ID || !f.surelyGone(m) {
+			continue
+		}
+		err := f.change(ctx, "fence", func(v *hookhall.View) *hookhall.View { return view.Fence(v, m.ID) })
+		if err != nil {
+			f.log.Warn("Can't fence a gone member.", "member", m.ID, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/wire/problem.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package wire
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// Problem is the problem document of a failure.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Verdict is not-run, may-have-run or ran.
+	Verdict      string `json:"verdict"`
+	Cause        string `json:"cause"`
+	Stage        string `json:"stage,omitempty"`
+	RequestID    string `json:"request_id,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	// Cost is what was spent all the same, by stage.
+	Cost []hookhall.StageCost `json:"cost,omitempty"`
+}
+
+// ContentProblem is the media type of a Problem.
+const ContentProblem = "application/problem+json"
+
+// statuses are the HTTP statuses of causes; others are 502.
+var statuses = map[hookhall.Cause]int{
+	hookhall.CauseBadRequest:   http.StatusBadRequest,
+	hookhall.CauseUnauthorized: http.StatusUnauthorized,
+	hookhall.CauseTooLarge:     http.StatusRequestEntityTooLarge,
+	hookhall.CauseNoPipeline:   http.StatusNotFound,
+	hookhall.CauseLimit:        http.StatusTooManyRequests,
+	hookhall.CauseDeadline:     http.StatusGatewayTimeout,
+	hookhall.CauseOverload:     http.StatusServiceUnavailable,
+	hookhall.CauseNoTarget:     http.StatusServiceUnavailable,
+	hookhall.CauseStopping:     http.StatusServiceUnavailable,
+	hookhall.CauseNotReady:     http.StatusServiceUnavailable,
+	hookhall.CauseNoClaim:      http.StatusServiceUnavailable,
+	hookhall.CauseKeyReused:    http.StatusUnprocessableEntity,
+	hookhall.CauseInProgress:   http.StatusConflict,
+	hookhall.CauseUnknown:      http.StatusConflict,
+}
+
+// NewProblem makes the document of an error.
+func NewProblem(id string, e *hookhall.Error) *Problem {
+	status, ok := statuses[e.Cause]
+	if !ok {
+		status = http.StatusBadGateway
+	}
+	return &Problem{
+		Type: "about:blank", Title: string(e.Cause), Status: status, Detail: e.Detail,
+		Verdict: e.Verdict.String(), Cause: string(e.Cause), Stage: e.Stage,
+		RequestID: id, RetryAfterMS: e.RetryAfter.Milliseconds(), Cost: e.Cost,
+	}
+}
+
+// Err is the inverse of NewProblem.
+func (p *Problem) Err() *hookhall.Error {
+	return &hookhall.Error{
+		Verdict: hookhall.ParseVerdict(p.Verdict), Cause: hookhall.Cause(p.Cause), Detail: p.Detail,
+		Stage: p.Stage, RetryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond,
+	}
+}
+
+// WriteProblem sends the document; Retry-After is in whole seconds, rounded up.
+func WriteProblem(w http.ResponseWriter, p *Problem) {
+	w.Header().Set("Content-Type", ContentProblem)
+	if p.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(p.RetryAfterMS)/1000))))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p) // a caller that went away needs no answer
+}
+
+// WriteJSON sends a document.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // as above
+}
--- /dev/null
+++ b/internal/state/table/column.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package table
+
+import (
+	"encoding/hex"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/hookhall/hookhall"
+)
+
+// Column describes one column of a sheet.
+type Column struct {
+	Name string
+	// Accepts says in words what a cell may hold.
+	Accepts string
+	check   func(string) bool
+}
+
+// columns has all sheets' columns; docs/OPERATING.md is tested against it.
+var columns = map[hookhall.Sheet][]Column{
+	hookhall.SheetAccounts: {
+		{"key_sha256", "64 hex digits, the SHA-256 of the account's key", isHash},
+		{"weight", "a number from 0.01 to 1000", isNumber(0.01, 1000)},
+		{"priority", "a whole number from 0 to 9", isInteger(0, 9)},
+		{"deadline_ms", "a whole number from 1 to 600000", isInteger(1, 600000)},
+		{"rate", "requests a second, from 0 (no limit) to 1000000", isNumber(0, 1e6)},
+		{"concurrency", "requests at once, from 0 (no limit) to 1000000", isInteger(0, 1e6)},
+	},
+	hookhall.SheetClasses: {
+		{"weight", "a number from 0.01 to 1000", isNumber(0.01, 1000)},
+		{"priority", "a whole number from 0 to 9", isInteger(0, 9)},
+		{"deadline_ms", "a whole number from 1 to 600000", isInteger(1, 600000)},
+		{"repeatable", "true or false", isBool},
+	},
+	hookhall.SheetStages: {
+		{"pool", "the name of a pool", isWord},
+		{"pure", "true or false", isBool},
+		{"max_tokens", "a whole number from 0 to 100000", isInteger(0, 100000)},
+	},
+	hookhall.SheetTargets: {
+		{"leaving", "true or false", isBool},
+	},
+}
+
+// Sheets returns the sheets' names, sorted.
+func Sheets() []hookhall.Sheet {
+	names := make([]hookhall.Sheet, 0, len(columns))
+	for s := range columns {
+		names = append(names, s)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// Columns returns the columns of a sheet, nil for an unknown one.
+func Columns(s hookhall.Sheet) []Column { return columns[s] }
+
+// CheckCell tells whether a column may hold value; the empty value, which
+// stands for the default, is always accepted.
+func CheckCell(s hookhall.Sheet, row, column, value string) error {
+	cols, ok := columns[s]
+	if !ok {
+		return &CellError{Sheet: s, Row: row, Message: fmt.Sprintf("unknown sheet; there are %v", Sheets())}
+	}
+	if err := checkName(s, row); err != nil {
+		return err
+	}
+	for _, c := range cols {
+		if c.Name != column {
+			continue
+		}
+		if value != "" && !c.check(value) {
+			return &CellError{s, row, column, fmt.Sprintf("%q is not accepted; it must be %s", value, c.Accepts)}
+		}
+		return nil
+	}
+	return &CellError{s, row, column, "unknown column; there are " + columnNames(cols)}
+}
+
+func columnNames(cols []Column) string {
+	names := make([]string, len(cols))
+	for i, c := range cols {
+		names[i] = c.Name
+	}
+	return strings.Join(names, ", ")
+}
+
+// maxName bounds row names, so that a chunk's size is bounded by its rows.
+const maxName = 128
+
+func checkName(s hookhall.Sheet, row string) error {
+	if !isWord(strings.ReplaceAll(row, "/", "-")) || len(row) > maxName {
+		return &CellError{Sheet: s, Row: row, Message: "a row's name has 1 to 128 letters, digits and . _ - /"}
+	}
+	if s == hookhall.SheetStages {
+		if _, _, _, ok := splitStage(row); !ok {
+			return &CellError{Sheet: s, Row: row, Message: "a stage's row is named PIPELINE/ORDER-STAGE, as in recap/1-encode"}
+		}
+	}
+	return nil
+}
+
+// splitStage takes recap/1-encode apart.
+func splitStage(row string) (pipeline string, order int, stage string, ok bool) {
+	pipeline, rest, ok1 := strings.Cut(row, "/")
+	number, stage, ok2 := strings.Cut(rest, "-")
+	order, err := strconv.Atoi(number)
+	return pipeline, order, stage, ok1 && ok2 && err == nil && pipeline != "" && stage != ""
+}
+
+func isWord(s string) bool {
+	for _, r := range s {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '.', r == '_', r == '-':
+		default:
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isBool(s string) bool { return s == "true" || s == "false" }
+
+func isHash(s string) bool {
+	b, err := hex.DecodeString(s)
+	return err == nil && len(b) == 32
+}
+
+func isNumber(low, high float64) func(string) bool {
+	return func(s string) bool {
+		f, err := strconv.ParseFloat(s, 64)
+		return err == nil && f >= low && f <= high
+	}
+}
+
+func isInteger(low, high int) func(string) bool {
+	return func(s string) bool {
+		n, err := strconv.Atoi(s)
+		return err == nil && n >= low && n <= high
+	}
+}
--- /dev/null
+++ b/target.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package hookhall
+
+import "time"
+
+// Target is one back end as the instance list and the table name it.
+type Target struct {
+	ID      string `json:"id"`
+	Pool    string `json:"pool"`
+	Hall    string `json:"hall"`
+	Address string `json:"address"`
+	// Streams is set for engines, whose answers come chunk by chunk.
+	Streams bool `json:"streams"`
+	// Leaving is set by the list, by the target itself, by its refusal or by
+	// the operator's cell; the first to say so wins.
+	Leaving bool `json:"leaving"`
+}
+
+// LoadReport is what a target says of itself, late.
+type LoadReport struct {
+	Running  int  `json:"running"`
+	Waiting  int  `json:"waiting"`
+	Capacity int  `json:"capacity"`
+	Leaving  bool `json:"leaving"`
+}
+
+// InstanceState is what the platform knows of an instance.
+type InstanceState string
+
+// The states of the platform's list. An instance that is not listed is gone.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Roles of instances in the platform's list.
+const (
+	RoleEntry  = "entry"
+	RoleTarget = "target"
+)
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	ID      string        `json:"id"`
+	Role    string        `json:"role"`
+	Hall    string        `json:"hall"`
+	Pool    string        `json:"pool,omitempty"`
+	Address string        `json:"address"`
+	Streams bool          `json:"streams,omitempty"`
+	State   InstanceState `json:"state"`
+	Seen    time.Time     `json:"seen"`
+}
