--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -223,7 +224,7 @@
 	var err error
 	select {
 	case err = <-served:
-		e.log.Error("The servers ended.", "error", err)
+		e.log.Error("The servers ended.", "error", fmt.Sprint(err))
 	case <-ctx.Done():
 		e.stop(force)
 		err = e.app.Stop()
@@ -249,7 +250,7 @@
 		}
 	}
 	if err := e.fleet.Join(ctx); err != nil {
-		e.log.Warn("Can't join yet; serving as a guest.", "error", err)
+		e.log.Warn("Can't join yet; serving as a guest.", "error", err.Error())
 	}
 	for e.fleet.View().Epoch == 0 || e.fleet.Listed() == nil {
 		e.learnFromPeers(ctx)
@@ -270,6 +271,8 @@
 		e.targets.Refresh(time.Now())
 		missing := e.missingPool()
 		if missing == "" {
+			e.targets.Poll(ctx) // capacities, before the first request
+			e.targets.Refresh(time.Now())
 			return
 		}
 		if !retry.Sleep(ctx, readyPoll) {
@@ -321,7 +324,7 @@
 	go func() {
 		defer close(left)
 		if err := e.fleet.Leave(ctx); err != nil {
-			e.log.Warn("Could not hand over claims.", "error", err)
+			e.log.Warn("Could not hand over claims.", "error", err.Error())
 		}
 	}()
 	retry.Sleep(ctx, notice)
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -59,6 +59,8 @@
 	listed atomic.Pointer[Listing]
 	mu     sync.Mutex
 	failed map[string]int // heartbeats failed in a row, by member
+	// heard are leaving targets that peers have told of.
+	heard hearsay
 	// repair wakes the repair loop.
 	repair chan struct{}
 	writes atomic.Int64
@@ -135,7 +137,7 @@
 // Run follows and looks after the view until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){f.watch, f.heartbeats, f.readList, f.repairLoop, f.sweep} {
+	for _, loop := range []func(context.Context){f.watch, f.heartbeats, f.rejoin, f.readList, f.repairLoop, f.sweep} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -145,18 +147,18 @@
 	wg.Wait()
 }
 
-// watch follows the view's key, and joins again when it lacks this process.
+// watch follows the view's key.
 func (f *Fleet) watch(ctx context.Context) {
 	var index uint64
 	pause := retry.New()
 	for ctx.Err() == nil {
 		e, err := f.kv.Watch(ctx, tables.ViewKey, index, watchTime)
 		if err == nil {
-			err = f.follow(ctx, e)
+			err = f.follow(e)
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				f.log.Warn("Can't follow the view.", "error", err)
+				f.log.Warn("Can't follow the view.", "error", err.Error())
 			}
 			pause.Wait(ctx)
 			continue
@@ -166,16 +168,13 @@
 	}
 }
 
-func (f *Fleet) follow(ctx context.Context, e hookhall.Entry) error {
+func (f *Fleet) follow(e hookhall.Entry) error {
 	v, err := view.Decode(e.Value)
 	if err != nil {
 		return err
 	}
 	f.Adopt(v)
-	if f.leaving.Load() || !f.joined.Load() || f.member() {
-		return nil
-	}
-	return f.Join(ctx)
+	return nil
 }
 
 func (f *Fleet) member() bool { return f.store.Placement().Alive(f.self.ID) }
@@ -213,7 +212,7 @@
 			return nil
 		}
 		if err != nil {
-			f.log.Warn("The service did not answer.", "change", what, "error", err)
+			f.log.Warn("The service did not answer.", "change", what, "error", err.Error())
 		}
 		pause.Wait(ctx)
 		if ctx.Err() != nil {
--- a/internal/coordination/fleet/heartbeat.go
+++ b/internal/coordination/fleet/heartbeat.go
@@ -87,11 +87,12 @@
 	peer := f.peers.Peer(m.Address)
 	sent := f.View().Epoch
 	reply, err := peer.Probe(pctx, hookhall.Probe{
-		From: f.self.ID, Epoch: sent, TableVersion: f.tables.Version(), View: encoded,
+		From: f.self.ID, Epoch: sent, TableVersion: f.tables.Version(), View: encoded, Leaving: f.seenLeaving(),
 	})
 	if err != nil {
 		return err
 	}
+	f.heard.add(reply.Leaving, time.Now())
 	f.takeView(reply.View)
 	f.tables.Hint(ctx, reply.TableVersion, peer)
 	if reply.Epoch < sent && encoded == nil {
@@ -106,7 +107,7 @@
 	}
 	v, err := view.Decode(b)
 	if err != nil {
-		f.log.Warn("A peer sent a wrong view.", "error", err)
+		f.log.Warn("A peer sent a wrong view.", "error", err.Error())
 		return
 	}
 	f.Adopt(v)
@@ -115,11 +116,12 @@
 // HandleProbe answers a heartbeat.
 func (f *Fleet) HandleProbe(ctx context.Context, p hookhall.Probe) hookhall.ProbeReply {
 	f.takeView(p.View)
+	f.heard.add(p.Leaving, time.Now())
 	v := f.View()
 	if m, ok := view.Find(v, p.From); ok {
 		f.tables.Hint(context.WithoutCancel(ctx), p.TableVersion, f.peers.Peer(m.Address))
 	}
-	r := hookhall.ProbeReply{ID: f.self.ID, Epoch: v.Epoch, TableVersion: f.tables.Version()}
+	r := hookhall.ProbeReply{ID: f.self.ID, Epoch: v.Epoch, TableVersion: f.tables.Version(), Leaving: f.seenLeaving()}
 	if p.Epoch < v.Epoch && p.From != "admin" {
 		r.View = view.Encode(v)
 	}
@@ -156,7 +158,7 @@
 	f.log.Warn("Member does not answer; taking it out.", "member", m.ID, "gone", gone)
 	err := f.change(ctx, "remove", func(v *hookhall.View) *hookhall.View { return view.Leave(v, m.ID, gone) })
 	if err != nil {
-		f.log.Warn("Can't take it out.", "member", m.ID, "error", err)
+		f.log.Warn("Can't take it out.", "member", m.ID, "error", err.Error())
 		return
 	}
 	f.mu.Lock()
@@ -179,7 +181,7 @@
 			f.listed.Store(&Listing{list, time.Now()})
 			f.fenceGone(ctx)
 		} else if ctx.Err() == nil {
-			f.log.Warn("Can't read the instance list.", "error", err)
+			f.log.Warn("Can't read the instance list.", "error", err.Error())
 		}
 		if !retry.Sleep(ctx, retry.Jitter(f.timing.List)) {
 			return
@@ -197,7 +199,7 @@
 		}
 		err := f.change(ctx, "fence", func(v *hookhall.View) *hookhall.View { return view.Fence(v, m.ID) })
 		if err != nil {
-			f.log.Warn("Can't fence a gone member.", "member", m.ID, "error", err)
+			f.log.Warn("Can't fence a gone member.", "member", m.ID, "error", err.Error())
 		}
 	}
 }
--- a/internal/coordination/tables/editor.go
+++ b/internal/coordination/tables/editor.go
@@ -92,7 +92,7 @@
 			return 0, err
 		}
 		if err != nil {
-			e.log.Warn("The service did not answer.", "edit", id, "error", err)
+			e.log.Warn("The service did not answer.", "edit", id, "error", err.Error())
 			pause.Wait(ctx)
 		}
 		if ctx.Err() == nil {
@@ -127,7 +127,7 @@
 	}
 	for _, name := range doc.Obsolete(next) {
 		if err := e.kv.Delete(ctx, chunkPrefix+name); err != nil {
-			e.log.Warn("Can't delete an old chunk.", "chunk", name, "error", err)
+			e.log.Warn("Can't delete an old chunk.", "chunk", name, "error", err.Error())
 		}
 	}
 	return next.Root.Version, true, nil
--- a/internal/coordination/tables/keeper.go
+++ b/internal/coordination/tables/keeper.go
@@ -80,7 +80,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				k.log.Warn("Can't read the table.", "error", err)
+				k.log.Warn("Can't read the table.", "error", err.Error())
 			}
 			pause.Wait(ctx)
 			continue
@@ -185,7 +185,7 @@
 	go func() {
 		defer k.pulling.Store(false)
 		if err := k.Pull(ctx, peer); err != nil {
-			k.log.Warn("Can't read the table from a peer.", "error", err)
+			k.log.Warn("Can't read the table from a peer.", "error", err.Error())
 		}
 	}()
 }
--- a/internal/coordination/targets/directory.go
+++ b/internal/coordination/targets/directory.go
@@ -100,7 +100,7 @@
 	go func() {
 		defer wg.Done()
 		for retry.Sleep(ctx, retry.Jitter(pollEvery)) {
-			d.poll(ctx)
+			d.Poll(ctx)
 		}
 	}()
 	for {
@@ -126,7 +126,7 @@
 		}
 		byPool[i.Pool] = append(byPool[i.Pool], hookhall.Target{
 			ID: i.ID, Pool: i.Pool, Hall: i.Hall, Address: i.Address, Streams: i.Streams,
-			Leaving: i.State == hookhall.InstanceLeaving || leaving[i.ID],
+			Leaving: i.State == hookhall.InstanceLeaving || leaving[i.ID] || d.fleet.HeardLeaving(i.ID, now),
 		})
 	}
 	old := *d.pools.Load()
@@ -177,8 +177,8 @@
 	return list[:SubsetSize]
 }
 
-// poll asks every target for its report.
-func (d *Directory) poll(ctx context.Context) {
+// Poll asks every target for its report.
+func (d *Directory) Poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTime)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -47,6 +47,7 @@
 	Truncate   float64 `json:"truncate"`    // share whose answer is cut in the middle
 	Misdirect  float64 `json:"misdirect"`   // share that echoes another request
 	Corrupt    float64 `json:"corrupt"`     // share whose answer has a changed byte
+	Duplicate  float64 `json:"duplicate"`   // share whose first word comes twice
 	Leaving    bool    `json:"leaving"`     // refuses new work and reports to be leaving
 	Quiet      bool    `json:"quiet"`       // with Leaving: only refuses, reports nothing
 }
@@ -293,6 +294,8 @@
 		a.w.Header().Set(wire.HeaderRequestID, "another-request")
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt:
 		a.words[len(a.words)-1] += "x"
+	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt+f.Duplicate:
+		a.words[0] += a.words[0]
 	}
 	return nil
 }
--- a/internal/state/admission/gate.go
+++ b/internal/state/admission/gate.go
@@ -38,6 +38,9 @@
 	mu     sync.Mutex
 	queue  queue
 	window float64
+	// first is where the window began; least and most bound it.
+	first  float64
+	least  float64
 	most   float64
 	shrunk time.Time
 }
@@ -50,14 +53,16 @@
 	return g
 }
 
-// Resize sets the bounds when the pool's capacity has changed.
+// Resize sets the bounds when the pool's capacity has changed. first is this
+// entry's even share of the pool: a share that has grown is open at once, and
+// the window never falls below half of it.
 func (g *Gate) Resize(first, most float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.window == 0 {
-		g.window = first
+	if first > g.first {
+		g.window = max(g.window, first)
 	}
-	g.most = most
+	g.first, g.least, g.most = first, first/2, most
 	g.setWindow(g.window)
 	g.dispatch()
 }
@@ -67,7 +72,7 @@
 		g.limit.Store(math.MaxInt64)
 		return
 	}
-	g.window = min(max(w, 1), g.most)
+	g.window = min(max(w, g.least, 1), g.most)
 	g.limit.Store(int64(g.window))
 }
 
--- a/internal/state/claim/standby.go
+++ b/internal/state/claim/standby.go
@@ -22,7 +22,8 @@
 	}
 	old := l.records[n.Key]
 	switch {
-	case old == nil, n.Sequence > old.Sequence, now.After(old.Expires):
+	case old == nil, n.Sequence > old.Sequence, now.After(old.Expires),
+		n.Sequence == old.Sequence && supersedes(n, old.Record):
 		l.put(n)
 	case n.Token != old.Token:
 		return hookhall.CopyReply{Epoch: l.epoch}
@@ -53,7 +54,12 @@
 		r.Layers = append(r.Layers, k)
 	}
 	for _, x := range l.records {
-		r.Records = append(r.Records, x.Record)
+		n := x.Record
+		if x.copying {
+			// It may be granted after this read, at the epoch that still runs.
+			n.State = hookhall.StateGranted
+		}
+		r.Records = append(r.Records, n)
 	}
 	return r
 }
--- /dev/null
+++ b/internal/state/claim/store_test.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/view"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// pairOf makes two stores that are owner and standby of a key at one epoch.
+func pairOf(key string) (owner, standby *Store, v *hookhall.View) {
+	v = view.Join(view.Join(&hookhall.View{}, hookhall.Member{ID: "a#1", Instance: "a", Hall: "h1"}),
+		hookhall.Member{ID: "b#1", Instance: "b", Hall: "h2"})
+	stores := map[string]*Store{"a#1": New("a#1", time.Minute), "b#1": New("b#1", time.Minute)}
+	// Epoch 1 had one member alone: both adopt both epochs.
+	first, _ := view.At(v, 1)
+	alone := &hookhall.View{Epoch: 1, Revision: 1, Members: first}
+	for _, s := range stores {
+		s.Advance(alone)
+		s.Advance(v)
+	}
+	p := view.PairOf(v.Members, view.SlotOf(key))
+	owner, standby = stores[p.Owner.ID], stores[p.Standby.ID]
+	if !owner.slots[view.SlotOf(key)].whole() {
+		owner.Merge(standby.Records(2, []uint32{view.SlotOf(key)}).Slots[0])
+	}
+	return owner, standby, v
+}
+
+func ask(key string, token uint64) hookhall.ClaimRequest {
+	return hookhall.ClaimRequest{Epoch: 2, Key: key, Origin: "a#1", Token: token}
+}
+
+func TestStore(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	Convey("An owner and its standby", t, func() {
+		owner, standby, _ := pairOf("k")
+		Convey("grant a key once", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			So(g, ShouldNotBeNil)
+			So(standby.Copy(g.Epoch, g.Record, now).Stored, ShouldBeTrue)
+			So(owner.Complete(g, true).Outcome, ShouldEqual, hookhall.ClaimGranted)
+			reply, again := owner.Begin(ask("k", 2), now)
+			So(again, ShouldBeNil)
+			So(reply.Outcome, ShouldEqual, hookhall.ClaimHeld)
+			So(reply.Record.Token, ShouldEqual, 1)
+		})
+		Convey("do not grant without the standby's word, and let another try", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			So(owner.Complete(g, false).Outcome, ShouldEqual, hookhall.ClaimRefused)
+			_, g = owner.Begin(ask("k", 2), now)
+			So(g, ShouldNotBeNil)
+			So(g.Record.Sequence, ShouldEqual, 2)
+		})
+		Convey("hold a claim that was fetched while it was copied (found by the schedules)", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			standby.Merge(owner.Records(2, []uint32{view.SlotOf("k")}).Slots[0])
+			So(standby.Copy(g.Epoch, g.Record, now).Stored, ShouldBeTrue)
+			So(owner.Complete(g, true).Outcome, ShouldEqual, hookhall.ClaimGranted)
+			So(standby.slots[view.SlotOf("k")].records["k"].State, ShouldEqual, hookhall.StateGranted)
+		})
+		Convey("refuse a late copy of an older grant", func() {
+			_, first := owner.Begin(ask("k", 1), now)
+			owner.Complete(first, false)
+			_, second := owner.Begin(ask("k", 2), now)
+			So(standby.Copy(second.Epoch, second.Record, now).Stored, ShouldBeTrue)
+			So(standby.Copy(first.Epoch, first.Record, now).Stored, ShouldBeFalse)
+		})
+		Convey("refuse other epochs, and grant nothing that was copied before a view", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			So(standby.Copy(g.Epoch+1, g.Record, now).Stored, ShouldBeFalse)
+			So(standby.Copy(g.Epoch, g.Record, now).Stored, ShouldBeTrue)
+			owner.Advance(&hookhall.View{Epoch: 3, Revision: 3, Members: owner.Placement().View.Members})
+			So(owner.Complete(g, true).Outcome, ShouldEqual, hookhall.ClaimRefused)
+		})
+		Convey("keep a finished answer, and forget it after the retention", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			standby.Copy(g.Epoch, g.Record, now)
+			owner.Complete(g, true)
+			done, _, copied := owner.Settle(hookhall.Settlement{Key: "k", Token: 1, State: hookhall.StateFinished, Answer: []byte("x")}, now)
+			So(done, ShouldBeTrue)
+			So(standby.Copy(copied.Epoch, copied.Record, now).Stored, ShouldBeTrue)
+			reply, _ := owner.Begin(ask("k", 2), now)
+			So(string(reply.Record.Answer), ShouldEqual, "x")
+			_, g = owner.Begin(ask("k", 3), now.Add(2*time.Minute))
+			So(g, ShouldNotBeNil)
+		})
+		Convey("tell nothing of a slot to who is ahead, until they have moved on", func() {
+			ahead := &hookhall.View{Epoch: 3, Revision: 3, Members: owner.Placement().View.Members}
+			So(owner.Records(3, []uint32{view.SlotOf("k")}).Slots, ShouldBeEmpty)
+			owner.Advance(ahead)
+			So(owner.Records(3, []uint32{view.SlotOf("k")}).Slots, ShouldHaveLength, 1)
+			_, g := owner.Begin(ask("k", 1), now)
+			So(g, ShouldBeNil) // and grant nothing more at the epoch they left
+		})
+		Convey("settle nothing for another token", func() {
+			_, g := owner.Begin(ask("k", 1), now)
+			owner.Complete(g, true)
+			done, _, _ := owner.Settle(hookhall.Settlement{Key: "k", Token: 9, State: hookhall.StateReleased}, now)
+			So(done, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/transport/peers/client.go
+++ b/internal/transport/peers/client.go
@@ -118,11 +118,11 @@
 
 // Probe implements hookhall.Peer.
 func (c *client) Probe(ctx context.Context, p hookhall.Probe) (hookhall.ProbeReply, error) {
-	r, err := c.peer.Probe(ctx, &pb.ProbeRequest{From: p.From, Epoch: p.Epoch, TableVersion: p.TableVersion, View: p.View})
+	r, err := c.peer.Probe(ctx, &pb.ProbeRequest{From: p.From, Epoch: p.Epoch, TableVersion: p.TableVersion, View: p.View, Leaving: p.Leaving})
 	if err != nil {
 		return hookhall.ProbeReply{}, err
 	}
-	return hookhall.ProbeReply{ID: r.Id, Epoch: r.Epoch, TableVersion: r.TableVersion, View: r.View}, nil
+	return hookhall.ProbeReply{ID: r.Id, Epoch: r.Epoch, TableVersion: r.TableVersion, View: r.View, Leaving: r.Leaving}, nil
 }
 
 // ProbeFor implements hookhall.Peer.
--- a/internal/transport/peers/server.go
+++ b/internal/transport/peers/server.go
@@ -91,8 +91,8 @@
 
 // Probe implements pb.PeerServer.
 func (s *Server) Probe(ctx context.Context, q *pb.ProbeRequest) (*pb.ProbeReply, error) {
-	r := s.handler.HandleProbe(ctx, hookhall.Probe{From: q.From, Epoch: q.Epoch, TableVersion: q.TableVersion, View: q.View})
-	return &pb.ProbeReply{Id: r.ID, Epoch: r.Epoch, TableVersion: r.TableVersion, View: r.View}, nil
+	r := s.handler.HandleProbe(ctx, hookhall.Probe{From: q.From, Epoch: q.Epoch, TableVersion: q.TableVersion, View: q.View, Leaving: q.Leaving})
+	return &pb.ProbeReply{Id: r.ID, Epoch: r.Epoch, TableVersion: r.TableVersion, View: r.View, Leaving: r.Leaving}, nil
 }
 
 // ProbeFor implements pb.PeerServer.
--- a/peer.go
+++ b/peer.go
@@ -12,6 +12,8 @@
 	TableVersion uint64
 	// View is the encoded view; set when the receiver is known to be behind.
 	View []byte
+	// Leaving are targets that the sender itself has seen to be leaving.
+	Leaving []string
 }
 
 // ProbeReply answers a Probe.
@@ -21,6 +23,8 @@
 	TableVersion uint64
 	// View is set when the receiver is ahead of the sender.
 	View []byte
+	// Leaving are targets that the receiver itself has seen to be leaving.
+	Leaving []string
 }
 
 // RecordState is the state of a claim.
--- /dev/null
+++ b/test/input_test.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/load"
+	pb "github.com/hookhall/hookhall/internal/protocol/peerpb"
+	"github.com/hookhall/hookhall/internal/protocol/wire"
+	"github.com/hookhall/hookhall/internal/state/view"
+	"github.com/hookhall/hookhall/internal/transport/peers"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+// post sends a body to an entry and reads the problem document.
+func (c *cluster) post(body, key, idempotency string) (*wire.Problem, *http.Response) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.entries[0].callers+"/v1/run", strings.NewReader(body))
+	c.must(err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.Header.Set(wire.HeaderKey, idempotency)
+	resp, err := operator.Do(req)
+	c.must(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	c.must(err)
+	p := &wire.Problem{}
+	if resp.StatusCode != http.StatusOK {
+		c.must(json.Unmarshal(b, p))
+	}
+	return p, resp
+}
+
+func TestBadCallers(t *testing.T) {
+	Convey("Wrong requests", t, func() {
+		c := newCluster(t, options{})
+		good := load.Account{Name: "venues"}.Key()
+		cases := []struct {
+			name, body, key, idempotency string
+			status                       int
+			words                        string
+		}{
+			{"no JSON", `{"pipeline":`, good, "", 400, "not a run request"},
+			{"another type", `{"pipeline":7}`, good, "", 400, "not a run request"},
+			{"unknown field", `{"pipeline":"recap","colour":1}`, good, "", 400, "colour"},
+			{"two documents", `{"pipeline":"recap"}{}`, good, "", 400, "goes on"},
+			{"no pipeline", `{"input":"x"}`, good, "", 400, "pipeline is missing"},
+			{"unknown pipeline", `{"pipeline":"nothing"}`, good, "", 404, "nothing"},
+			{"unknown class", `{"pipeline":"recap","class":"none"}`, good, "", 400, "none"},
+			{"negative deadline", `{"pipeline":"recap","deadline_ms":-1}`, good, "", 400, "deadline_ms"},
+			{"too many tokens", `{"pipeline":"recap","max_tokens":1000000}`, good, "", 400, "max_tokens"},
+			{"no key", `{"pipeline":"recap"}`, "", "", 401, "key is missing"},
+			{"wrong key", `{"pipeline":"recap"}`, "nobody's", "", 401, "no account"},
+			{"operator's token", `{"pipeline":"recap"}`, token, "", 401, "no account"},
+			{"long idempotency key", `{"pipeline":"recap"}`, good, strings.Repeat("k", 201), 400, "longer"},
+			{"idempotency key with space", `{"pipeline":"recap"}`, good, "a b", 400, "printable"},
+			{"oversize body", `{"pipeline":"recap","input":"` + strings.Repeat("x", 1<<20) + `"}`, good, "", 413, "larger"},
+		}
+		for _, x := range cases {
+			p, resp := c.post(x.body, x.key, x.idempotency)
+			So(x.name+": "+p.Detail, ShouldContainSubstring, x.words)
+			So(resp.StatusCode, ShouldEqual, x.status)
+			So(p.Verdict, ShouldEqual, "not-run")
+			So(resp.Header.Get("Content-Type"), ShouldEqual, wire.ContentProblem)
+		}
+		So(c.ledger(), ShouldBeEmpty)
+		Convey("and callers can't reach what is the operators'", func() {
+			for _, path := range []string{"/debug/state", "/debug/explain?account=venues", "/metrics"} {
+				req, err := http.NewRequest(http.MethodGet, "http://"+c.entries[0].callers+path, nil)
+				So(err, ShouldBeNil)
+				req.Header.Set("Authorization", "Bearer "+good)
+				resp, err := operator.Do(req)
+				So(err, ShouldBeNil)
+				_ = resp.Body.Close()
+				So(resp.StatusCode, ShouldEqual, http.StatusUnauthorized)
+			}
+		})
+	})
+}
+
+func TestRefusalsAreFinal(t *testing.T) {
+	Convey("An account at its limit is told at once when to come back", t, func() {
+		c := newCluster(t, options{edits: []hookhall.Edit{set("accounts", "venues", "rate", "1")}})
+		k := c.kind("recap")
+		refused := 0
+		for i := 0; i < 12; i++ {
+			o := c.send(i%3, k, "limit-"+string(rune('a'+i)), "")
+			if o.Problem == nil {
+				continue
+			}
+			refused++
+			So(o.Problem.Cause, ShouldEqual, "limit")
+			So(o.Problem.Verdict, ShouldEqual, "not-run")
+			So(o.Problem.RetryAfterMS, ShouldBeGreaterThan, 0)
+			t.Logf("refused after %v, come back in %d ms", o.Took, o.Problem.RetryAfterMS)
+		}
+		So(refused, ShouldBeGreaterThan, 8)
+	})
+}
+
+func TestBadPeers(t *testing.T) {
+	Convey("At the peers' port", t, func() {
+		c := newCluster(t, options{})
+		at := c.entries[0].peers
+		before, err := c.entries[0].state()
+		So(err, ShouldBeNil)
+		conn, err := grpc.NewClient("passthrough:///"+at, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		peer := pb.NewPeerClient(conn)
+		call := func(version, word string) error {
+			ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(context.Background(),
+				"hookhall-version", version, "hookhall-secret", word), 5*time.Second)
+			defer cancel()
+			_, err := peer.Probe(ctx, &pb.ProbeRequest{From: "stranger"})
+			return err
+		}
+		Convey("another version, or a wrong secret, is refused", func() {
+			So(status.Code(call("2", secret)), ShouldEqual, codes.FailedPrecondition)
+			So(status.Code(call("", secret)), ShouldEqual, codes.FailedPrecondition)
+			So(status.Code(call(peers.Version, "wrong")), ShouldEqual, codes.Unauthenticated)
+			So(call(peers.Version, secret), ShouldBeNil)
+		})
+		Convey("a flood of them is logged at a bounded rate", func() {
+			for i := 0; i < 300; i++ {
+				So(call("9", secret), ShouldNotBeNil)
+			}
+			s, err := c.entries[0].state()
+			So(err, ShouldBeNil)
+			So(s.Cost.PeerRefusals, ShouldBeGreaterThanOrEqualTo, 300)
+			So(strings.Count(c.entries[0].logs(), "Refused a peer's call."), ShouldBeLessThan, 60)
+		})
+		Convey("garbage and oversize frames, and a view that names itself twice, change nothing", func() {
+			raw, err := net.Dial("tcp", at)
+			So(err, ShouldBeNil)
+			_, _ = raw.Write(bytes.Repeat([]byte("garbage"), 10000)) // the server may hang up
+			_ = raw.Close()
+			clients := peers.NewClients(secret)
+			defer clients.Close()
+			p := clients.Peer(at)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			m := before.Members[0]
+			twice := view.Encode(&hookhall.View{Epoch: 99, Revision: 99, Members: []hookhall.Member{m, m}})
+			for _, v := range [][]byte{twice, []byte("{"), bytes.Repeat([]byte("x"), 1<<20)} {
+				_, err := p.Probe(ctx, hookhall.Probe{From: "stranger", View: v})
+				So(err, ShouldBeNil)
+			}
+			_, err = p.Probe(ctx, hookhall.Probe{From: "stranger", View: make([]byte, peers.MaxMessage+1)})
+			So(status.Code(err), ShouldEqual, codes.ResourceExhausted)
+			_, err = p.Claim(ctx, hookhall.ClaimRequest{Epoch: before.Epoch, Token: 1})
+			So(status.Code(err), ShouldEqual, codes.InvalidArgument)
+			s, err := c.entries[0].state()
+			So(err, ShouldBeNil)
+			So(s.Epoch, ShouldEqual, before.Epoch)
+			So(c.send(0, c.kind("recap"), "still", "").Answered, ShouldBeTrue)
+		})
+	})
+}
