admission: who is let in gets through; who is not is told at once

Cause: at 3 times the capacity the product kept requests in its queues until their time ran out: refusals at p99 after 2.0 s, 18 % of spending missed. Waits were estimated by queue length over the drain of all classes, which is wrong for a class that others go before. Change: a call's wait is counted by its class and account, against what higher classes leave of window over service time; calls let in but not yet come count; the door allows for 1.7 times the wait; queues are looked through every 10 ms for calls that won't start in time.

--- a/cmd/hookhall-load/experiment.go
+++ b/cmd/hookhall-load/experiment.go
@@ -3,9 +3,58 @@
 
 package main
 
-import "github.com/pkg/errors"
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
 
-type experimentCommand struct{}
+	"github.com/hookhall/hookhall/internal/lab"
+	"github.com/hookhall/hookhall/internal/load"
+	"github.com/pkg/errors"
+)
+
+type experimentCommand struct {
+	Scenario string        `long:"scenario" default:"load" description:"Group of scenarios: load or faults."`
+	Only     string        `long:"only" description:"Play only scenarios whose name has this in it."`
+	Policies string        `long:"policies" default:"baseline,clock,window,order,routing,product" description:"Policies, with commas."`
+	Profile  string        `long:"profile" default:"mixed" description:"fuel, venue or mixed."`
+	Entries  int           `long:"entries" default:"3" description:"Entries of the fleet."`
+	Time     time.Duration `long:"time" default:"6s" description:"Length of a run after its warm-up."`
+	Kinds    bool          `long:"kinds" description:"Print a table by kind of request for each run, too."`
+	Seed     uint64        `long:"seed" default:"1" description:"Seed of the arrivals."`
+}
 
 // Execute implements flags.Commander.
-func (c *experimentCommand) Execute([]string) error { return errors.New("not yet") }
+func (c *experimentCommand) Execute([]string) error {
+	p, err := load.Named(c.Profile)
+	if err != nil {
+		return err
+	}
+	x := lab.Experiment{Profile: p, Entries: c.Entries, Length: c.Time, Seed: c.Seed}
+	for _, name := range strings.Split(c.Policies, ",") {
+		policy, err := lab.PolicyNamed(name)
+		if err != nil {
+			return err
+		}
+		x.Policies = append(x.Policies, policy)
+	}
+	for _, s := range lab.Scenarios[c.Scenario] {
+		if strings.Contains(s.Name, c.Only) {
+			x.Scenarios = append(x.Scenarios, s)
+		}
+	}
+	if len(x.Scenarios) == 0 {
+		return errors.Errorf("no scenario in group %q has %q in its name", c.Scenario, c.Only)
+	}
+	rows, err := x.Run(context.Background(), os.Stdout)
+	for _, r := range rows {
+		if c.Kinds {
+			fmt.Printf("%s, %s\n", r.Scenario, r.Policy)
+			load.Print(os.Stdout, r.All, r.Kinds, r.Audit)
+			fmt.Println()
+		}
+	}
+	return err
+}
--- a/internal/app/entry/state.go
+++ b/internal/app/entry/state.go
@@ -150,7 +150,7 @@
 		return x
 	}
 	for _, p := range e.targets.Pools() {
-		x.WaitMS[p.Name] = ms(p.Gate.Wait(a.Priority, now))
+		x.WaitMS[p.Name] = ms(p.Gate.Wait(a.Name, a.Weight, a.Priority, now))
 	}
 	for cause, text := range advice {
 		if x.Counts[string(cause)] > 0 {
--- a/internal/coordination/pipeline/run.go
+++ b/internal/coordination/pipeline/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/claims"
+	"github.com/hookhall/hookhall/internal/state/admission"
 	"github.com/hookhall/hookhall/internal/state/estimate"
 )
 
@@ -19,6 +20,9 @@
 	settleWait = 50 * time.Millisecond
 	// releaseWait is the same for one that ran nothing.
 	releaseWait = 10 * time.Millisecond
+	// doorDoubt is how much longer than estimated the queues may turn out: who
+	// is let in should not be refused later.
+	doorDoubt = 1.7
 	// peekTime bounds the look behind a refusal's verdict.
 	peekTime = 100 * time.Millisecond
 )
@@ -40,6 +44,10 @@
 	// emitted is set once the caller was sent a part of the answer.
 	emitted bool
 	first   time.Duration
+	// gates are those of the stages, as they were at the door; nil for a pool
+	// that was not known then. reached is how many the run has come to.
+	gates   []*admission.Gate
+	reached int
 }
 
 func (x *run) claimed() bool {
@@ -57,6 +65,8 @@
 	if err := x.door(time.Now()); err != nil {
 		return nil, x.refused(ctx, err)
 	}
+	x.promise()
+	defer x.withdraw()
 	if !x.claimed() {
 		output, err := x.stages(ctx)
 		return x.finish(output, err)
@@ -139,6 +149,7 @@
 func (x *run) stages(ctx context.Context) ([]byte, error) {
 	input := x.request.Input
 	for i := range x.pipeline.Stages {
+		x.arrive(i)
 		s := stageRun{run: x, index: i, stage: &x.pipeline.Stages[i], input: input}
 		output, err := s.serve(ctx)
 		if err != nil {
@@ -151,6 +162,34 @@
 	return input, nil
 }
 
+// promise tells the gates of all stages that this run is to come.
+func (x *run) promise() {
+	x.gates = make([]*admission.Gate, len(x.pipeline.Stages))
+	for i, s := range x.pipeline.Stages {
+		if p := x.targets.Pool(s.Pool); p != nil {
+			x.gates[i] = p.Gate
+			p.Gate.Promise(x.priority, 1)
+		}
+	}
+}
+
+// arrive notes that the run has come to a stage's gate.
+func (x *run) arrive(i int) {
+	if g := x.gates[i]; g != nil {
+		g.Promise(x.priority, -1)
+	}
+	x.reached = i + 1
+}
+
+// withdraw takes back what was promised to gates that the run did not reach.
+func (x *run) withdraw() {
+	for _, g := range x.gates[x.reached:] {
+		if g != nil {
+			g.Promise(x.priority, -1)
+		}
+	}
+}
+
 // door refuses what can't make its deadline before anything is spent on it.
 func (x *run) door(now time.Time) error {
 	left := x.request.Deadline.Sub(now)
@@ -168,10 +207,10 @@
 		if p == nil {
 			continue
 		}
-		wait := p.Gate.Wait(x.priority, now)
-		need += wait
+		wait := p.Gate.Wait(x.account.Name, x.weight, x.priority, now)
+		need += time.Duration(float64(wait) * doorDoubt)
 		if wait > worst {
-			worst, retryAfter = wait, p.Gate.RetryAfter(x.priority, now)
+			worst, retryAfter = wait, p.Gate.RetryAfter(x.account.Name, x.weight, x.priority, now)
 		}
 	}
 	if need <= left {
--- a/internal/coordination/pipeline/stage.go
+++ b/internal/coordination/pipeline/stage.go
@@ -71,8 +71,8 @@
 	if err := s.enter(ctx, pool); err != nil {
 		return nil, err
 	}
-	defer func() { pool.Gate.Leave(time.Now()) }()
 	now := time.Now()
+	defer func() { pool.Gate.Leave(time.Since(now)) }()
 	s.costs[s.index].WaitMS += milliseconds(now.Sub(entered))
 	t := pool.Pick(s.prefix(), s.tried, now)
 	if t == nil {
@@ -112,7 +112,7 @@
 
 func (s *stageRun) late(pool *targets.Pool, now time.Time) error {
 	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline,
-		"the rest of the pipeline can't end in time").After(pool.Gate.RetryAfter(s.priority, now))
+		"the rest of the pipeline can't end in time").After(pool.Gate.RetryAfter(s.account.Name, s.weight, s.priority, now))
 }
 
 func (s *stageRun) prefix() uint64 {
--- a/internal/coordination/targets/directory.go
+++ b/internal/coordination/targets/directory.go
@@ -42,9 +42,14 @@
 const (
 	refreshEvery = 200 * time.Millisecond
 	pollEvery    = time.Second
-	pollTime     = 500 * time.Millisecond
+	// shedEvery is how often hopeless calls are looked for in the queues.
+	shedEvery = 10 * time.Millisecond
+	pollTime  = 500 * time.Millisecond
 	// pollers bounds the polls in progress at once.
 	pollers = 16
+	// windowShare is a window's begin against an even share of the pool: a little
+	// waiting at targets keeps their slots from idling while answers travel.
+	windowShare = 1.25
 	// windowRoom is how far above the pool's capacity a window may grow.
 	windowRoom = 1.5
 )
@@ -96,13 +101,21 @@
 // Run refreshes and polls until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Add(1)
+	wg.Add(2)
 	go func() {
 		defer wg.Done()
 		for retry.Sleep(ctx, retry.Jitter(pollEvery)) {
 			d.Poll(ctx)
 		}
 	}()
+	go func() {
+		defer wg.Done()
+		for retry.Sleep(ctx, shedEvery) {
+			for _, p := range *d.pools.Load() {
+				p.Gate.Shed(time.Now())
+			}
+		}
+	}()
 	for {
 		d.Refresh(time.Now())
 		if !retry.Sleep(ctx, refreshEvery) {
@@ -164,7 +177,7 @@
 	}
 	capacity := float64(p.Capacity(now))
 	entries := float64(max(len(d.fleet.View().Members), 1))
-	p.Gate.Resize(capacity/entries+1, capacity*windowRoom+1)
+	p.Gate.Resize(capacity/entries*windowShare+1, capacity*windowRoom+1)
 }
 
 // subset keeps the targets that rank highest for this entry.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -126,7 +126,8 @@
 	_ = h.RecordValue(us) // clamped to the range
 }
 
-func quantile(h *hdrhistogram.Histogram, q float64) string {
+// Quantile prints a quantile in milliseconds, "-" without values.
+func Quantile(h *hdrhistogram.Histogram, q float64) string {
 	if h.TotalCount() == 0 {
 		return "-"
 	}
@@ -139,8 +140,8 @@
 	fmt.Fprintln(t, "KIND\tREQUESTS\tATTAINMENT\tLATE\tREFUSED\tLOST\tp50 ms\tp95 ms\tp99 ms\tFIRST p95\tREFUSAL p99\tCAUSES")
 	for _, s := range append(kinds, all) {
 		fmt.Fprintf(t, "%s\t%d\t%.4f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", s.Name, s.Requests, s.Attainment(),
-			s.Late, s.Refused, s.Lost, quantile(s.Took, 50), quantile(s.Took, 95), quantile(s.Took, 99),
-			quantile(s.First, 95), quantile(s.Refusal, 99), causes(s.Causes))
+			s.Late, s.Refused, s.Lost, Quantile(s.Took, 50), Quantile(s.Took, 95), Quantile(s.Took, 99),
+			Quantile(s.First, 95), Quantile(s.Refusal, 99), causes(s.Causes))
 	}
 	_ = t.Flush()
 	fmt.Fprintln(w)
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -62,6 +62,8 @@
 	Tag      string    `json:"tag"`
 	Began    time.Time `json:"began"`
 	Finished bool      `json:"finished"`
+	// BusyMS is how long it held a slot, also when it was canceled.
+	BusyMS float64 `json:"busy_ms"`
 }
 
 // Target is a stand-in of an engine, a pool's target or a plain service.
@@ -185,6 +187,11 @@
 func (t *Target) run(w http.ResponseWriter, r *http.Request, f TargetFaults, input string, waited time.Duration) {
 	line := t.begin(r, input)
 	began := time.Now()
+	defer func() {
+		t.mu.Lock()
+		line.BusyMS = millis(time.Since(began))
+		t.mu.Unlock()
+	}()
 	slow := max(f.Slow, 1)
 	tokens := 0
 	if t.settings.Token > 0 {
--- a/internal/state/admission/queue.go
+++ b/internal/state/admission/queue.go
@@ -51,6 +51,7 @@
 	Cost float64
 
 	granted chan struct{}
+	shed    chan struct{}
 	timer   *time.Timer
 	state   itemState
 	index   int // in the account's heap, or in the arrival heap
@@ -92,18 +93,21 @@
 	virtual float64
 	flows   map[string]*flow
 	backlog flowHeap
+	// weights sums the weights of the backlogged flows.
+	weights float64
 }
 
 // flow is one account's waiting items.
 type flow struct {
 	account string
+	weight  float64
 	tag     float64
 	items   itemHeap
 	index   int
 }
 
 func (q *queue) push(it *Item) {
-	it.Priority = min(max(it.Priority, 0), priorities-1)
+	it.Priority = clamp(it.Priority)
 	if it.Weight <= 0 {
 		it.Weight = 1
 	}
@@ -127,7 +131,8 @@
 	it.flow = f
 	heap.Push(&f.items, it)
 	if len(f.items.items) == 1 {
-		f.tag = max(f.tag, c.virtual)
+		f.tag, f.weight = max(f.tag, c.virtual), it.Weight
+		c.weights += f.weight
 		heap.Push(&c.backlog, f)
 	}
 }
@@ -184,12 +189,13 @@
 		return
 	}
 	heap.Remove(&c.backlog, f.index)
+	c.weights -= f.weight
 	if f.tag <= c.virtual {
 		delete(c.flows, f.account) // it owes nothing
 	}
 	if len(c.backlog) == 0 {
 		c.flows = nil // nobody waits: debts are forgotten
-		c.virtual = 0
+		c.virtual, c.weights = 0, 0
 	}
 }
 
@@ -209,15 +215,39 @@
 	q.waiting[it.Priority]--
 }
 
-// ahead is the number of items of the same or a higher priority.
-func (q *queue) ahead(priority int) int {
+// above is the number of items of higher priorities.
+func (q *queue) above(priority int) int {
 	n := 0
-	for p := min(max(priority, 0), priorities-1); p < priorities; p++ {
+	for p := priority + 1; p < priorities; p++ {
 		n += q.waiting[p]
 	}
 	return n
 }
 
+// ahead is about how many items go before the one at a position (from 0) of an
+// account's flow: those of higher priorities, and in its own class the fair
+// part of the other accounts.
+func (q *queue) ahead(account string, weight float64, priority, position int) float64 {
+	n := float64(q.above(priority))
+	if q.order == OrderArrival {
+		return float64(q.length)
+	}
+	c := &q.classes[priority]
+	weights := c.weights
+	if f := c.flows[account]; f == nil || len(f.items.items) == 0 {
+		weights += weight
+	}
+	return n + min(float64(position)*weights/weight, float64(q.waiting[priority]))
+}
+
+// queued is how many items of an account wait in a class.
+func (q *queue) queued(account string, priority int) int {
+	if f := q.classes[priority].flows[account]; f != nil {
+		return len(f.items.items)
+	}
+	return 0
+}
+
 // itemHeap orders by latest start, or by arrival.
 type itemHeap struct {
 	items     []*Item
