--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,14 @@
 soak: build
 	HOOKHALL_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 80m -run TestSchedules ./test/...
 
+# What docs/MEASURES.md shows; some five minutes.
 experiments: build
-	bash scripts/experiments.sh
+	bin/hookhall-load experiment --scenario load
+	bin/hookhall-load experiment --scenario faults --policies baseline,product
 
+# What docs/CAPACITY.md is worked out from.
 slopes: build
-	bash scripts/slopes.sh
+	bin/hookhall-load slopes
 
 generate:
 	cd internal/protocol/peerpb && protoc --go_out=. --go_opt=paths=source_relative \
--- a/internal/app/entry/state.go
+++ b/internal/app/entry/state.go
@@ -58,11 +58,15 @@
 	ServiceCalls int64  `json:"service_calls"`
 	ServiceBytes int64  `json:"service_bytes"`
 	ViewWrites   int64  `json:"view_writes"`
+	PeerBytes    int64  `json:"peer_bytes"`
 	PeerRefusals int64  `json:"peer_refusals"`
 	HeapBytes    uint64 `json:"heap_bytes"`
 	Goroutines   int    `json:"goroutines"`
 }
 
+// TableVersion is the version in force.
+func (e *Entry) TableVersion() uint64 { return e.tables.Version() }
+
 // State reads the entry's state.
 func (e *Entry) State() State {
 	now := time.Now()
@@ -77,7 +81,7 @@
 		Claims: e.store.Summary(), ClaimCounts: e.claims.Counts(), OwnedLimits: e.limits.Owned(),
 		Pools: e.poolStates(now), Estimates: e.estimateStates(),
 		Cost: CostState{
-			ServiceCalls: e.kv.Calls(), ServiceBytes: e.kv.Bytes(), ViewWrites: e.fleet.Writes(),
+			ServiceCalls: e.kv.Calls(), ServiceBytes: e.kv.Bytes(), ViewWrites: e.fleet.Writes(), PeerBytes: e.clients.Bytes(),
 			PeerRefusals: e.peers.Refused(), HeapBytes: mem.HeapAlloc, Goroutines: runtime.NumGoroutine(),
 		},
 	}
--- a/internal/coordination/tables/editor.go
+++ b/internal/coordination/tables/editor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -46,11 +47,15 @@
 	kv    hookhall.KeyValue
 	peers hookhall.Peers
 	log   *log.Logger
+	// last is the document read last: chunks that it has are not read again.
+	last atomic.Pointer[table.Document]
 }
 
 // NewEditor makes an Editor.
 func NewEditor(kv hookhall.KeyValue, peers hookhall.Peers, l *log.Logger) *Editor {
-	return &Editor{kv: kv, peers: peers, log: l}
+	e := &Editor{kv: kv, peers: peers, log: l}
+	e.last.Store(table.Empty())
+	return e
 }
 
 // Read returns the table as the service holds it.
@@ -63,8 +68,12 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	doc, err := assemble(ctx, e.kv, root, table.Empty())
-	return doc, entry.Index, err
+	doc, err := assemble(ctx, e.kv, root, e.last.Load())
+	if err != nil {
+		return nil, 0, err
+	}
+	e.last.Store(doc)
+	return doc, entry.Index, nil
 }
 
 // Apply puts edits in force, all or none, once per id: an id that is in force
--- a/internal/coordination/tables/keeper.go
+++ b/internal/coordination/tables/keeper.go
@@ -73,8 +73,9 @@
 func (k *Keeper) Run(ctx context.Context) {
 	var index uint64
 	pause := retry.New()
+	read := k.kv.Get // first: a table that is still empty has no change to wait for
 	for ctx.Err() == nil {
-		e, err := k.kv.Watch(ctx, RootKey, index, watchTime)
+		e, err := read(ctx, RootKey)
 		if err == nil {
 			err = k.follow(ctx, e)
 		}
@@ -87,6 +88,9 @@
 		}
 		pause.Reset()
 		index = e.Index
+		read = func(ctx context.Context, key string) (hookhall.Entry, error) {
+			return k.kv.Watch(ctx, key, index, watchTime)
+		}
 	}
 }
 
--- a/internal/coordination/targets/directory.go
+++ b/internal/coordination/targets/directory.go
@@ -43,7 +43,9 @@
 	refreshEvery = 200 * time.Millisecond
 	pollEvery    = time.Second
 	// shedEvery is how often hopeless calls are looked for in the queues.
+	// shedIdle is the same while nobody waits.
 	shedEvery = 10 * time.Millisecond
+	shedIdle  = 50 * time.Millisecond
 	pollTime  = 500 * time.Millisecond
 	// pollers bounds the polls in progress at once.
 	pollers = 16
@@ -110,14 +112,14 @@
 	}()
 	go func() {
 		defer wg.Done()
-		for retry.Sleep(ctx, shedEvery) {
-			for _, p := range *d.pools.Load() {
-				p.Gate.Shed(time.Now())
-			}
-		}
+		d.shed(ctx)
 	}()
+	var last seen
 	for {
-		d.Refresh(time.Now())
+		if now := d.sees(); now != last {
+			last = now
+			d.Refresh(time.Now())
+		}
 		if !retry.Sleep(ctx, refreshEvery) {
 			wg.Wait()
 			return
@@ -125,6 +127,33 @@
 	}
 }
 
+// seen is what the pools are made from. It is compared, so that nothing is
+// built anew while nothing has changed but once a second, for what fades.
+type seen struct {
+	listing *fleet.Listing
+	table   *tables.InForce
+	view    *hookhall.View
+	second  int64
+}
+
+func (d *Directory) sees() seen {
+	return seen{d.fleet.Listed(), d.tables.Current(), d.fleet.View(), time.Now().Unix()}
+}
+
+// shed looks for hopeless calls in queues, often while any call waits.
+func (d *Directory) shed(ctx context.Context) {
+	pause := shedIdle
+	for retry.Sleep(ctx, pause) {
+		pause = shedIdle
+		for _, p := range *d.pools.Load() {
+			if p.Gate.Queued() > 0 {
+				pause = shedEvery
+				p.Gate.Shed(time.Now())
+			}
+		}
+	}
+}
+
 // Refresh rebuilds the pools from the list and the table.
 func (d *Directory) Refresh(now time.Time) {
 	listing := d.fleet.Listed()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -45,7 +45,7 @@
 	FailAfter  float64 `json:"fail_after"`  // share that fails after running, with status 500
 	Lose       float64 `json:"lose"`        // share whose answer is lost after running
 	Truncate   float64 `json:"truncate"`    // share whose answer is cut in the middle
-	Misdirect  float64 `json:"misdirect"`   // share that echoes another request
+	Misdirect  float64 `json:"misdirect"`   // share that is the answer to another request
 	Corrupt    float64 `json:"corrupt"`     // share whose answer has a changed byte
 	Duplicate  float64 `json:"duplicate"`   // share whose first word comes twice
 	Leaving    bool    `json:"leaving"`     // refuses new work and reports to be leaving
@@ -282,6 +282,8 @@
 	words []string
 	text  string
 	cut   int
+	// other is set when the words are another request's, whole and in order.
+	other bool
 }
 
 // begin decides the faults of this answer. An error means that it has been
@@ -299,6 +301,8 @@
 		a.cut = (len(a.words) + 1) / 2
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect:
 		a.w.Header().Set(wire.HeaderRequestID, "another-request")
+		a.words = Transform("another-stage", "another input another-tag", len(a.words)+1)[:len(a.words)]
+		a.other = true
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt:
 		a.words[len(a.words)-1] += "x"
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt+f.Duplicate:
@@ -313,6 +317,9 @@
 	if a.cut >= 0 && i >= a.cut {
 		return // the rest of the run goes on, unseen
 	}
+	if a.other {
+		word = a.words[i]
+	}
 	a.text += word
 	if a.words[i] != word {
 		word = a.words[i] // corrupted on its way: the checksum is of what was meant
--- a/internal/state/admission/gate.go
+++ b/internal/state/admission/gate.go
@@ -302,6 +302,9 @@
 	return shed
 }
 
+// Queued is how many calls wait.
+func (g *Gate) Queued() int64 { return g.queued.Load() }
+
 // Idle tells whether the pool has room to spare: nobody waits, and the window is
 // not used up.
 func (g *Gate) Idle() bool {
--- a/internal/state/claim/store.go
+++ b/internal/state/claim/store.go
@@ -91,7 +91,8 @@
 func (s *Store) Advance(v *hookhall.View) bool {
 	s.advance.Lock()
 	defer s.advance.Unlock()
-	old := s.placed.Load().View
+	before := s.placed.Load()
+	old := before.View
 	if v.Epoch <= old.Epoch {
 		if v.Epoch == old.Epoch && v.Revision > old.Revision {
 			s.placed.Store(place(v))
@@ -101,21 +102,18 @@
 	next := place(v)
 	served := s.servedEpochs(old, v)
 	for i := range s.slots {
-		s.slots[i].moveOn(s.self, v.Epoch, uint32(i), next.Pairs[i], served)
+		s.slots[i].moveOn(s.self, uint32(i), before, next, served)
 	}
 	s.placed.Store(next)
 	return true
 }
 
-// servedEpochs returns the members of the epochs from old's to the one before
-// v's that this process was a member of.
+// servedEpochs returns the members of the epochs between old's and v's that this
+// process was a member of.
 func (s *Store) servedEpochs(old, v *hookhall.View) map[uint64][]hookhall.Member {
 	served := map[uint64][]hookhall.Member{}
-	for k := v.Epoch - 1; k >= 1 && k >= old.Epoch; k-- {
+	for k := v.Epoch - 1; k > old.Epoch; k-- {
 		members, ok := view.At(v, k)
-		if k == old.Epoch {
-			members, ok = old.Members, true
-		}
 		if !ok {
 			continue
 		}
@@ -128,15 +126,20 @@
 	return served
 }
 
-func (l *slot) moveOn(self string, epoch uint64, number uint32, pair view.Pair, served map[uint64][]hookhall.Member) {
+// moveOn takes a slot from one placement to a later one. It holds every grant
+// of the epoch that it leaves, if it was of the pair, and of those it skipped.
+func (l *slot) moveOn(self string, number uint32, from, to *Placement, served map[uint64][]hookhall.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if k := from.View.Epoch; k > l.through && from.Pairs[number].Has(self) {
+		l.layers[k] = true
+	}
 	for k, members := range served {
 		if k > l.through && view.PairOf(members, number).Has(self) {
 			l.layers[k] = true
 		}
 	}
-	l.epoch, l.pair = epoch, pair
+	l.epoch, l.pair = to.View.Epoch, to.Pairs[number]
 	l.normalize()
 }
 
--- a/internal/transport/peers/client.go
+++ b/internal/transport/peers/client.go
@@ -18,7 +18,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -36,6 +38,10 @@
 	// MaxMessage bounds a message in bytes.
 	MaxMessage = 16 << 20
 
+	// idleTime without a call a connection is closed: an entry talks to few of
+	// its peers all the time, and to any of them now and then.
+	idleTime = 10 * time.Second
+
 	keyVersion = "hookhall-version"
 	keySecret  = "hookhall-secret"
 )
@@ -49,6 +55,8 @@
 // Clients is a hookhall.Peers.
 type Clients struct {
 	secret string
+	// bytes is what went over these connections, both ways.
+	bytes  atomic.Int64
 	mu     sync.Mutex
 	byAddr map[string]*client
 }
@@ -86,11 +94,44 @@
 // Close closes all connections.
 func (c *Clients) Close() { c.Keep(func(string) bool { return false }) }
 
+// Bytes is what went over these connections, both ways, without TCP and IP.
+func (c *Clients) Bytes() int64 { return c.bytes.Load() }
+
+// counted counts a connection's bytes.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *Clients) connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return counted{conn, &c.bytes}, nil
+}
+
 func (c *Clients) dial(address string) *client {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(reconnect),
+		grpc.WithContextDialer(c.connect),
 		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(idleTime),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
 		grpc.WithUnaryInterceptor(c.sign),
