--- a/contract_instances_test.go
+++ b/contract_instances_test.go
@@ -51,6 +51,19 @@
 			_, err = instances.New(strings.TrimPrefix(nonsense.URL, "http://")).List(context.Background())
 			So(errors.Is(err, hookhall.ErrUnavailable), ShouldBeTrue)
 		})
+		Convey("is not sent again while it has not changed", func() {
+			list.Set(hookhall.Instance{ID: "a"})
+			for range 3 {
+				all, err := c.List(context.Background())
+				So(err, ShouldBeNil)
+				So(all, ShouldHaveLength, 1)
+			}
+			once := c.Bytes()
+			So(once, ShouldBeGreaterThan, 0)
+			_, err := c.List(context.Background())
+			So(err, ShouldBeNil)
+			So(c.Bytes(), ShouldEqual, once)
+		})
 		Convey("lags", func() {
 			late := standin.NewInstances(time.Hour)
 			s := httptest.NewServer(late)
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -75,6 +75,7 @@
 	started  time.Time
 
 	kv      *keyvalue.Client
+	list    *instances.Client
 	clients *peers.Clients
 	store   *claim.Store
 	tables  *tables.Keeper
@@ -130,11 +131,12 @@
 	s := e.settings
 	self := e.member()
 	e.kv = keyvalue.New(s.Platform.KeyValue)
+	e.list = instances.New(s.Platform.Instances)
 	e.clients = peers.NewClients(s.Fleet.Secret)
 	e.store = claim.New(self.ID, s.Fleet.Retention())
 	e.tables = tables.NewKeeper(e.kv, e.logger(logging.Table))
 	e.fleet = fleet.New(fleet.Parts{
-		Self: self, KV: e.kv, List: instances.New(s.Platform.Instances), Peers: e.clients,
+		Self: self, KV: e.kv, List: e.list, Peers: e.clients,
 		Store: e.store, Tables: e.tables, Log: e.logger(logging.Fleet),
 		Timing: fleet.Timing{Heartbeat: s.Fleet.Heartbeat(), Suspect: s.Fleet.Suspect, List: s.Fleet.List()},
 	})
--- a/internal/app/entry/state.go
+++ b/internal/app/entry/state.go
@@ -59,6 +59,7 @@
 	ServiceBytes int64  `json:"service_bytes"`
 	ViewWrites   int64  `json:"view_writes"`
 	PeerBytes    int64  `json:"peer_bytes"`
+	ListBytes    int64  `json:"list_bytes"`
 	PeerRefusals int64  `json:"peer_refusals"`
 	HeapBytes    uint64 `json:"heap_bytes"`
 	Goroutines   int    `json:"goroutines"`
@@ -81,7 +82,7 @@
 		Claims: e.store.Summary(), ClaimCounts: e.claims.Counts(), OwnedLimits: e.limits.Owned(),
 		Pools: e.poolStates(now), Estimates: e.estimateStates(),
 		Cost: CostState{
-			ServiceCalls: e.kv.Calls(), ServiceBytes: e.kv.Bytes(), ViewWrites: e.fleet.Writes(), PeerBytes: e.clients.Bytes(),
+			ServiceCalls: e.kv.Calls(), ServiceBytes: e.kv.Bytes(), ViewWrites: e.fleet.Writes(), PeerBytes: e.clients.Bytes(), ListBytes: e.list.Bytes(),
 			PeerRefusals: e.peers.Refused(), HeapBytes: mem.HeapAlloc, Goroutines: runtime.NumGoroutine(),
 		},
 	}
--- a/internal/coordination/targets/directory.go
+++ b/internal/coordination/targets/directory.go
@@ -41,7 +41,11 @@
 
 const (
 	refreshEvery = 200 * time.Millisecond
-	pollEvery    = time.Second
+	// pollEvery is between polls of a target, and pollShare for each entry of
+	// the fleet if that is more: a target answers some ten polls a second in
+	// all. What a poll tells, its answers and refusals tell sooner.
+	pollEvery = time.Second
+	pollShare = 100 * time.Millisecond
 	// shedEvery is how often hopeless calls are looked for in the queues.
 	// shedIdle is the same while nobody waits.
 	shedEvery = 10 * time.Millisecond
@@ -106,7 +110,7 @@
 	wg.Add(2)
 	go func() {
 		defer wg.Done()
-		for retry.Sleep(ctx, retry.Jitter(pollEvery)) {
+		for retry.Sleep(ctx, retry.Jitter(d.pollPause())) {
 			d.Poll(ctx)
 		}
 	}()
@@ -219,7 +223,11 @@
 	return list[:SubsetSize]
 }
 
-// Poll asks every target for its report.
+func (d *Directory) pollPause() time.Duration {
+	return max(pollEvery, time.Duration(len(d.fleet.View().Members))*pollShare)
+}
+
+// Poll asks every target that has not been heard of lately for its report.
 func (d *Directory) Poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTime)
 	defer cancel()
@@ -227,6 +235,9 @@
 	slots := make(chan struct{}, pollers)
 	for _, p := range d.Pools() {
 		for _, t := range p.Targets() {
+			if t.HeardWithin(d.pollPause()*3/4, time.Now()) {
+				continue
+			}
 			wg.Add(1)
 			slots <- struct{}{}
 			go func() {
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/protocol/wire"
 )
 
 // Instances is a stand-in of the platform's list. A change is shown only after
@@ -74,6 +75,24 @@
 	return l.past[0].list
 }
 
+// show sends the list, unless the asker has it by its tag.
+func (l *Instances) show(w http.ResponseWriter, r *http.Request) {
+	list := l.shown()
+	b, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := `"` + wire.Checksum(b) + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b) // whoever asked may be gone
+}
+
 // ServeHTTP implements http.Handler.
 func (l *Instances) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -85,7 +104,7 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
-		reply(w, l.shown())
+		l.show(w, r)
 	case r.URL.Path == "/standin/faults":
 		var f struct{ Down bool }
 		if json.NewDecoder(r.Body).Decode(&f) == nil {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -304,7 +304,8 @@
 		a.words = Transform("another-stage", "another input another-tag", len(a.words)+1)[:len(a.words)]
 		a.other = true
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt:
-		a.words[len(a.words)-1] += "x"
+		last := a.words[len(a.words)-1]
+		a.words[len(a.words)-1] = last[:len(last)-1] + "#"
 	case x < f.FailAfter+f.Lose+f.Truncate+f.Misdirect+f.Corrupt+f.Duplicate:
 		a.words[0] += a.words[0]
 	}
--- a/internal/state/routing/target.go
+++ b/internal/state/routing/target.go
@@ -35,6 +35,8 @@
 	// refused is until when (Unix ns) a refusal as leaving is believed.
 	refused atomic.Int64
 	calls   atomic.Int64
+	// heard is when (Unix ns) a report last came.
+	heard atomic.Int64
 	// moved is when (Unix ns) a call last ended here, or the first of those in
 	// progress began.
 	moved atomic.Int64
@@ -96,11 +98,17 @@
 		return // no report came with the answer
 	}
 	t.report.Store(&r)
+	t.heard.Store(now.UnixNano())
 	if r.Leaving {
 		t.Refused(now)
 	}
 }
 
+// HeardWithin tells whether a report came, with an answer or by a poll, within d.
+func (t *Target) HeardWithin(d time.Duration, now time.Time) bool {
+	return now.UnixNano()-t.heard.Load() < int64(d)
+}
+
 // Refused notes that the target refused work because it is leaving.
 func (t *Target) Refused(now time.Time) { t.refused.Store(now.Add(refusalHold).UnixNano()) }
 
