share, admission: the field's names for what was named by pictures

Cause: read as a newcomer: purses, wallets, doors, promises and hearsay need explaining. Now grants and allocations, admission, expected calls, peers' word.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -60,7 +60,7 @@
 	mu     sync.Mutex
 	failed map[string]int // heartbeats failed in a row, by member
 	// heard are leaving targets that peers have told of.
-	heard hearsay
+	heard peerWord
 	// repair wakes the repair loop.
 	repair chan struct{}
 	writes atomic.Int64
--- a/internal/coordination/fleet/leaving.go
+++ b/internal/coordination/fleet/leaving.go
@@ -11,24 +11,24 @@
 )
 
 const (
-	// hearsayTime is how long a peer's word about a target is believed; it is
+	// peerWordTime is how long a peer's word about a target is believed; it is
 	// repeated with every heartbeat.
-	hearsayTime = 5 * time.Second
+	peerWordTime = 5 * time.Second
 	// mostLeaving bounds what a heartbeat carries.
 	mostLeaving = 64
 )
 
-// hearsay is what peers say of leaving targets. It is never passed on: a word
-// that only hearsay keeps alive would never die.
-type hearsay struct{ until sync.Map } // target id to time.Time
+// peerWord is what peers say of leaving targets. It is never passed on: a word
+// that only peerWord keeps alive would never die.
+type peerWord struct{ until sync.Map } // target id to time.Time
 
-func (h *hearsay) add(ids []string, now time.Time) {
+func (h *peerWord) add(ids []string, now time.Time) {
 	for _, id := range ids[:min(len(ids), mostLeaving)] {
-		h.until.Store(id, now.Add(hearsayTime))
+		h.until.Store(id, now.Add(peerWordTime))
 	}
 }
 
-func (h *hearsay) has(id string, now time.Time) bool {
+func (h *peerWord) has(id string, now time.Time) bool {
 	v, ok := h.until.Load(id)
 	if !ok {
 		return false
--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -6,7 +6,7 @@
 //
 // # Model
 //
-// Package share has the arithmetic. Here an account without units in its purse
+// Package share has the arithmetic. Here an account without units left
 // makes one call to its owner, and the requests that come meanwhile wait for
 // that same call. If the owner does not answer in time the request is decided
 // by an even share of the limit.
@@ -46,8 +46,8 @@
 	fleet  *fleet.Fleet
 	tables *tables.Keeper
 	peers  hookhall.Peers
-	wallet share.Wallet
-	ledger share.Ledger
+	held   share.Allocations
+	grants share.Grants
 	asks   singleflight.Group
 	silent pauses
 }
@@ -63,7 +63,7 @@
 	if a.Rate == 0 && a.Concurrency == 0 {
 		return func() {}, nil
 	}
-	p := l.wallet.Purse(a.Name)
+	p := l.held.Allocation(a.Name)
 	for i := 0; i < tries; i++ {
 		decision, after := p.Spend(a, time.Now())
 		switch decision {
@@ -79,7 +79,7 @@
 	return nil, refusal(a, ownerPause)
 }
 
-func (l *Limits) fallback(a *hookhall.Account, p *share.Purse) (func(), error) {
+func (l *Limits) fallback(a *hookhall.Account, p *share.Allocation) (func(), error) {
 	ok, after := p.Fallback(a, len(l.fleet.View().Members), time.Now())
 	if !ok {
 		return nil, refusal(a, after)
@@ -93,7 +93,7 @@
 }
 
 // refill asks the account's owner; false when it did not answer.
-func (l *Limits) refill(ctx context.Context, a *hookhall.Account, p *share.Purse) bool {
+func (l *Limits) refill(ctx context.Context, a *hookhall.Account, p *share.Allocation) bool {
 	ok, _, _ := l.asks.Do(a.Name, func() (any, error) {
 		lease, ok := l.take(context.WithoutCancel(ctx), a.Name, p.Want(a, time.Now()))
 		if ok {
@@ -129,7 +129,7 @@
 	v, s := l.fleet.View(), l.tables.Current().Snapshot
 	reply := hookhall.TakeReply{Epoch: v.Epoch}
 	for _, w := range q.Wants {
-		reply.Leases = append(reply.Leases, l.ledger.Lease(s.Accounts[w.Account], q.From, w, len(v.Members), time.Now()))
+		reply.Leases = append(reply.Leases, l.grants.Lease(s.Accounts[w.Account], q.From, w, len(v.Members), time.Now()))
 	}
 	return reply
 }
@@ -138,8 +138,8 @@
 func (l *Limits) Run(ctx context.Context) {
 	for retry.Sleep(ctx, retry.Jitter(renewEvery)) {
 		s := l.tables.Current().Snapshot
-		for _, name := range l.wallet.Renewals(time.Now()) {
-			a, p := s.Accounts[name], l.wallet.Purse(name)
+		for _, name := range l.held.Renewals(time.Now()) {
+			a, p := s.Accounts[name], l.held.Allocation(name)
 			if a == nil {
 				continue
 			}
@@ -152,9 +152,9 @@
 				p.Fill(lease, time.Now())
 			}
 		}
-		l.ledger.Sweep(time.Now())
+		l.grants.Sweep(time.Now())
 	}
 }
 
 // Owned is the number of accounts whose shares this process has given out.
-func (l *Limits) Owned() int { return l.ledger.Len() }
+func (l *Limits) Owned() int { return l.grants.Len() }
--- a/internal/coordination/pipeline/run.go
+++ b/internal/coordination/pipeline/run.go
@@ -20,9 +20,9 @@
 	settleWait = 50 * time.Millisecond
 	// releaseWait is the same for one that ran nothing.
 	releaseWait = 10 * time.Millisecond
-	// doorDoubt is how much longer than estimated the queues may turn out: who
+	// waitMargin is how much longer than estimated the queues may turn out: who
 	// is let in should not be refused later.
-	doorDoubt = 1.7
+	waitMargin = 1.7
 	// peekTime bounds the look behind a refusal's verdict.
 	peekTime = 100 * time.Millisecond
 )
@@ -44,7 +44,7 @@
 	// emitted is set once the caller was sent a part of the answer.
 	emitted bool
 	first   time.Duration
-	// gates are those of the stages, as they were at the door; nil for a pool
+	// gates are those of the stages, as they were at admission; nil for a pool
 	// that was not known then. reached is how many the run has come to.
 	gates   []*admission.Gate
 	reached int
@@ -62,10 +62,10 @@
 		return nil, x.refused(ctx, err)
 	}
 	defer leave()
-	if err := x.door(time.Now()); err != nil {
+	if err := x.admit(time.Now()); err != nil {
 		return nil, x.refused(ctx, err)
 	}
-	x.promise()
+	x.expect()
 	defer x.withdraw()
 	if !x.claimed() {
 		output, err := x.stages(ctx)
@@ -74,7 +74,7 @@
 	return x.runClaimed(ctx)
 }
 
-// refused gives a refusal at the door its verdict. The key of a request that
+// refused gives a refusal at admission its verdict. The key of a request that
 // is not repeatable may have been used before: then "not run" must be proved.
 func (x *run) refused(ctx context.Context, err error) error {
 	if !x.claimed() {
@@ -162,13 +162,13 @@
 	return input, nil
 }
 
-// promise tells the gates of all stages that this run is to come.
-func (x *run) promise() {
+// expect tells the gates of all stages that this run is to come.
+func (x *run) expect() {
 	x.gates = make([]*admission.Gate, len(x.pipeline.Stages))
 	for i, s := range x.pipeline.Stages {
 		if p := x.targets.Pool(s.Pool); p != nil {
 			x.gates[i] = p.Gate
-			p.Gate.Promise(x.priority, 1)
+			p.Gate.Expect(x.priority, 1)
 		}
 	}
 }
@@ -176,22 +176,22 @@
 // arrive notes that the run has come to a stage's gate.
 func (x *run) arrive(i int) {
 	if g := x.gates[i]; g != nil {
-		g.Promise(x.priority, -1)
+		g.Expect(x.priority, -1)
 	}
 	x.reached = i + 1
 }
 
-// withdraw takes back what was promised to gates that the run did not reach.
+// withdraw takes back what was expected to gates that the run did not reach.
 func (x *run) withdraw() {
 	for _, g := range x.gates[x.reached:] {
 		if g != nil {
-			g.Promise(x.priority, -1)
+			g.Expect(x.priority, -1)
 		}
 	}
 }
 
-// door refuses what can't make its deadline before anything is spent on it.
-func (x *run) door(now time.Time) error {
+// admit refuses what can't make its deadline before anything is spent on it.
+func (x *run) admit(now time.Time) error {
 	left := x.request.Deadline.Sub(now)
 	if left <= 0 {
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the deadline has passed")
@@ -208,7 +208,7 @@
 			continue
 		}
 		wait := p.Gate.Wait(x.account.Name, x.weight, x.priority, now)
-		need += time.Duration(float64(wait) * doorDoubt)
+		need += time.Duration(float64(wait) * waitMargin)
 		if wait > worst {
 			worst, retryAfter = wait, p.Gate.RetryAfter(x.account.Name, x.weight, x.priority, now)
 		}
--- a/internal/coordination/pipeline/runner.go
+++ b/internal/coordination/pipeline/runner.go
@@ -6,7 +6,7 @@
 //
 // # Model
 //
-// A request has one clock. At the door, and again before every stage, the time
+// A request has one clock. At admission, and again before every stage, the time
 // that is left is compared with what the rest of the pipeline is expected to
 // take (package estimate) and with how long the pools' queues are (package
 // admission). A request that can't make it is refused then, with the time to
--- a/internal/state/admission/gate.go
+++ b/internal/state/admission/gate.go
@@ -43,8 +43,8 @@
 	limit atomic.Int64
 	// service is the average time between Enter and Leave, in nanoseconds.
 	service atomic.Int64
-	// promised are calls let in at the door that have yet to come here.
-	promised [priorities]atomic.Int64
+	// expected are calls let in at admission that have yet to come here.
+	expected [priorities]atomic.Int64
 	// arrivals are rates of calls that came to the gate, by priority.
 	arrivals [priorities]rate
 
@@ -222,16 +222,16 @@
 	return max(left, all*leastShare)
 }
 
-// Promise notes that a call let in at the door will come here, with n 1, or
+// Expect notes that a call let in at admission will come here, with n 1, or
 // that it has come or will not, with n -1.
-func (g *Gate) Promise(priority int, n int64) { g.promised[clamp(priority)].Add(n) }
+func (g *Gate) Expect(priority int, n int64) { g.expected[clamp(priority)].Add(n) }
 
-// coming is how many promised calls of a priority or higher fill the room that
+// backlog is how many expected calls of a priority or higher fill the room that
 // the window has left, and more.
-func (g *Gate) coming(priority int) float64 {
+func (g *Gate) backlog(priority int) float64 {
 	n := g.inflight.Load() - g.limit.Load()
 	for p := priority; p < priorities; p++ {
-		n += g.promised[p].Load()
+		n += g.expected[p].Load()
 	}
 	return float64(max(n, 0))
 }
@@ -239,7 +239,7 @@
 // Wait estimates how long a call of an account would wait now.
 func (g *Gate) Wait(account string, weight float64, priority int, now time.Time) time.Duration {
 	priority = clamp(priority)
-	n := g.coming(priority)
+	n := g.backlog(priority)
 	if g.queued.Load() > 0 {
 		g.mu.Lock()
 		n += g.queue.ahead(account, weight, priority, g.queue.queued(account, priority)+1)
--- a/internal/state/admission/gate_test.go
+++ b/internal/state/admission/gate_test.go
@@ -255,7 +255,7 @@
 	}
 }
 
-// BenchmarkWait estimates a wait behind 8,200 accounts, as every door does.
+// BenchmarkWait estimates a wait behind 8,200 accounts, as every admission does.
 func BenchmarkWait(b *testing.B) {
 	g := fill(OrderFair)
 	g.learn(time.Millisecond)
--- a/internal/state/routing/pool.go
+++ b/internal/state/routing/pool.go
@@ -107,7 +107,7 @@
 		usable = p.usable(nil, now)
 	}
 	if len(usable) == 0 {
-		return p.desperate(now)
+		return p.pickEjected(now)
 	}
 	for len(usable) > 0 {
 		i := p.choose(usable, prefix, now)
@@ -119,9 +119,9 @@
 	return nil
 }
 
-// desperate chooses among targets that are left out for failing, when there are
+// pickEjected chooses among targets that are left out for failing, when there are
 // no others: when a whole pool fails often, some of its calls still succeed.
-func (p *Pool) desperate(now time.Time) *Target {
+func (p *Pool) pickEjected(now time.Time) *Target {
 	var staying []*Target
 	for _, t := range p.Targets() {
 		if !t.IsLeaving(now) {
--- a/internal/state/share/wallet.go
+++ b/internal/state/share/allocation.go
@@ -21,8 +21,8 @@
 	shortRetry = 50 * time.Millisecond
 )
 
-// Purse is what one entry holds of one account's limits.
-type Purse struct {
+// Allocation is what one entry holds of one account's limits.
+type Allocation struct {
 	mu sync.Mutex
 	// tokens of the rate limit, to be spent before stale.
 	tokens int64
@@ -43,21 +43,21 @@
 	even *rate.Limiter
 }
 
-// Wallet is an entry's purses.
-type Wallet struct {
-	purses sync.Map // account name to *Purse
+// Allocations is an entry's byAccount.
+type Allocations struct {
+	byAccount sync.Map // account name to *Allocation
 }
 
-// Purse finds the purse of an account.
-func (w *Wallet) Purse(account string) *Purse {
-	v, ok := w.purses.Load(account)
+// Allocation finds the allocation of an account.
+func (w *Allocations) Allocation(account string) *Allocation {
+	v, ok := w.byAccount.Load(account)
 	if !ok {
-		v, _ = w.purses.LoadOrStore(account, &Purse{})
+		v, _ = w.byAccount.LoadOrStore(account, &Allocation{})
 	}
-	return v.(*Purse)
+	return v.(*Allocation)
 }
 
-// Decision is what a purse says of one more request.
+// Decision is what an allocation says of one more request.
 type Decision int
 
 // Decisions of Spend.
@@ -71,7 +71,7 @@
 )
 
 // Spend takes one request's units.
-func (p *Purse) Spend(a *hookhall.Account, now time.Time) (Decision, time.Duration) {
+func (p *Allocation) Spend(a *hookhall.Account, now time.Time) (Decision, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.measure(now)
@@ -89,7 +89,7 @@
 	return Pass, 0
 }
 
-func (p *Purse) measure(now time.Time) {
+func (p *Allocation) measure(now time.Time) {
 	if passed := now.Sub(p.window); passed >= time.Second {
 		p.demand = p.count / passed.Seconds()
 		p.count, p.window = 0, now
@@ -98,14 +98,14 @@
 }
 
 // Done ends a request that was let pass.
-func (p *Purse) Done() {
+func (p *Allocation) Done() {
 	p.mu.Lock()
 	p.in--
 	p.mu.Unlock()
 }
 
 // Want says what to ask the account's owner for.
-func (p *Purse) Want(a *hookhall.Account, now time.Time) hookhall.Want {
+func (p *Allocation) Want(a *hookhall.Account, now time.Time) hookhall.Want {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := hookhall.Want{Account: a.Name}
@@ -122,7 +122,7 @@
 }
 
 // Fill takes in a lease.
-func (p *Purse) Fill(l hookhall.ShareLease, now time.Time) {
+func (p *Allocation) Fill(l hookhall.ShareLease, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !l.Limited {
@@ -143,7 +143,7 @@
 }
 
 // Fallback decides without the owner, by an even share of the limits.
-func (p *Purse) Fallback(a *hookhall.Account, members int, now time.Time) (bool, time.Duration) {
+func (p *Allocation) Fallback(a *hookhall.Account, members int, now time.Time) (bool, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := float64(max(members, 1))
@@ -165,10 +165,10 @@
 }
 
 // Renewals lists accounts whose leased concurrency is in use and due.
-func (w *Wallet) Renewals(now time.Time) []string {
+func (w *Allocations) Renewals(now time.Time) []string {
 	var names []string
-	w.purses.Range(func(k, v any) bool {
-		p := v.(*Purse)
+	w.byAccount.Range(func(k, v any) bool {
+		p := v.(*Allocation)
 		p.mu.Lock()
 		if p.units > 0 && (p.in > 0 || now.Before(p.lapse)) && p.lapse.Sub(now) < LeaseTime*3/4 {
 			names = append(names, k.(string))
@@ -176,7 +176,7 @@
 		idle := p.in == 0 && now.Sub(p.window) > idleTime
 		p.mu.Unlock()
 		if idle {
-			w.purses.Delete(k)
+			w.byAccount.Delete(k)
 		}
 		return true
 	})
@@ -185,7 +185,7 @@
 
 // Idle tells whether nothing of the account is in progress, so that its units
 // can be given back instead of renewed.
-func (p *Purse) Idle(now time.Time) bool {
+func (p *Allocation) Idle(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.in == 0 && now.Sub(p.window) > LeaseTime
--- a/internal/state/share/doc.go
+++ b/internal/state/share/doc.go
@@ -1,8 +1,8 @@
 // Copyright 2026 The hookhall authors.
 // SPDX-License-Identifier: Apache-2.0
 
-// Package share holds fleet-wide limits of accounts: an owner's Ledger leases
-// units out, an entry's Wallet spends them.
+// Package share holds fleet-wide limits of accounts: an owner's Grants lease
+// units out, an entry's Allocations spend them.
 //
 // # Model
 //
--- a/internal/state/share/ledger.go
+++ b/internal/state/share/grants.go
@@ -21,22 +21,22 @@
 	idleTime = time.Minute
 )
 
-// Ledger is an owner's record of what it has leased.
-type Ledger struct {
-	accounts sync.Map // name to *lent
+// Grants is an owner's record of what it has leased.
+type Grants struct {
+	accounts sync.Map // name to *account
 }
 
-type lent struct {
+type account struct {
 	mu      sync.Mutex
 	bucket  *rate.Limiter
 	perSec  float64
-	entries map[string]*loan
+	entries map[string]*grant
 	// since is when this owner took the account over.
 	since time.Time
 	used  time.Time
 }
 
-type loan struct {
+type grant struct {
 	units   int64
 	wanted  int64
 	expires time.Time
@@ -44,7 +44,7 @@
 
 // Lease grants what a wants of account's limits. members is the size of the
 // fleet.
-func (l *Ledger) Lease(a *hookhall.Account, from string, w hookhall.Want, members int, now time.Time) hookhall.ShareLease {
+func (l *Grants) Lease(a *hookhall.Account, from string, w hookhall.Want, members int, now time.Time) hookhall.ShareLease {
 	lease := hookhall.ShareLease{Account: w.Account}
 	if a == nil || a.Rate == 0 && a.Concurrency == 0 {
 		return lease
@@ -52,9 +52,9 @@
 	lease.Limited = true
 	v, ok := l.accounts.Load(a.Name)
 	if !ok {
-		v, _ = l.accounts.LoadOrStore(a.Name, &lent{entries: map[string]*loan{}, since: now})
+		v, _ = l.accounts.LoadOrStore(a.Name, &account{entries: map[string]*grant{}, since: now})
 	}
-	x := v.(*lent)
+	x := v.(*account)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.used = now
@@ -71,7 +71,7 @@
 }
 
 // leaseRate takes up to n tokens, and says when the next one comes.
-func (x *lent) leaseRate(perSec float64, n int64, now time.Time) (int64, time.Duration) {
+func (x *account) leaseRate(perSec float64, n int64, now time.Time) (int64, time.Duration) {
 	burst := int(max(1, math.Ceil(perSec*burstTime.Seconds())))
 	if x.bucket == nil {
 		x.bucket = rate.NewLimiter(rate.Limit(perSec), burst)
@@ -90,7 +90,7 @@
 }
 
 // leaseUnits grants an entry its max-min fair part of the free units.
-func (x *lent) leaseUnits(limit int64, from string, w hookhall.Want, members int, now time.Time) int64 {
+func (x *account) leaseUnits(limit int64, from string, w hookhall.Want, members int, now time.Time) int64 {
 	x.drop(now)
 	if w.Concurrency <= 0 {
 		delete(x.entries, from)
@@ -102,18 +102,18 @@
 			others += o.units
 		}
 	}
-	grant := min(w.Concurrency, max(limit-others, 0), x.fair(limit, from, w.Concurrency))
+	units := min(w.Concurrency, max(limit-others, 0), x.fair(limit, from, w.Concurrency))
 	if now.Sub(x.since) < LeaseTime {
 		// Leases of the owner before are not known here yet.
 		even := max(limit/int64(max(members, 1)), 1)
-		grant = min(max(w.Held, min(w.Concurrency, even)), max(limit-others, 0))
+		units = min(max(w.Held, min(w.Concurrency, even)), max(limit-others, 0))
 	}
-	x.entries[from] = &loan{units: grant, wanted: w.Concurrency, expires: now.Add(LeaseTime)}
-	return grant
+	x.entries[from] = &grant{units: units, wanted: w.Concurrency, expires: now.Add(LeaseTime)}
+	return units
 }
 
 // fair is the part of limit that from gets when all wants are met max-min.
-func (x *lent) fair(limit int64, from string, wanted int64) int64 {
+func (x *account) fair(limit int64, from string, wanted int64) int64 {
 	wants := []int64{wanted}
 	for name, o := range x.entries {
 		if name != from {
@@ -142,7 +142,7 @@
 	return wanted
 }
 
-func (x *lent) drop(now time.Time) {
+func (x *account) drop(now time.Time) {
 	for name, o := range x.entries {
 		if now.After(o.expires) {
 			delete(x.entries, name)
@@ -151,9 +151,9 @@
 }
 
 // Sweep forgets accounts that nobody has asked for.
-func (l *Ledger) Sweep(now time.Time) {
+func (l *Grants) Sweep(now time.Time) {
 	l.accounts.Range(func(k, v any) bool {
-		x := v.(*lent)
+		x := v.(*account)
 		x.mu.Lock()
 		idle := now.Sub(x.used) > idleTime
 		x.mu.Unlock()
@@ -165,7 +165,7 @@
 }
 
 // Len is the number of accounts this owner knows.
-func (l *Ledger) Len() int {
+func (l *Grants) Len() int {
 	n := 0
 	l.accounts.Range(func(_, _ any) bool { n++; return true })
 	return n
--- a/internal/state/share/share_test.go
+++ b/internal/state/share/share_test.go
@@ -15,12 +15,12 @@
 func TestLedger(t *testing.T) {
 	start := time.Unix(1e9, 0)
 	later := start.Add(2 * LeaseTime) // the owner knows all leases by then
-	lease := func(l *Ledger, a *hookhall.Account, from string, w hookhall.Want, now time.Time) hookhall.ShareLease {
+	lease := func(l *Grants, a *hookhall.Account, from string, w hookhall.Want, now time.Time) hookhall.ShareLease {
 		w.Account = a.Name
 		return l.Lease(a, from, w, 9, now)
 	}
 	Convey("An owner", t, func() {
-		l := &Ledger{}
+		l := &Grants{}
 		Convey("knows no limit of an account without one", func() {
 			So(lease(l, &hookhall.Account{Name: "free"}, "e1", hookhall.Want{Rate: 5}, start).Limited, ShouldBeFalse)
 		})
@@ -88,11 +88,11 @@
 	})
 }
 
-func TestPurse(t *testing.T) {
+func TestAllocation(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	a := &hookhall.Account{Name: "a", Rate: 10, Concurrency: 2}
-	Convey("A purse", t, func() {
-		p := (&Wallet{}).Purse("a")
+	Convey("An allocation", t, func() {
+		p := (&Allocations{}).Allocation("a")
 		spend := func(at time.Time) Decision { d, _ := p.Spend(a, at); return d }
 		Convey("asks first, spends what it got, and asks again", func() {
 			So(spend(now), ShouldEqual, Ask)
@@ -130,13 +130,13 @@
 
 // BenchmarkSpend spends of one account from many threads.
 func BenchmarkSpend(b *testing.B) {
-	w, a := &Wallet{}, &hookhall.Account{Name: "a", Concurrency: 1 << 40}
-	w.Purse("a").Fill(hookhall.ShareLease{Limited: true, Concurrency: 1 << 40}, time.Now().Add(time.Hour))
+	w, a := &Allocations{}, &hookhall.Account{Name: "a", Concurrency: 1 << 40}
+	w.Allocation("a").Fill(hookhall.ShareLease{Limited: true, Concurrency: 1 << 40}, time.Now().Add(time.Hour))
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		now := time.Now()
 		for pb.Next() {
-			p := w.Purse("a")
+			p := w.Allocation("a")
 			if d, _ := p.Spend(a, now); d == Pass {
 				p.Done()
 			}
