--- a/internal/coordination/pipeline/runner.go
+++ b/internal/coordination/pipeline/runner.go
@@ -12,7 +12,7 @@
 // admission). A request that can't make it is refused then, with the time to
 // come back, and nothing more is spent on it.
 //
-// A run goes through: limits of the account, the door, the claim (if it is not
+// A run goes through: limits of the account, admission, the claim (if it is not
 // repeatable and has a key), then for each stage the pool's gate, a target, a
 // call; at the end the claim is settled.
 //
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -154,3 +154,42 @@
 		})
 	})
 }
+
+func TestPairStopsTogether(t *testing.T) {
+	Convey("Owner and standby of a key stop at the same moment", t, func() {
+		c := newCluster(t, options{entries: 4, notice: 1, retention: 300})
+		k := c.kind("caption")
+		var tags []string
+		for n := 0; n < 40; n++ {
+			tag := fmt.Sprintf("pair-%d", n)
+			tags = append(tags, tag)
+			So(c.send(n%4, k, tag, tag).Answered, ShouldBeTrue)
+		}
+		owner, standby, _ := c.ownerOf(k.Account, tags[0])
+		var wg sync.WaitGroup
+		for _, i := range []int{owner, standby} {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				c.entries[i].stop()
+			}()
+		}
+		wg.Wait()
+		c.awaitWhole(2)
+		Convey("and every key still has its first answer elsewhere", func() {
+			for i := range c.entries {
+				if i == owner || i == standby {
+					continue
+				}
+				for _, tag := range tags {
+					o := c.send(i, k, tag, tag)
+					So(o.Answered, ShouldBeTrue)
+					So(o.Replayed, ShouldBeTrue)
+				}
+			}
+			for _, tag := range tags {
+				So(c.runs(tag, "generate"), ShouldEqual, 1)
+			}
+		})
+	})
+}
