test: a refused retry, and reads that stay stale

Cause: trials with a mechanism taken out passed: without the look behind a refusal (no test had a retry refused after an unknown outcome), and without the check that versions go forward (stale reads were over too soon to be seen).

--- a/test/config_test.go
+++ b/test/config_test.go
@@ -204,10 +204,25 @@
 		Convey("is not undone by stale reads", func() {
 			_, err := c.apply("first", change("666"))
 			So(err, ShouldBeNil)
-			c.kv.SetFaults(standin.KeyValueFaults{StaleReads: 6})
 			v, err := c.apply("second", change("777"))
 			So(err, ShouldBeNil)
 			c.awaitVersion(v, c.entries...)
+			// From now on every read shows the root before, and all read anew.
+			c.kv.SetFaults(standin.KeyValueFaults{StaleReads: 1 << 30})
+			before := c.kv.Stats()
+			for _, p := range c.entries {
+				cut(p.cutKV)
+				heal(p.cutKV)
+			}
+			c.await("stale reads", func() bool {
+				now := c.kv.Stats()
+				return now.Reads+now.Watches > before.Reads+before.Watches+20
+			})
+			for _, p := range c.entries {
+				s, err := p.state()
+				So(err, ShouldBeNil)
+				So(s.TableVersion, ShouldEqual, v)
+			}
 		})
 		So(seen.stop(), ShouldEqual, 0)
 	})
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -303,3 +303,37 @@
 		})
 	})
 }
+
+func TestOnceRefusedRetry(t *testing.T) {
+	Convey("A charge that may have run, sent again while its account is at its limit", t, func() {
+		c := fuelCluster(t, options{pools: map[string]standin.TargetSettings{"authorisation": defaultPool}})
+		k := approve(c)
+		lose := func(share float64) {
+			for id, s := range c.targets {
+				if id == "authorisation-0" || id == "authorisation-1" {
+					s.SetFaults(standin.TargetFaults{Lose: share})
+				}
+			}
+		}
+		lose(1)
+		first := c.send(0, k, "unsure", "unsure")
+		So(first.Problem, ShouldNotBeNil)
+		lose(0)
+		out := c.edit([]hookhall.Edit{set("accounts", k.Account, "rate", "0.01")})
+		c.awaitVersion(out.Version, c.entries...)
+		for i := 0; i < 3; i++ { // what was left of the old rate is spent
+			c.send(i, k, fmt.Sprintf("spend-%d", i), fmt.Sprintf("spend-%d", i))
+		}
+		refused := c.send(1, k, "unsure", "unsure")
+		So(refused.Problem, ShouldNotBeNil)
+		So(refused.Problem.Cause, ShouldEqual, "limit")
+		Convey("is refused, but not called not run", func() {
+			So(refused.Problem.Verdict, ShouldEqual, "may-have-run")
+		})
+		Convey("while one that nobody has claimed is", func() {
+			fresh := c.send(1, k, "fresh", "fresh")
+			So(fresh.Problem, ShouldNotBeNil)
+			So(fresh.Problem.Verdict, ShouldEqual, "not-run")
+		})
+	})
+}
