--- /dev/null
+++ b/cmd/hookhall-load/edits.go
@@ -0,0 +1,29 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/hookhall/hookhall/internal/lab"
+	"github.com/hookhall/hookhall/internal/load"
+)
+
+type editsCommand struct {
+	Profile string        `long:"profile" default:"mixed" description:"fuel, venue or mixed."`
+	Times   float64       `long:"times" default:"1.5" description:"Load against the capacity."`
+	Phase   time.Duration `long:"phase" default:"6s" description:"Time between edits."`
+	Seed    uint64        `long:"seed" default:"1" description:"Seed of the arrivals."`
+}
+
+// Execute implements flags.Commander.
+func (c *editsCommand) Execute([]string) error {
+	p, err := load.Named(c.Profile)
+	if err != nil {
+		return err
+	}
+	return lab.Edits(context.Background(), os.Stdout, p, c.Times, c.Phase, c.Seed)
+}
--- a/cmd/hookhall-load/main.go
+++ b/cmd/hookhall-load/main.go
@@ -35,6 +35,7 @@
 		{"run", "Make load on running entries", &runCommand{}},
 		{"once", "Send one request and print its answer", &onceCommand{}},
 		{"table", "Print a profile's table as CSV", &tableCommand{}},
+		{"edits", "Edit cells during load and show what they do", &editsCommand{}},
 		{"slopes", "Measure what control costs as things grow, in this process", &slopesCommand{}},
 		{"experiment", "Compare policies on the same arrivals, in this process", &experimentCommand{}},
 	} {
--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/follow"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/tables"
 	"github.com/hookhall/hookhall/internal/state/claim"
@@ -22,7 +23,6 @@
 const Successors = 3
 
 const (
-	watchTime = 30 * time.Second
 	writeTime = 3 * time.Second
 	// settlePoll is how often a leaving member asks whether others are whole.
 	settlePoll = 50 * time.Millisecond
@@ -149,27 +149,9 @@
 
 // watch follows the view's key.
 func (f *Fleet) watch(ctx context.Context) {
-	var index uint64
-	pause := retry.New()
-	for ctx.Err() == nil {
-		e, err := f.kv.Watch(ctx, tables.ViewKey, index, watchTime)
-		if err == nil {
-			err = f.follow(e)
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				f.log.Warn("Can't follow the view.", "error", err.Error())
-			}
-			pause.Wait(ctx)
-			continue
-		}
-		if e.Index < index {
-			pause.Wait(ctx) // a stale read; asking at once would bring it again
-			continue
-		}
-		pause.Reset()
-		index = e.Index
-	}
+	follow.Key(ctx, f.kv, tables.ViewKey, f.follow, func(err error) {
+		f.log.Warn("Can't follow the view.", "error", err.Error())
+	})
 }
 
 func (f *Fleet) follow(e hookhall.Entry) error {
--- a/internal/coordination/tables/keeper.go
+++ b/internal/coordination/tables/keeper.go
@@ -11,7 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
-	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/coordination/follow"
 	"github.com/hookhall/hookhall/internal/state/table"
 	"github.com/pkg/errors"
 )
@@ -22,11 +22,8 @@
 	chunkPrefix = "hookhall/table/chunk/"
 )
 
-const (
-	// watchTime is how long one watch waits before it asks again.
-	watchTime = 30 * time.Second
-	readTime  = 3 * time.Second
-)
+// readTime bounds reading a table.
+const readTime = 3 * time.Second
 
 // InForce is the table as the request path reads it.
 type InForce struct {
@@ -71,31 +68,10 @@
 
 // Run follows the root until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	var index uint64
-	pause := retry.New()
-	read := k.kv.Get // first: a table that is still empty has no change to wait for
-	for ctx.Err() == nil {
-		e, err := read(ctx, RootKey)
-		if err == nil {
-			err = k.follow(ctx, e)
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				k.log.Warn("Can't read the table.", "error", err.Error())
-			}
-			pause.Wait(ctx)
-			continue
-		}
-		if e.Index < index {
-			pause.Wait(ctx) // a stale read; asking at once would bring it again
-			continue
-		}
-		pause.Reset()
-		index = e.Index
-		read = func(ctx context.Context, key string) (hookhall.Entry, error) {
-			return k.kv.Watch(ctx, key, index, watchTime)
-		}
-	}
+	use := func(e hookhall.Entry) error { return k.follow(ctx, e) }
+	follow.Key(ctx, k.kv, RootKey, use, func(err error) {
+		k.log.Warn("Can't read the table.", "error", err.Error())
+	})
 }
 
 // follow adopts the root e; it is confirmed by the service.
--- a/internal/state/share/allocation.go
+++ b/internal/state/share/allocation.go
@@ -43,7 +43,7 @@
 	even *rate.Limiter
 }
 
-// Allocations is an entry's byAccount.
+// Allocations are what one entry holds, by account.
 type Allocations struct {
 	byAccount sync.Map // account name to *Allocation
 }
