--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .PHONY: build demo test lint unit integration soak experiments slopes generate fuzz
 
 build:
-	$(GO) build -o bin ./cmd/...
+	$(GO) build -o bin/ ./cmd/...
 
 demo: build
 	bash scripts/demo.sh
