fleet: an empty instance list is read again soon; demo: waits for the pools

Cause: in a fresh clone the demo's first requests were refused, 24 of 312 with no-target. Since an empty table no longer keeps an entry from being ready, the demo's entries were ready before the list, which lags, showed any target; they read it again only list_ms later. Ruled out: the wait for pools, which works when the table names them at a start.

--- a/internal/coordination/fleet/heartbeat.go
+++ b/internal/coordination/fleet/heartbeat.go
@@ -192,7 +192,9 @@
 
 // readList reads the platform's list, and fences members that it says are gone.
 func (f *Fleet) readList(ctx context.Context) {
-	for {
+	// A list that shows nothing yet is read again soon: a new fleet's list lags.
+	soon := retry.Between(min(retry.First, f.timing.List), f.timing.List)
+	for ctx.Err() == nil {
 		list, err := f.list.List(ctx)
 		if err == nil {
 			f.listed.Store(&Listing{list, time.Now()})
@@ -200,6 +202,10 @@
 		} else if ctx.Err() == nil {
 			f.log.Warn("Can't read the instance list.", "error", err.Error())
 		}
+		if err == nil && len(list) == 0 {
+			soon.Wait(ctx)
+			continue
+		}
 		if !retry.Sleep(ctx, retry.Jitter(f.timing.List)) {
 			return
 		}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,6 +80,13 @@
     sleep 0.05
   done
 done
+# The pools are known once the instance list, which lags, has been read.
+for e in "${entries[@]}"; do
+  for _ in $(seq 200); do
+    [ "$("$bin/hookhallctl" dump "$e" | grep -c '"id": "[a-z]*-hall-1-0"')" = 6 ] && break
+    sleep 0.05
+  done
+done
 "$bin/hookhallctl" status
 echo
 echo "== one answer"
