--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -340,12 +341,20 @@
 	return l.b.String()
 }
 
-// freePort finds a port; it is free until somebody takes it.
+// freePort finds a port that an entry keeps over its restarts. It is below the
+// range that outgoing connections take theirs from: one of those could hold a
+// port while its entry is down.
 func freePort(c *cluster) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.must(err)
-	defer l.Close()
-	return l.Addr().String()
+	const first, count, tries = 12000, 18000, 100
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if l, err := net.Listen("tcp", address); err == nil {
+			c.must(l.Close())
+			return address
+		}
+	}
+	c.t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) proxy(name, upstream string) *toxiproxy.Proxy {
