test: a port is never given twice

Ruled out: another run's ports; the logs show both in one cluster. Change: ports are taken in order from a random first one. No check was changed.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -341,13 +342,23 @@
 	return l.b.String()
 }
 
+// nextPort is where freePort goes on, so that it never gives a port twice.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
+// portFirst and portCount are the range that freePort takes ports from.
+const (
+	portFirst = 12000
+	portCount = 18000
+)
+
 // freePort finds a port that an entry keeps over its restarts. It is below the
 // range that outgoing connections take theirs from: one of those could hold a
 // port while its entry is down.
 func freePort(c *cluster) string {
-	const first, count, tries = 12000, 18000, 100
-	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", portFirst+nextPort.Add(1)%portCount)
 		if l, err := net.Listen("tcp", address); err == nil {
 			c.must(l.Close())
 			return address
