catalog: forgotten history is no outage, and one missing target is no lapse

The watch of the table began at the key's own revision, which the store had compacted away, so that it failed over and over; each failure counted as trouble of the store, and the engine that left was kept as lapsed. Now a watch begins at the store's revision, a forgotten history is read anew without a pause, and only targets that go missing together are held to be lapsed. Tests: TestForgottenHistoryIsNoTrouble, TestMissingTargets.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -76,9 +76,10 @@
 	// Read is called after each reading of the targets by this process.
 	Read func(Reading)
 
-	mu     sync.Mutex // held while pictures and tables change
-	known  map[string]*entry
-	health health
+	mu    sync.Mutex // held while pictures and tables change
+	known map[string]*entry
+
+	failing atomic.Bool // the last call of the store failed
 }
 
 // New makes a Catalog; Run follows the store.
@@ -130,12 +131,17 @@
 	at := uint64(0)
 	for ctx.Err() == nil {
 		var err error
+		since := at
 		if at == 0 {
 			at, err = c.readTable(ctx)
 		} else {
 			at, err = c.watchTable(ctx, at)
 		}
-		c.told(err)
+		if errors.Is(err, hookhall.ErrHistoryGone) {
+			c.log.Info("The store has forgotten its history; the table is read anew.", "since", since)
+			continue
+		}
+		c.told(ctx, err)
 		if err != nil {
 			pause.Wait(ctx)
 			continue
@@ -146,7 +152,7 @@
 
 // readTable reads the table and returns the revision to watch from.
 func (c *Catalog) readTable(ctx context.Context) (uint64, error) {
-	i, err := c.store.Get(ctx, c.platform.RoutingKey())
+	i, at, err := c.store.Get(ctx, c.platform.RoutingKey())
 	if err != nil {
 		return 0, err
 	}
@@ -154,7 +160,8 @@
 		return 0, errors.Wrap(hookhall.ErrUnavailable, "no table yet")
 	}
 	c.LearnTable(i.Value, i.Revision, "store")
-	return i.Revision, nil
+	// Not from the key's own revision: its history may be gone since.
+	return max(at, i.Revision), nil
 }
 
 func (c *Catalog) watchTable(ctx context.Context, since uint64) (uint64, error) {
@@ -200,7 +207,7 @@
 		}
 		began := time.Now()
 		items, at, err := c.store.Range(ctx, c.platform.TargetPrefix())
-		c.told(err)
+		c.told(ctx, err)
 		if err != nil {
 			pause.Wait(ctx)
 			continue
@@ -215,17 +222,15 @@
 }
 
 // told takes in how a call of the store ended.
-func (c *Catalog) told(err error) {
-	if errors.Is(err, context.Canceled) {
+func (c *Catalog) told(ctx context.Context, err error) {
+	if ctx.Err() != nil || c.failing.Swap(err != nil) == (err != nil) {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if changed := c.health.told(err != nil, time.Now()); changed && err != nil {
+	if err != nil {
 		c.log.Warn("The store does not answer.", "error", err.Error())
-	} else if changed {
-		c.log.Info("The store answers again.")
+		return
 	}
+	c.log.Info("The store answers again.")
 }
 
 // publish makes the picture of what is known. The caller holds c.mu.
--- /dev/null
+++ b/internal/coordination/catalog/catalog_test.go
@@ -0,0 +1,272 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fakePlatform keeps a version and targets as JSON.
+type fakePlatform struct{}
+
+func (fakePlatform) RoutingKey() string   { return "table" }
+func (fakePlatform) TargetPrefix() string { return "t/" }
+func (fakePlatform) ReadRouting(b []byte) (*hookhall.Routing, error) {
+	r := &hookhall.Routing{}
+	return r, json.Unmarshal(b, r)
+}
+func (fakePlatform) ReadTarget(key string, b []byte) (hookhall.Target, error) {
+	t := hookhall.Target{ID: key[2:], Pool: "pool"}
+	t.Leaving = string(b) == "leaving"
+	if string(b) == "bad" {
+		return t, errors.New("bad")
+	}
+	return t, nil
+}
+
+// fakeStore has one table and a list of targets; it can fail and forget.
+type fakeStore struct {
+	hookhall.Store
+	mu       sync.Mutex
+	at       uint64
+	table    hookhall.Item
+	targets  map[string]string
+	down     bool
+	horizon  uint64 // history before it is gone
+	gets     int
+	forgot   int
+	changed  chan struct{}
+	watching int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{targets: map[string]string{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) setTable(version int64) {
+	s.change(func() {
+		b, _ := json.Marshal(hookhall.Routing{Version: version})
+		s.table = hookhall.Item{Key: "table", Value: b, Revision: s.at}
+	})
+}
+
+func (s *fakeStore) Get(context.Context, string) (hookhall.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	if s.down {
+		return hookhall.Item{}, 0, hookhall.ErrUnavailable
+	}
+	return s.table, s.at, nil
+}
+
+func (s *fakeStore) Range(context.Context, string) ([]hookhall.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, hookhall.ErrUnavailable
+	}
+	var list []hookhall.Item
+	for k, v := range s.targets {
+		list = append(list, hookhall.Item{Key: "t/" + k, Value: []byte(v)})
+	}
+	return list, s.at, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		table, at, down, gone, changed := s.table, s.at, s.down, since < s.horizon, s.changed
+		if gone {
+			s.forgot++
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, since, hookhall.ErrUnavailable
+		case gone:
+			return nil, since, hookhall.ErrHistoryGone
+		case table.Revision > since:
+			return []hookhall.Item{table}, at, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, since, ctx.Err()
+		}
+	}
+}
+
+func newCatalog(s hookhall.Store) *Catalog {
+	return New(s, fakePlatform{}, Timing{Heartbeat: time.Second}, log.New(io.Discard))
+}
+
+// follow runs a catalog in virtual time.
+func follow(t *testing.T, s *fakeStore, f func(c *Catalog)) {
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{}) // of this bubble
+		c := newCatalog(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { c.Run(ctx); close(done) }()
+		f(c)
+		cancel()
+		<-done
+	})
+}
+
+func TestTableIsFollowed(t *testing.T) {
+	s := newFakeStore()
+	follow(t, s, func(c *Catalog) {
+		s.setTable(3)
+		time.Sleep(time.Second)
+		if c.Table().Version() != 3 {
+			t.Fatalf("version %d", c.Table().Version())
+		}
+		s.setTable(4)
+		time.Sleep(10 * time.Millisecond)
+		if c.Table().Version() != 4 {
+			t.Fatal("a change takes longer than a watch's answer")
+		}
+	})
+}
+
+// A table that was written long ago lies before the history that the store
+// keeps: the watch has to begin at the store's revision. It began at the key's
+// own, and read the table again without a pause (fresh-8fe0 on quetzal-hub).
+func TestForgottenHistoryIsNoTrouble(t *testing.T) {
+	s := newFakeStore()
+	follow(t, s, func(c *Catalog) {
+		s.setTable(1)
+		time.Sleep(time.Second)
+		s.change(func() {})
+		s.change(func() { s.horizon = s.at })
+		time.Sleep(20 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.forgot > 2 || s.gets > 20 {
+			t.Fatalf("%d reads after %d forgotten watches", s.gets, s.forgot)
+		}
+		if c.failing.Load() {
+			t.Fatal("a forgotten history is held for an outage")
+		}
+	})
+}
+
+func TestOutageKeepsWhatIsBelieved(t *testing.T) {
+	s := newFakeStore()
+	s.targets["a"] = "ready"
+	follow(t, s, func(c *Catalog) {
+		s.setTable(1)
+		time.Sleep(time.Second)
+		s.change(func() { s.down = true })
+		time.Sleep(10 * time.Second)
+		if c.Table() == nil || len(c.Targets("pool")) != 1 {
+			t.Fatal("an outage took away what was believed")
+		}
+		if age := c.Picture().Age(time.Now()); age < 9*time.Second {
+			t.Fatalf("the age is %v after ten seconds of outage", age)
+		}
+		s.change(func() { s.down = false })
+		s.setTable(2)
+		time.Sleep(time.Second)
+		if c.Table().Version() != 2 {
+			t.Fatal("a change in an outage is not seen a second after it")
+		}
+	})
+}
+
+func TestMissingTargets(t *testing.T) {
+	read := func(c *Catalog, at uint64, ids ...string) {
+		r := Reading{Revision: at, Began: time.Now()}
+		for _, id := range ids {
+			key, value := id, "ready"
+			if id[0] == '-' {
+				key, value = id[1:], "leaving"
+			}
+			r.Items = append(r.Items, hookhall.Item{Key: "t/" + key, Value: []byte(value)})
+		}
+		c.Learn(r, "test")
+	}
+	usable := func(c *Catalog) int { return len(c.Targets("pool")) }
+	Convey("Given a catalog with five targets", t, func() {
+		c := newCatalog(newFakeStore())
+		read(c, 1, "a", "b", "c", "d", "e")
+		So(usable(c), ShouldEqual, 5)
+		Convey("one that goes missing after an outage gets nothing new", func() {
+			c.told(t.Context(), hookhall.ErrUnavailable)
+			read(c, 2, "a", "b", "c", "d")
+			So(usable(c), ShouldEqual, 4)
+		})
+		Convey("many that go missing together stay for a while", func() {
+			read(c, 2, "a")
+			So(usable(c), ShouldEqual, 5)
+		})
+		Convey("one that leaves gets nothing new, listed or not", func() {
+			read(c, 2, "a", "b", "c", "d", "-e")
+			So(usable(c), ShouldEqual, 4)
+			read(c, 3, "a", "b", "c", "d", "e")
+			So(usable(c), ShouldEqual, 4)
+		})
+		Convey("one that left stays out when many go missing", func() {
+			read(c, 2, "a", "b", "c", "d", "-e")
+			read(c, 3)
+			So(usable(c), ShouldEqual, 4)
+		})
+		Convey("an older reading changes nothing", func() {
+			read(c, 3, "a", "b")
+			read(c, 2, "a", "b", "c", "d", "e", "f")
+			So(usable(c), ShouldEqual, 5) // three lapsed, f unknown
+			So(c.Picture().ByID["f"].ID, ShouldEqual, "")
+		})
+		Convey("a key that can't be read is skipped", func() {
+			c.Learn(Reading{Revision: 2, Began: time.Now(), Items: []hookhall.Item{{Key: "t/x", Value: []byte("bad")}}}, "test")
+			So(c.Picture().ByID["x"].ID, ShouldEqual, "")
+		})
+	})
+}
+
+// TestLapseEnds: targets that don't come back within three heartbeats are gone.
+func TestLapseEnds(t *testing.T) {
+	s := newFakeStore()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s.targets[id] = "ready"
+	}
+	follow(t, s, func(c *Catalog) {
+		time.Sleep(time.Second)
+		s.change(func() { s.targets = map[string]string{} })
+		time.Sleep(2 * time.Second)
+		if n := len(c.Targets("pool")); n != 4 {
+			t.Fatalf("%d targets two heartbeats after a lapse", n)
+		}
+		time.Sleep(2 * time.Second)
+		if n := len(c.Targets("pool")); n != 0 {
+			t.Fatalf("%d targets four heartbeats after a lapse", n)
+		}
+	})
+}
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -13,10 +13,11 @@
 // moment at which the reading that confirmed them began, by the steady clock.
 //
 // A target that states that it is leaving gets nothing new, ever. One that goes
-// missing gets nothing new, unless the store was in trouble around that time or
-// most of a service went missing at once: then keys may have run out because
-// nobody could renew them, and the target stays usable, as lapsed, for some
-// heartbeats to come back.
+// missing gets nothing new, unless many went missing in one reading: then keys
+// have run out because nobody could renew them, and the targets stay usable, as
+// lapsed, for some heartbeats to come back. Trouble of the store alone says
+// nothing of one target: a process that was cut off for a while finds a target
+// gone that left in the meantime.
 //
 // # Invariants
 //
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -10,21 +10,16 @@
 )
 
 const (
-	// lapseBeats is how many heartbeats a target that went missing around
-	// trouble of the store has to come back.
+	// lapseBeats is how many heartbeats targets that went missing together have
+	// to come back.
 	lapseBeats = 3
-	// troubleHold is for how long after trouble of the store a missing key may
-	// be its doing.
-	troubleHold = 5 * time.Second
 	// massLoss is the share of all targets whose loss in one reading is held to
-	// be the store's doing.
-	massLoss = 0.5
+	// be the store's doing, and massLeast their least number.
+	massLoss  = 0.4
+	massLeast = 3
 	// forget is for how long a target that is gone is remembered, so that an
 	// older reading can't bring it back.
 	forget = 30 * time.Second
-	// silentBeats is after how many heartbeats without a write a target is left
-	// out while others are to be had.
-	silentBeats = 2.6
 )
 
 // entry is what is known of one target.
@@ -34,8 +29,6 @@
 	missing time.Time
 	// lapsed is until when a missing target is used all the same.
 	lapsed time.Time
-	// beat is when its own count last rose here.
-	beat time.Time
 	// left is set once it said that it leaves.
 	left bool
 }
@@ -47,25 +40,6 @@
 	return e.missing.IsZero() || now.Before(e.lapsed)
 }
 
-// health is what calls tell of the store.
-type health struct {
-	failing bool
-	trouble time.Time // when it last failed
-}
-
-func (h *health) told(failed bool, now time.Time) (changed bool) {
-	if failed {
-		h.trouble = now
-	}
-	changed = failed != h.failing
-	h.failing = failed
-	return changed
-}
-
-func (h *health) troubled(now time.Time) bool {
-	return !h.trouble.IsZero() && now.Sub(h.trouble) < troubleHold
-}
-
 // Learn takes in a reading of the targets, by this process or by a peer. It
 // tells whether the reading was newer.
 func (c *Catalog) Learn(r Reading, from string) bool {
@@ -95,7 +69,7 @@
 func (c *Catalog) list(t hookhall.Target, from string, now time.Time) {
 	e := c.known[t.ID]
 	if e == nil {
-		e = &entry{target: t, beat: now}
+		e = &entry{target: t}
 		c.known[t.ID] = e
 		c.log.Info("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
@@ -107,9 +81,6 @@
 		e.left = true
 		c.log.Info("A target is leaving.", "target", t.ID, "service", t.Pool, "from", from)
 	}
-	if t.Beat != e.target.Beat {
-		e.beat = now
-	}
 	e.target = t
 }
 
@@ -127,10 +98,9 @@
 			delete(c.known, id)
 		}
 	}
-	mass := len(lost) > 2 && float64(len(lost)) > massLoss*float64(current+len(lost))
+	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(current+len(lost))
 	for _, e := range lost {
 		e.missing = now
-		lapse := mass || c.health.troubled(now)
 		if lapse {
 			e.lapsed = now.Add(time.Duration(lapseBeats * float64(c.timing.Heartbeat)))
 		}
--- a/store.go
+++ b/store.go
@@ -36,8 +36,9 @@
 // Reads are linearizable. A call that ended with ErrUnavailable may still be
 // done, also later.
 type Store interface {
-	// Get reads a key; a missing one is an Item with Revision 0.
-	Get(ctx context.Context, key string) (Item, error)
+	// Get reads a key, and the store's revision; a missing key is an Item with
+	// Revision 0.
+	Get(ctx context.Context, key string) (item Item, at uint64, err error)
 	// Range reads all keys with a prefix, and the store's revision before the
 	// first page.
 	Range(ctx context.Context, prefix string) (items []Item, at uint64, err error)
