front: a stop that closes no connection

A request that had just been read from a kept connection was not yet counted as active; its connection was closed and the request ran without an answer. Ruled out: the balancer's two misses (the connection was an old one). Now a stop closes the listener only, asks clients to close behind their answers, waits until nothing comes, and refuses what comes after.

--- a/cmd/hookhall-gateway/main.go
+++ b/cmd/hookhall-gateway/main.go
@@ -50,10 +50,13 @@
 	first, _ := cli.Signals()
 	pool := upstream.NewPool()
 	targets := platform.Targets{Pool: pool}
-	g := gateway.New(s, gateway.Adapters{
+	g, err := gateway.New(s, gateway.Adapters{
 		Store: platform.NewStore(s.Store.Address), Platform: platform.Keys{}, Dialect: platform.Dialect{},
 		Sender: targets, Pool: targets, Connections: pool,
 	}, os.Stdout)
+	if err != nil {
+		cli.Fail(p.Name, err, cli.ExitFailed)
+	}
 	cli.OnHangup(func() { g.Reload(o.Config) })
 	cli.OnDump(func() { _ = json.NewEncoder(os.Stdout).Encode(g.State()) })
 	if err := g.Run(first); err != nil {
--- a/forward.go
+++ b/forward.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Call is one client's request, passed on unaltered.
@@ -58,7 +60,8 @@
 	After string
 }
 
-// ReplyMarks is what the product needs to know of a target's answer; they are read by a Dialect from the head of an answer.
+// ReplyMarks is what the product needs to know of a target's answer; a Dialect
+// reads them from its head.
 type ReplyMarks struct {
 	// ID is the call that the answer belongs to, "" when it doesn't say.
 	ID string
@@ -99,6 +102,17 @@
 	Refusal(h http.Header, after time.Duration)
 }
 
+// AnswerWriter is where an answer to a call is written.
+type AnswerWriter interface {
+	// Begin writes the head; h is not kept.
+	Begin(status int, h http.Header)
+	// Chunk writes a part of the body and sends it.
+	Chunk(b []byte) error
+}
+
+// ErrCut is the error of an answer that had begun and can't be ended.
+var ErrCut = errors.New("the answer was cut")
+
 // Sender passes calls to targets.
 type Sender interface {
 	// Send returns once the head of the answer to c has come. Errors are
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -92,19 +92,23 @@
 	book     *balance.Book
 	broker   *stages.Broker
 	forward  *forward.Forwarder
-	front    *khttp.Server
+	listener *front.Listener
+	drain    *front.Drain
 	app      *kratos.App
 	stopping atomic.Bool
-	inflight atomic.Int64
 }
 
-// New makes a gateway; Run listens and serves.
-func New(s settings.Gateway, a Adapters, logTo io.Writer) *Gateway {
+// New makes a gateway that listens for clients; Run serves.
+func New(s settings.Gateway, a Adapters, logTo io.Writer) (*Gateway, error) {
 	g := &Gateway{settings: s, adapters: a, out: logging.NewAsync(logTo), metrics: metrics.New()}
 	g.log = g.logger(logging.App)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Gateway.MemoryMB) * (1 << 20)))
+	var err error
+	if g.listener, err = front.Listen(s.Gateway.Clients); err != nil {
+		return nil, errors.Wrap(err, "gateway.clients")
+	}
 	g.build()
-	return g
+	return g, nil
 }
 
 func (g *Gateway) logger(prefix string) *log.Logger {
@@ -141,7 +145,8 @@
 // their router would change paths.
 func (g *Gateway) newApp() *kratos.App {
 	s := g.settings.Gateway
-	g.front = server(s.Clients, front.NewHandler(service{g}, g.adapters.Dialect))
+	g.drain = front.NewDrain(front.NewHandler(g.forward, g.adapters.Dialect))
+	clients := server(s.Clients, g.drain, khttp.Listener(g.listener))
 	ready := server(s.Ready, http.HandlerFunc(g.ready))
 	mux := http.NewServeMux()
 	mux.Handle(pathMetrics, g.metrics.Handler())
@@ -150,32 +155,19 @@
 	peers := kgrpc.NewServer(kgrpc.Address(s.Peers), kgrpc.Timeout(0))
 	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Catalog: g.catalog})
 	return kratos.New(
-		kratos.Name("hookhall-gateway"), kratos.Server(g.front, ready, control, peers),
+		kratos.Name("hookhall-gateway"), kratos.Server(clients, ready, control, peers),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
 	)
 }
 
-func server(address string, h http.Handler) *khttp.Server {
-	s := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+func server(address string, h http.Handler, more ...khttp.ServerOption) *khttp.Server {
+	s := khttp.NewServer(append(more, khttp.Address(address), khttp.Timeout(0))...)
 	s.Handler = h
 	s.IdleTimeout = idleTime
 	s.ReadHeaderTimeout = readHeaderTime
 	return s
 }
 
-// service counts what is in progress.
-type service struct{ g *Gateway }
-
-// Serve implements front.Service.
-func (s service) Serve(ctx context.Context, c *hookhall.Call, a front.Answer) error {
-	s.g.inflight.Add(1)
-	defer s.g.inflight.Add(-1)
-	return s.g.forward.Serve(ctx, c, a)
-}
-
-// MaxBody implements front.Service.
-func (s service) MaxBody() int { return s.g.forward.MaxBody() }
-
 // ready answers the balancer.
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
 	if g.stopping.Load() || !g.catalog.Ready() {
@@ -208,7 +200,7 @@
 	}
 	endLoops()
 	wg.Wait()
-	g.log.Info("Stopped.", "cut", g.inflight.Load())
+	g.log.Info("Stopped.", "cut", g.drain.InFlight())
 	g.out.Flush(flushTime)
 	return errors.Wrap(err, "gateway")
 }
@@ -219,14 +211,15 @@
 	notice := time.Duration(g.settings.Bounds.NoticeMS) * time.Millisecond
 	grace := time.Duration(g.settings.Bounds.GraceMS)*time.Millisecond - killMargin
 	g.stopping.Store(true)
-	g.log.Info("Stopping.", "in_progress", g.inflight.Load(), "notice", notice, "grace", grace)
+	g.log.Info("Stopping.", "in_progress", g.drain.InFlight(), "notice", notice, "grace", grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	go g.members.Leave(ctx)
 	retry.Sleep(ctx, notice)
-	g.front.SetKeepAlivesEnabled(false)
-	if err := g.front.Shutdown(ctx); err != nil {
-		g.log.Warn("Requests were cut off.", "count", g.inflight.Load(), "after", time.Since(began))
+	g.drain.Close()
+	g.listener.StopAccepting()
+	if left := g.drain.Finish(ctx); left > 0 {
+		g.log.Warn("Requests were cut off.", "count", left, "after", time.Since(began))
 	}
 }
 
@@ -276,7 +269,7 @@
 func (g *Gateway) State() State {
 	now := time.Now()
 	s := State{
-		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.inflight.Load(),
+		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
 		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(),
 	}
 	if t := g.catalog.Table(); t != nil {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"time"
 
@@ -30,15 +29,6 @@
 	accountStep = 1
 )
 
-// ErrCut is returned when an answer had begun and can't be ended.
-var ErrCut = errors.New("the answer was cut")
-
-// Answer is where an answer is written.
-type Answer interface {
-	Begin(status int, h http.Header)
-	Chunk(b []byte) error
-}
-
 // Catalog is what is believed of the platform.
 type Catalog interface {
 	Table() *routetable.Table
@@ -79,7 +69,7 @@
 }
 
 // Serve answers c. A *hookhall.Error means that nothing was written.
-func (f *Forwarder) Serve(ctx context.Context, c *hookhall.Call, a Answer) error {
+func (f *Forwarder) Serve(ctx context.Context, c *hookhall.Call, a hookhall.AnswerWriter) error {
 	r, err := f.begin(c)
 	if err != nil {
 		f.report(r, err)
@@ -151,7 +141,7 @@
 	if err != nil {
 		e := hookhall.AsError(err)
 		cause, verdict, detail = string(e.Cause), e.Verdict, e.Detail
-		if errors.Is(err, ErrCut) {
+		if errors.Is(err, hookhall.ErrCut) {
 			cause, detail = "cut", r.cutBy
 		}
 	}
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -31,7 +31,7 @@
 type request struct {
 	*Forwarder
 	call    *hookhall.Call
-	answer  Answer
+	answer  hookhall.AnswerWriter
 	table   *routetable.Table
 	route   *hookhall.Route
 	account *hookhall.AccountKeys
@@ -336,7 +336,7 @@
 	r.answer.Begin(reply.Status, reply.Header)
 	if err := r.answer.Chunk(whole); err != nil {
 		r.cutBy = "the client has gone"
-		return ErrCut
+		return hookhall.ErrCut
 	}
 	return nil
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -47,7 +47,7 @@
 func (s *stream) end(ctx context.Context, e *hookhall.Error) error {
 	if s.begun {
 		s.r.cutBy = e.Detail
-		return ErrCut
+		return hookhall.ErrCut
 	}
 	return s.r.giveUp(ctx, e)
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -28,21 +28,10 @@
 	"github.com/pkg/errors"
 )
 
-// Answer is where a Service writes.
-type Answer interface {
-	// Begin writes the head; h is not kept.
-	Begin(status int, h http.Header)
-	// Chunk writes a part of the body and sends it.
-	Chunk(b []byte) error
-}
-
-// ErrCut is returned by a Service whose answer had begun and can't be ended.
-var ErrCut = errors.New("the answer was cut")
-
 // Service answers calls.
 type Service interface {
 	// Serve answers c. A *hookhall.Error means that nothing was written.
-	Serve(ctx context.Context, c *hookhall.Call, a Answer) error
+	Serve(ctx context.Context, c *hookhall.Call, a hookhall.AnswerWriter) error
 	// MaxBody bounds a request's body in bytes; 0 for no bound.
 	MaxBody() int
 }
@@ -153,10 +142,10 @@
 	return c
 }
 
-// answer is an Answer over HTTP.
+// answer is an AnswerWriter over HTTP.
 type answer struct{ w http.ResponseWriter }
 
-// Begin implements Answer.
+// Begin implements hookhall.AnswerWriter.
 func (a *answer) Begin(status int, h http.Header) {
 	to := a.w.Header()
 	for k, v := range EndToEnd(h) {
@@ -171,7 +160,7 @@
 // writeTime bounds one write to a client that does not read.
 const writeTime = 10 * time.Second
 
-// Chunk implements Answer.
+// Chunk implements hookhall.AnswerWriter.
 func (a *answer) Chunk(b []byte) error {
 	rc := http.NewResponseController(a.w)
 	_ = rc.SetWriteDeadline(time.Now().Add(writeTime)) // not to be had in tests
