batch: whole jobs first, begun ones ended first, a pause that stays a pause

With two of the three venue-feed engines left, 80 to 100 of 112 MB were held by results of jobs whose other pieces waited behind more urgent ones; a dead engine was called every 60 ms, since any result given up ended its pause; pieces were made for clients that had left after 2.8 s of silence. Now a call takes jobs that fit whole first, a begun job goes before others, what can't be made in time is ended at once, failures and room pause apart, a call over 1.8 times its expected time is made elsewhere as well, and a slow target gets no job whose aim that costs. Routes tell how long a client bears silence.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	g := stages.Graph{
-		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.end, Urgency: r.urgency(), Hall: r.readingHall(),
+		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.firstBy(), Urgency: r.urgency(), Hall: r.readingHall(),
 	}
 	results, err := r.Stages.Run(ctx, g)
 	r.staged = time.Since(r.arrived)
@@ -116,6 +116,14 @@
 	return nil
 }
 
+// firstBy is when the client gives up without a first byte.
+func (r *request) firstBy() time.Time {
+	if p := r.route.Patience; p > 0 && p < r.end.Sub(r.arrived) {
+		return r.arrived.Add(p)
+	}
+	return r.end
+}
+
 // readingHall is the hall of the engine that will probably read the results.
 func (r *request) readingHall() string {
 	if !r.wish.Engine || r.wish.Shared == "" {
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -180,7 +180,9 @@
 func (q *serviceQueue) call(b *batch.Batch) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience*b.Expected+callSlack)
+	patience := time.AfterFunc(b.Patience, func() { q.overdue(b) })
 	results, err := q.broker.pool.Make(ctx, b.Target, b.Pieces)
+	patience.Stop()
 	cancel()
 	if err != nil {
 		results = nil
@@ -189,7 +191,34 @@
 	}
 	q.mu.Lock()
 	unwanted := q.queue.Done(b, results, time.Now())
+	waiting := q.queue.Waiting()
+	bytes, held := q.queue.Held()
 	q.mu.Unlock()
+	q.broker.log.Debug("A call of a stage pool ended.", "service", q.service, "target", b.Target.ID, "pieces", len(b.Pieces),
+		"made", made(results), "took", time.Since(began), "expected", b.Expected, "waiting", waiting, "held", held, "held_mb", int(bytes/1e6))
 	q.broker.Free(q.service, unwanted)
 	q.kick()
 }
+
+// overdue has the pieces of a call that takes too long made elsewhere, too.
+func (q *serviceQueue) overdue(b *batch.Batch) {
+	q.mu.Lock()
+	again := q.queue.Overdue(b)
+	q.mu.Unlock()
+	if again {
+		q.broker.log.Warn("A call of a stage pool takes too long; its pieces are asked of others, too.",
+			"service", q.service, "target", b.Target.ID, "pieces", len(b.Pieces), "expected", b.Expected, "patience", b.Patience)
+		q.kick()
+	}
+}
+
+// made counts the pieces that were made.
+func made(results []hookhall.PieceResult) int {
+	n := 0
+	for _, r := range results {
+		if r.Handle != "" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -22,6 +22,8 @@
 	gates [][]int
 	// rest is how long it takes from a stage's start to the answer's.
 	rest []time.Duration
+	// least is the same after a stage's end, without any wait.
+	least []time.Duration
 	// readers counts, for each stage, the stages that have yet to read it.
 	readers []int
 
@@ -34,7 +36,7 @@
 	n := len(g.Route.Stages)
 	w := &walk{
 		runner: r, graph: g, done: make([]chan struct{}, n), handles: make([][]string, n),
-		rest: make([]time.Duration, n), readers: make([]int, n),
+		rest: make([]time.Duration, n), least: make([]time.Duration, n), readers: make([]int, n),
 	}
 	for i, s := range g.Route.Stages {
 		w.done[i] = make(chan struct{})
@@ -69,6 +71,7 @@
 		for j := i + 1; j < len(stages); j++ {
 			if w.pieces(j) > 0 && contains(stages[j].After, i) {
 				after, deepest = max(after, w.rest[j]), max(deepest, depth[j])
+				w.least[i] = max(w.least[i], w.least[j]+w.callTime(j))
 			}
 		}
 		w.rest[i] = after + w.expected(i)
@@ -124,6 +127,15 @@
 	return call + time.Duration(waitGuess*float64(call))
 }
 
+// callTime is the least time that a stage takes.
+func (w *walk) callTime(stage int) time.Duration {
+	s := w.graph.Table.Service(w.graph.Route.Stages[stage].Service)
+	if s == nil || s.Pool == nil {
+		return 0
+	}
+	return s.Pool.CallTime
+}
+
 // stage makes one stage once all that it reads is there.
 func (w *walk) stage(ctx context.Context, i int) {
 	for _, j := range w.gates[i] {
@@ -143,7 +155,7 @@
 	}
 	work := Work{
 		Service: spec.Service, Call: w.graph.Call.ID, Stage: i, Pieces: n, Inputs: inputs, Bytes: spec.Bytes,
-		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End, Urgency: w.graph.Urgency, Hall: w.graph.Hall,
+		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End.Add(-w.least[i]), Urgency: w.graph.Urgency, Hall: w.graph.Hall,
 	}
 	if len(spec.After) == 0 {
 		work.Key = w.graph.Call.PieceKey
--- a/internal/state/batch/job.go
+++ b/internal/state/batch/job.go
@@ -27,7 +27,8 @@
 	Inputs []string
 	// Bytes is roughly the size of one result.
 	Bytes float64
-	// Due is the latest start that makes the request's aim, End its deadline.
+	// Due is the latest start that makes the request's aim. End is when the
+	// results have to be there for the request to be served at all.
 	Due time.Time
 	End time.Time
 	// Urgency ranks the request, lower first.
@@ -59,8 +60,15 @@
 // late tells whether the aim is out of reach.
 func (j *Job) late(now time.Time) bool { return now.After(j.Due) }
 
+// started tells whether some results are there already; they take up room until
+// the others are, too.
+func (j *Job) started() bool { return j.left < j.Count }
+
 // before orders jobs for the next call.
 func (j *Job) before(o *Job, now time.Time) bool {
+	if j.started() != o.started() {
+		return j.started()
+	}
 	jl, ol := j.late(now), o.late(now)
 	if jl != ol {
 		return ol
@@ -76,6 +84,16 @@
 	return js.Before(os)
 }
 
+// drop takes a piece off those that wait.
+func (j *Job) drop(index int) {
+	for k, i := range j.waiting {
+		if i == index {
+			j.waiting = append(j.waiting[:k], j.waiting[k+1:]...)
+			return
+		}
+	}
+}
+
 func (j *Job) piece(i int, now time.Time) hookhall.Piece {
 	return hookhall.Piece{
 		Call: j.Call, Stage: j.Stage, Index: i, Key: j.Key, Inputs: j.Inputs, Left: j.End.Sub(now),
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -16,8 +16,11 @@
 	Pieces []hookhall.Piece
 	// Expected is how long the call should take.
 	Expected time.Duration
+	// Patience is how long the call may take before Overdue should be called.
+	Patience time.Duration
 	jobs     []*Job
 	began    time.Time
+	overdue  bool
 }
 
 // Queue is the work that waits for one pool. It is not safe for concurrent use.
@@ -83,11 +86,16 @@
 	return n
 }
 
-// expireJobs ends jobs whose deadline has passed.
+// expireJobs ends jobs that can't be made in time any more: a piece that waits
+// takes a call at least.
 func (q *Queue) expireJobs(now time.Time) {
 	kept := q.jobs[:0]
 	for _, j := range q.jobs {
-		if !j.ended && now.After(j.End) {
+		soonest := now
+		if len(j.waiting) > 0 {
+			soonest = now.Add(q.spec.CallTime)
+		}
+		if !j.ended && soonest.After(j.End) {
 			j.end(Outcome{Reason: hookhall.PieceLate})
 		}
 		if !j.ended {
@@ -112,7 +120,7 @@
 		}
 		b := q.fill(s, now)
 		if b == nil {
-			s.until = now.Add(roomPause)
+			s.noRoom = now.Add(roomPause)
 			continue
 		}
 		batches = append(batches, b)
@@ -128,7 +136,7 @@
 	}
 	var best *Seat
 	for _, s := range q.seats {
-		if s.busy >= max(q.spec.Slots, 1) || s.Target.Leaving || now.Before(s.until) {
+		if !s.open(q.spec.Slots, now) {
 			continue
 		}
 		s.expire(now)
@@ -152,7 +160,7 @@
 // better prefers quick targets, then the hall where results will be read, then
 // those with more room.
 func (q *Queue) better(a, b *Seat, j *Job) bool {
-	if a.pace > 1.5*b.pace || b.pace > 1.5*a.pace {
+	if a.pace > slowPace*b.pace || b.pace > slowPace*a.pace {
 		return a.pace < b.pace
 	}
 	an, bn := a.Target.Hall == j.Hall, b.Target.Hall == j.Hall
@@ -165,29 +173,69 @@
 	return a.Target.ID < b.Target.ID
 }
 
-// fill takes pieces for one call to s, nil when nothing fits.
+// fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
+// whole go first: the results of a part of a job take up room until the rest is
+// made, too.
 func (q *Queue) fill(s *Seat, now time.Time) *Batch {
 	b := &Batch{Target: s.Target, began: now}
-	for _, j := range q.jobs {
-		for len(j.waiting) > 0 && len(b.Pieces) < max(q.spec.Batch, 1) {
-			if q.spec.Room > 0 && s.bytes+j.Bytes > q.spec.Room {
-				break
+	most := max(q.spec.Batch, 1)
+	for _, whole := range []bool{true, false} {
+		for _, j := range q.jobs {
+			if whole && len(j.waiting) > most-len(b.Pieces) || !q.suits(s, j, now) {
+				continue
 			}
-			i := j.waiting[0]
-			j.waiting = j.waiting[1:]
-			s.bytes += j.Bytes
-			b.Pieces = append(b.Pieces, j.piece(i, now))
-			b.jobs = append(b.jobs, j)
+			q.takePieces(s, j, b, most, now)
 		}
 	}
 	if len(b.Pieces) == 0 {
 		return nil
 	}
 	b.Expected = q.spec.CallTime + time.Duration(len(b.Pieces))*q.spec.ItemTime
+	b.Patience = s.patience(b.Expected)
 	s.busy++
 	return b
 }
 
+// suits tells whether a job may go to a target: one that can still make its aim
+// does not go where the target's pace would cost it.
+func (q *Queue) suits(s *Seat, j *Job, now time.Time) bool {
+	if s.pace < slowPace || j.late(now) {
+		return true
+	}
+	more := time.Duration((s.pace - 1) * float64(q.spec.CallTime+time.Duration(q.spec.Batch)*q.spec.ItemTime))
+	return !now.Add(more).After(j.Due)
+}
+
+// takePieces moves pieces of j into b while there is room.
+func (q *Queue) takePieces(s *Seat, j *Job, b *Batch, most int, now time.Time) {
+	for len(j.waiting) > 0 && len(b.Pieces) < most {
+		if q.spec.Room > 0 && s.bytes+j.Bytes > q.spec.Room {
+			return
+		}
+		i := j.waiting[0]
+		j.waiting = j.waiting[1:]
+		s.bytes += j.Bytes
+		b.Pieces = append(b.Pieces, j.piece(i, now))
+		b.jobs = append(b.jobs, j)
+	}
+}
+
+// Overdue lets the pieces of a call that takes too long wait for another one as
+// well. Whichever makes a piece first is taken; the other result is not needed.
+// It tells whether there was anything to do.
+func (q *Queue) Overdue(b *Batch) bool {
+	if b.overdue {
+		return false
+	}
+	b.overdue = true
+	for i, j := range b.jobs {
+		if index := b.Pieces[i].Index; j.handles[index] == "" {
+			q.again(j, index)
+		}
+	}
+	return true
+}
+
 // Done takes in a call's answers; a nil list means that the call failed. It
 // returns handles that nobody needs, to be given up.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
@@ -201,16 +249,18 @@
 	}
 	if len(results) != len(b.Pieces) {
 		s.failed(now)
-		for i, j := range b.jobs {
-			q.again(j, b.Pieces[i].Index)
-		}
+		q.Overdue(b)
 		return nil
 	}
 	s.fails = 0
 	s.learn(now.Sub(b.began), b.Expected)
 	var unwanted []string
 	for i, r := range results {
-		if h := q.take(s, b.jobs[i], b.Pieces[i].Index, r, now); h != "" {
+		index := b.Pieces[i].Index
+		if r.Handle == "" && b.overdue {
+			continue // it waits, or is made elsewhere
+		}
+		if h := q.take(s, b.jobs[i], index, r, now); h != "" {
 			unwanted = append(unwanted, h)
 		}
 	}
@@ -223,9 +273,10 @@
 		q.fail(s, j, index, r.Failure, now)
 		return ""
 	}
-	if j.ended {
+	if j.ended || j.handles[index] != "" {
 		return r.Handle
 	}
+	j.drop(index)
 	s.held[r.Handle] = held{j.Bytes, now.Add(q.spec.Keep)}
 	s.bytes += j.Bytes
 	j.handles[index] = r.Handle
@@ -243,7 +294,7 @@
 		q.remove(j)
 		j.end(Outcome{Reason: f})
 	case hookhall.PieceNoRoom:
-		s.until = now.Add(roomPause)
+		s.noRoom = now.Add(roomPause)
 		q.again(j, index)
 	default:
 		q.again(j, index)
@@ -267,7 +318,7 @@
 	for _, h := range handles {
 		for _, s := range q.seats {
 			if s.free(h) {
-				s.until = time.Time{}
+				s.noRoom = time.Time{}
 				break
 			}
 		}
@@ -284,3 +335,13 @@
 	}
 	return list
 }
+
+// Held is how many bytes results take up at all targets, by the queue's account,
+// and how many results there are.
+func (q *Queue) Held() (bytes float64, results int) {
+	for _, s := range q.seats {
+		bytes += s.bytes
+		results += len(s.held)
+	}
+	return bytes, results
+}
--- a/internal/state/batch/seat.go
+++ b/internal/state/batch/seat.go
@@ -17,9 +17,13 @@
 	failPause = 100 * time.Millisecond
 	// failPauseMost bounds it.
 	failPauseMost = 2 * time.Second
-	// slowCall is how many times the expected time a call may take before the
-	// target is held to be stuck, and others are preferred.
-	slowCall = 3
+	// slowPace is from which pace on a target is held to be slow.
+	slowPace = 1.5
+	// overdueAfter is how many times the expected time, at the target's pace, a
+	// call may take before its pieces are offered to others as well.
+	overdueAfter = 1.8
+	// paceMost bounds the pace that is believed of a call in progress.
+	paceMost = 2.0
 )
 
 // Seat is what the queue knows of one target.
@@ -28,7 +32,8 @@
 	busy   int
 	held   map[string]held // results by handle
 	bytes  float64         // of held, and of calls at work
-	until  time.Time       // left alone until then
+	noRoom time.Time       // left alone until then, or until a result is given up
+	until  time.Time       // left alone until then: calls failed
 	fails  int
 	pace   float64 // its calls' time against what was expected, 1 being as expected
 }
@@ -60,12 +65,22 @@
 	return ok
 }
 
+// open tells whether the target may get a call.
+func (s *Seat) open(slots int, now time.Time) bool {
+	return s.busy < max(slots, 1) && !s.Target.Leaving && !now.Before(s.until) && !now.Before(s.noRoom)
+}
+
 func (s *Seat) failed(now time.Time) {
 	pause := min(failPause<<min(s.fails, 8), failPauseMost)
 	s.fails++
 	s.until = now.Add(pause)
 }
 
+// patience is how long a call may take before others are asked as well.
+func (s *Seat) patience(expected time.Duration) time.Duration {
+	return time.Duration(overdueAfter * min(max(s.pace, 1), paceMost) * float64(expected))
+}
+
 // learn takes in how long a call took against what was expected.
 func (s *Seat) learn(took, expected time.Duration) {
 	if expected <= 0 {
--- a/routing.go
+++ b/routing.go
@@ -43,6 +43,9 @@
 	// Objective is the time to the answer, or to the first event, that earns
 	// full worth.
 	Objective time.Duration
+	// Patience is how long a client waits for the first event, or the next one;
+	// 0 for as long as it waits for the whole.
+	Patience time.Duration
 	// Gap is the longest pause between events; 0 when none is set.
 	Gap time.Duration
 	// Priority is the rank, 0 being the most urgent.
