stages: work beside its data while the aim is safe

Each of the 16 pieces of a last stage reads all results of the stage before; so most of it was inner results, not the large ones. Now a stage with inputs goes to the hall where they lie, one whose results only the engine reads goes to the engine's hall (or, when prompts share little, the engine is chosen by where the results lie), and the first pieces of a stage bind the rest. A job goes elsewhere only when waiting for one more call would cost its aim.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -129,6 +129,7 @@
 	runner := &stages.Runner{
 		Local: g.broker, Fleet: g.members, Log: g.logger(logging.Stages),
 		Remote: func(address string) stages.Remote { return g.clients.Client(address) },
+		HallOf: func(handle string) string { return g.catalog.HallAt(g.adapters.Pool.Maker(handle)) },
 	}
 	g.forward = &forward.Forwarder{
 		Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Book: g.book,
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -53,6 +53,8 @@
 	ByPool map[string][]hookhall.Target
 	// ByID has all that are known, leaving and lapsed ones too.
 	ByID map[string]hookhall.Target
+	// HallAt has the hall of the target at an address.
+	HallAt map[string]string
 }
 
 // Age is how old the picture is.
@@ -106,6 +108,14 @@
 	return nil
 }
 
+// HallAt is the hall of the target at an address, "" when none is known there.
+func (c *Catalog) HallAt(address string) string {
+	if p := c.picture.Load(); p != nil {
+		return p.HallAt[address]
+	}
+	return ""
+}
+
 // Ready tells whether both the table and the targets are known.
 func (c *Catalog) Ready() bool { return c.table.Load() != nil && c.picture.Load() != nil }
 
@@ -235,9 +245,12 @@
 
 // publish makes the picture of what is known. The caller holds c.mu.
 func (c *Catalog) publish(r Reading, now time.Time) {
-	p := &Picture{Revision: r.Revision, Began: r.Began, ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}}
+	p := &Picture{Revision: r.Revision, Began: r.Began, ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{}}
 	for id, e := range c.known {
 		p.ByID[id] = e.target
+		if e.missing.IsZero() || p.HallAt[e.target.Address] == "" {
+			p.HallAt[e.target.Address] = e.target.Hall
+		}
 		if e.usable(now) {
 			p.ByPool[e.target.Pool] = append(p.ByPool[e.target.Pool], e.target)
 		}
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -113,6 +113,7 @@
 		return r.giveUp(ctx, hookhall.AsError(err))
 	}
 	r.results = results
+	r.wish.Near = results.Bytes()
 	return nil
 }
 
@@ -124,9 +125,14 @@
 	return r.end
 }
 
-// readingHall is the hall of the engine that will probably read the results.
+// sharedLeast is from how many shared prompt tokens on the engine is chosen by
+// them, wherever the results lie.
+const sharedLeast = 2000
+
+// readingHall is the hall of the engine that will probably read the results, ""
+// when it will be chosen by where they lie.
 func (r *request) readingHall() string {
-	if !r.wish.Engine || r.wish.Shared == "" {
+	if !r.wish.Engine || r.wish.SharedTokens < sharedLeast {
 		return ""
 	}
 	list := r.Catalog.Targets(r.service)
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -80,7 +80,10 @@
 	Due     time.Time
 	End     time.Time
 	Urgency int
-	Hall    string
+	// Hall is where the work's data lies or will be read, "" for any; Cross is how
+	// many bytes go between halls when it is made in another one.
+	Hall  string
+	Cross float64
 }
 
 // Run makes the pieces of w. Ending ctx gives up what has not begun.
@@ -89,7 +92,7 @@
 	done := make(chan batch.Outcome, 1)
 	job := &batch.Job{
 		Call: w.Call, Stage: w.Stage, Count: w.Pieces, Key: w.Key, Inputs: w.Inputs, Bytes: w.Bytes,
-		Due: w.Due, End: w.End, Urgency: w.Urgency, Hall: w.Hall,
+		Due: w.Due, End: w.End, Urgency: w.Urgency, Hall: w.Hall, Cross: w.Cross,
 		Finish: func(o batch.Outcome) { done <- o },
 	}
 	q.add(job)
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -46,6 +46,8 @@
 	Local  *Broker
 	Fleet  Fleet
 	Remote func(address string) Remote
+	// HallOf is the hall of the target that made a result, "" when not known.
+	HallOf func(handle string) string
 	Log    *log.Logger
 }
 
@@ -57,17 +59,27 @@
 	Aim     time.Time // when the answer should have begun
 	End     time.Time
 	Urgency int
-	Hall    string
+	// Hall is that of the target that should run the request, "" when any will do.
+	Hall string
 }
 
 // Results are the handles that the request's target reads.
 type Results struct {
 	runner  *Runner
 	handles []string
-	owners  map[string]string // handle to service
+	owners  map[string]string  // handle to service
+	bytes   map[string]float64 // by hall
 	once    sync.Once
 }
 
+// Bytes is how much the target reads from each hall.
+func (r *Results) Bytes() map[string]float64 {
+	if r == nil {
+		return nil
+	}
+	return r.bytes
+}
+
 // Handles are what the target reads, in the order of stages and pieces.
 func (r *Results) Handles() []string {
 	if r == nil {
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -127,6 +127,66 @@
 	return call + time.Duration(waitGuess*float64(call))
 }
 
+// place tells in which hall a stage should be made, and what it costs to make it
+// in another one: each piece reads all inputs, and each piece that comes after
+// reads all results.
+func (w *walk) place(stage int, inputs []string) (hall string, cross float64) {
+	n := float64(w.pieces(stage))
+	spec := w.graph.Route.Stages[stage]
+	read := map[string]float64{}
+	for _, j := range spec.After {
+		for _, h := range w.handles[j] {
+			read[w.runner.HallOf(h)] += n * w.graph.Route.Stages[j].Bytes
+		}
+	}
+	out, last := 0.0, true
+	for k, s := range w.graph.Route.Stages {
+		if contains(s.After, stage) && w.pieces(k) > 0 {
+			out += n * spec.Bytes * float64(w.pieces(k))
+			last = false
+		}
+	}
+	if last {
+		return w.placeLast(n*spec.Bytes, read)
+	}
+	hall, cross = most(read)
+	if cross >= out {
+		return hall, cross
+	}
+	return "", out
+}
+
+// placeLast places results that the request's own target reads: where that one
+// stands, if it is known, or else beside the other results that it reads.
+func (w *walk) placeLast(bytes float64, read map[string]float64) (string, float64) {
+	if hall, cross := most(read); cross > bytes {
+		return hall, cross
+	}
+	if w.graph.Hall != "" {
+		return w.graph.Hall, bytes
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	others := map[string]float64{}
+	for i, list := range w.handles {
+		for _, h := range list {
+			others[w.runner.HallOf(h)] += w.graph.Route.Stages[i].Bytes
+		}
+	}
+	hall, _ := most(others)
+	return hall, bytes
+}
+
+// most is the hall with the most bytes; of equals the first by name.
+func most(bytes map[string]float64) (hall string, n float64) {
+	for h, b := range bytes {
+		if b > n || (b == n && h < hall) {
+			hall, n = h, b
+		}
+	}
+	return hall, n
+}
+
 // callTime is the least time that a stage takes.
 func (w *walk) callTime(stage int) time.Duration {
 	s := w.graph.Table.Service(w.graph.Route.Stages[stage].Service)
@@ -155,8 +215,9 @@
 	}
 	work := Work{
 		Service: spec.Service, Call: w.graph.Call.ID, Stage: i, Pieces: n, Inputs: inputs, Bytes: spec.Bytes,
-		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End.Add(-w.least[i]), Urgency: w.graph.Urgency, Hall: w.graph.Hall,
+		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End.Add(-w.least[i]), Urgency: w.graph.Urgency,
 	}
+	work.Hall, work.Cross = w.place(i, inputs)
 	if len(spec.After) == 0 {
 		work.Key = w.graph.Call.PieceKey
 	}
@@ -211,10 +272,11 @@
 		}
 		return nil, w.err
 	}
-	r := &Results{runner: w.runner, owners: map[string]string{}}
+	r := &Results{runner: w.runner, owners: map[string]string{}, bytes: map[string]float64{}}
 	for i, list := range w.handles {
 		for _, h := range list {
 			r.handles = append(r.handles, h)
+			r.bytes[w.runner.HallOf(h)] += w.graph.Route.Stages[i].Bytes
 			r.owners[h] = w.graph.Route.Stages[i].Service
 		}
 	}
--- a/internal/state/balance/book.go
+++ b/internal/state/balance/book.go
@@ -20,6 +20,8 @@
 	// anewWeight makes reading a shared part anew dearer than waiting for it:
 	// it takes the engine's time from others, too.
 	anewWeight = 2.0
+	// perMegabyte makes it dear to have results brought from another hall.
+	perMegabyte = 12.0
 	// perCall is what a call in progress adds to an engine's start of another,
 	// in milliseconds.
 	perCall = 1.0
@@ -66,6 +68,8 @@
 	OwnTokens    int
 	// Parts are all parts of the prompt, to be remembered.
 	Parts []string
+	// Near has the bytes that the target reads, by hall.
+	Near map[string]float64
 	// Careful is set for calls that may run only once: they are no probes.
 	Careful bool
 	// Exclude are targets that were tried already.
@@ -120,6 +124,11 @@
 	if w.Shared != "" && !first && !f.holds {
 		ms += anewWeight * float64(w.SharedTokens) / readRate
 	}
+	for hall, bytes := range w.Near {
+		if hall != t.Hall {
+			ms += perMegabyte * bytes / 1e6
+		}
+	}
 	if w.Shared != "" && !first {
 		ms += 2 // the first keeps what it holds warm
 	}
--- a/internal/state/batch/job.go
+++ b/internal/state/batch/job.go
@@ -33,8 +33,11 @@
 	End time.Time
 	// Urgency ranks the request, lower first.
 	Urgency int
-	// Hall is where the results will be read, "" when not known.
-	Hall string
+	// Hall is where the job's data lies or will be read, "" when any will do, and
+	// Cross how many bytes go between halls when it is made elsewhere. Without a
+	// hall, the job's first pieces bind it to theirs.
+	Hall  string
+	Cross float64
 	// Finish is called once, by whoever holds the queue's lock: it must not
 	// block nor call the queue.
 	Finish func(Outcome)
@@ -46,6 +49,9 @@
 	ended    bool
 }
 
+// crossLeast is from how many bytes on it is worth waiting for the right hall.
+const crossLeast = 500e3
+
 // mostFailures is after how many failed tries of its pieces a job is given up.
 const mostFailures = 24
 
@@ -94,6 +100,15 @@
 	}
 }
 
+// pressed tells whether a job must be made wherever there is a place: waiting for
+// one more call would cost its aim, or, once that is missed, its deadline.
+func (j *Job) pressed(call time.Duration, now time.Time) bool {
+	if j.late(now) {
+		return now.Add(2 * call).After(j.End)
+	}
+	return now.Add(call).After(j.Due)
+}
+
 func (j *Job) piece(i int, now time.Time) hookhall.Piece {
 	return hookhall.Piece{
 		Call: j.Call, Stage: j.Stage, Index: i, Key: j.Key, Inputs: j.Inputs, Left: j.End.Sub(now),
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -112,39 +112,32 @@
 		return nil
 	}
 	sort.SliceStable(q.jobs, func(i, j int) bool { return q.jobs[i].before(q.jobs[j], now) })
+	halls := q.halls()
 	var batches []*Batch
-	for {
-		s := q.free(now)
-		if s == nil {
-			return batches
+	for _, s := range q.open(now) {
+		if b := q.fill(s, halls, now); b != nil {
+			batches = append(batches, b)
 		}
-		b := q.fill(s, now)
-		if b == nil {
-			s.noRoom = now.Add(roomPause)
-			continue
-		}
-		batches = append(batches, b)
 	}
+	return batches
 }
 
-// free finds the best seat that may get a call, nil when there is none or
-// nothing waits.
-func (q *Queue) free(now time.Time) *Seat {
+// open lists the seats that may get a call, the best first: quick ones, those in
+// the hall of the most urgent job, those with more room.
+func (q *Queue) open(now time.Time) []*Seat {
 	first := q.first()
 	if first == nil {
 		return nil
 	}
-	var best *Seat
+	var list []*Seat
 	for _, s := range q.seats {
-		if !s.open(q.spec.Slots, now) {
-			continue
-		}
-		s.expire(now)
-		if best == nil || q.better(s, best, first) {
-			best = s
+		if s.open(q.spec.Slots, now) {
+			s.expire(now)
+			list = append(list, s)
 		}
 	}
-	return best
+	sort.Slice(list, func(i, j int) bool { return better(list[i], list[j], first) })
+	return list
 }
 
 // first is the most urgent job with pieces that wait.
@@ -157,11 +150,10 @@
 	return nil
 }
 
-// better prefers quick targets, then the hall where results will be read, then
-// those with more room.
-func (q *Queue) better(a, b *Seat, j *Job) bool {
-	if a.pace > slowPace*b.pace || b.pace > slowPace*a.pace {
-		return a.pace < b.pace
+func better(a, b *Seat, j *Job) bool {
+	as, bs := a.pace > slowPace, b.pace > slowPace
+	if as != bs {
+		return bs
 	}
 	an, bn := a.Target.Hall == j.Hall, b.Target.Hall == j.Hall
 	if an != bn {
@@ -173,15 +165,26 @@
 	return a.Target.ID < b.Target.ID
 }
 
+// halls are those with a target that works.
+func (q *Queue) halls() map[string]bool {
+	halls := map[string]bool{}
+	for _, s := range q.seats {
+		if !s.Target.Leaving && s.fails == 0 && s.pace < slowPace {
+			halls[s.Target.Hall] = true
+		}
+	}
+	return halls
+}
+
 // fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
 // whole go first: the results of a part of a job take up room until the rest is
 // made, too.
-func (q *Queue) fill(s *Seat, now time.Time) *Batch {
+func (q *Queue) fill(s *Seat, halls map[string]bool, now time.Time) *Batch {
 	b := &Batch{Target: s.Target, began: now}
 	most := max(q.spec.Batch, 1)
 	for _, whole := range []bool{true, false} {
 		for _, j := range q.jobs {
-			if whole && len(j.waiting) > most-len(b.Pieces) || !q.suits(s, j, now) {
+			if whole && len(j.waiting) > most-len(b.Pieces) || !q.suits(s, j, halls, now) {
 				continue
 			}
 			q.takePieces(s, j, b, most, now)
@@ -197,13 +200,17 @@
 }
 
 // suits tells whether a job may go to a target: one that can still make its aim
-// does not go where the target's pace would cost it.
-func (q *Queue) suits(s *Seat, j *Job, now time.Time) bool {
+// does not go where the target's pace would cost it, and one whose data lies in
+// another hall waits for a target there while it has the time.
+func (q *Queue) suits(s *Seat, j *Job, halls map[string]bool, now time.Time) bool {
+	call := q.spec.CallTime + time.Duration(q.spec.Batch)*q.spec.ItemTime
+	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && halls[j.Hall] && !j.pressed(call, now) {
+		return false
+	}
 	if s.pace < slowPace || j.late(now) {
 		return true
 	}
-	more := time.Duration((s.pace - 1) * float64(q.spec.CallTime+time.Duration(q.spec.Batch)*q.spec.ItemTime))
-	return !now.Add(more).After(j.Due)
+	return !now.Add(time.Duration((s.pace - 1) * float64(call))).After(j.Due)
 }
 
 // takePieces moves pieces of j into b while there is room.
@@ -214,6 +221,9 @@
 		}
 		i := j.waiting[0]
 		j.waiting = j.waiting[1:]
+		if j.Hall == "" {
+			j.Hall = s.Target.Hall
+		}
 		s.bytes += j.Bytes
 		b.Pieces = append(b.Pieces, j.piece(i, now))
 		b.jobs = append(b.jobs, j)
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -54,7 +54,7 @@
 		Service: r.GetService(), Call: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()),
 		Key: r.GetKey(), Inputs: r.GetInputs(), Bytes: r.GetPieceBytes(),
 		Due: now.Add(milliseconds(r.GetDueMs())), End: now.Add(milliseconds(r.GetRemainingMs())),
-		Urgency: int(r.GetUrgency()), Hall: r.GetHall(),
+		Urgency: int(r.GetUrgency()), Hall: r.GetHall(), Cross: r.GetCrossBytes(),
 	})
 	if err != nil {
 		return &pb.StageReply{Reason: hookhall.AsError(err).Detail}, nil
@@ -156,7 +156,7 @@
 	reply, err := c.rpc.RunStage(ctx, &pb.StageRequest{
 		Request: w.Call, Stage: int32(w.Stage), Pieces: int32(w.Pieces), Service: w.Service, Key: w.Key, Inputs: w.Inputs,
 		PieceBytes: w.Bytes, DueMs: w.Due.Sub(now).Milliseconds(), RemainingMs: w.End.Sub(now).Milliseconds(),
-		Urgency: int32(w.Urgency), Hall: w.Hall,
+		Urgency: int32(w.Urgency), Hall: w.Hall, CrossBytes: w.Cross,
 	})
 	if err != nil {
 		return nil, wayError(ctx, err)
