placement: one placer of engines for the fleet

Cause: engines at a tenth to a third of their capacity, yet a tenth of the first events came 0.5 s and more after the stages (up to 3.2 s for the least urgent kind): nine gateways placed long prompts without knowing of one another. Ruled out: the stages (p90 0.5 s for dispute-brief) and pauses (one over 200 ms of 1,839). Now the placer of a service, by rendezvous over the members, chooses for all and is told in gathered notes what became of it; without it each chooses by what it sees.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/forward"
 	"github.com/hookhall/hookhall/internal/coordination/members"
+	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
@@ -91,6 +92,7 @@
 	clients  *fleet.Clients
 	book     *balance.Book
 	broker   *stages.Broker
+	placer   *placement.Placer
 	forward  *forward.Forwarder
 	listener *front.Listener
 	drain    *front.Drain
@@ -126,12 +128,17 @@
 	g.catalog.Read = spreader.Spread
 	g.book = balance.NewBook()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
+	g.placer = placement.NewPlacer(g.catalog)
 	runner := &stages.Runner{
 		Local: g.broker, Fleet: g.members, Log: g.logger(logging.Stages),
 		Remote: func(address string) stages.Remote { return g.clients.Client(address) },
 		HallOf: func(handle string) string { return g.catalog.HallAt(g.adapters.Pool.Maker(handle)) },
 	}
 	g.forward = &forward.Forwarder{
+		Placement: &placement.Client{
+			Local: g.placer, Fleet: g.members,
+			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
+		},
 		Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Book: g.book,
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
@@ -154,7 +161,7 @@
 	mux.HandleFunc(pathState, g.state)
 	control := server(s.Metrics, mux)
 	peers := kgrpc.NewServer(kgrpc.Address(s.Peers), kgrpc.Timeout(0))
-	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Catalog: g.catalog})
+	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Catalog: g.catalog})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clients, ready, control, peers),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
@@ -242,7 +249,9 @@
 		now := time.Now()
 		g.adapters.Connections.Sweep(now)
 		if p := g.catalog.Picture(); p != nil {
-			g.book.Keep(func(id string) bool { _, ok := p.ByID[id]; return ok }, now)
+			known := func(id string) bool { _, ok := p.ByID[id]; return ok }
+			g.book.Keep(known, now)
+			g.placer.Tidy(known, now)
 		}
 		current := map[string]bool{}
 		for _, m := range g.members.List(now) {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
@@ -40,6 +41,11 @@
 	Run(ctx context.Context, g stages.Graph) (*stages.Results, error)
 }
 
+// Placement chooses engines for the whole fleet.
+type Placement interface {
+	Place(ctx context.Context, service string, w balance.Wish) placement.Placement
+}
+
 // Meter counts.
 type Meter interface {
 	// Forwarded counts a request's end; cause is "answered" for a target's answer.
@@ -50,14 +56,15 @@
 
 // Forwarder passes requests on.
 type Forwarder struct {
-	Catalog Catalog
-	Stages  Stages
-	Sender  hookhall.Sender
-	Book    *balance.Book
-	Budget  *budget.Budget
-	Members func() int
-	Meter   Meter
-	Log     *log.Logger
+	Catalog   Catalog
+	Stages    Stages
+	Sender    hookhall.Sender
+	Placement Placement
+	Book      *balance.Book
+	Budget    *budget.Budget
+	Members   func() int
+	Meter     Meter
+	Log       *log.Logger
 }
 
 // MaxBody is the operators' bound on bodies, 0 for none.
@@ -152,7 +159,8 @@
 	f.Meter.Forwarded(route, cause, verdict, took)
 	fields := []any{
 		"request", r.call.ID, "route", route, "service", r.service, "outcome", cause, "took_ms", took.Milliseconds(),
-		"stages_ms", r.staged.Milliseconds(), "sends", r.sends, "target", r.target.ID, "status", r.status,
+		"stages_ms", r.staged.Milliseconds(), "first_ms", r.first.Milliseconds(), "gap_ms", r.gap.Milliseconds(),
+		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "target", r.target.ID, "status", r.status,
 	}
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version())
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
@@ -42,11 +43,14 @@
 
 	results *stages.Results
 	staged  time.Duration
+	first   time.Duration // to the answer's first byte
+	gap     time.Duration // the longest between events
 	wish    balance.Wish
 	tried   map[string]bool // targets that got the request and may have run it, or refused it
 	sends   int
 	runs    int // targets that may have run it
 	target  hookhall.Target
+	placed  placement.Placement
 	status  int
 	cutBy   string
 }
@@ -163,10 +167,33 @@
 
 // attempt is one send with what became of it.
 type attempt struct {
-	reply *hookhall.Reply
-	use   *balance.Use
-	err   *hookhall.Error
-	began time.Time
+	reply  *hookhall.Reply
+	use    *balance.Use
+	placed placement.Placement
+	err    *hookhall.Error
+	began  time.Time
+}
+
+// read counts the prompt as read: the answer has begun.
+func (a *attempt) read() {
+	a.use.Read()
+	a.use.Succeeded(time.Since(a.began))
+	a.placed.Tell(placement.Read)
+}
+
+// failed counts a failure of the target; hard when it was silent or could not be
+// reached.
+func (a *attempt) failed(hard bool) {
+	a.use.Failed(hard, time.Now())
+	if hard {
+		a.placed.Tell(placement.Failed)
+	}
+}
+
+// end counts the attempt's end.
+func (a *attempt) end() {
+	a.use.End()
+	a.placed.Tell(placement.Ended)
 }
 
 // close ends an attempt whose answer is not used.
@@ -174,11 +201,24 @@
 	if a.reply != nil {
 		_ = a.reply.Body.Close()
 	}
-	a.use.End()
+	a.end()
 }
 
-// choose finds the next target, or says why there is none.
-func (r *request) choose() (hookhall.Target, *hookhall.Error) {
+// choose finds the next target, or says why there is none. Engines are chosen by
+// their placer, if it answers.
+func (r *request) choose(ctx context.Context) (hookhall.Target, *hookhall.Error) {
+	r.wish.Slack = max(time.Until(r.aim), 0)
+	r.placed = placement.Placement{}
+	if r.wish.Engine {
+		r.placed = r.Placement.Place(ctx, r.service, r.wish)
+		for _, t := range r.Catalog.Targets(r.service) {
+			if t.ID == r.placed.Target {
+				return t, nil
+			}
+		}
+		r.placed.Tell(placement.Ended) // this process does not know it
+		r.placed = placement.Placement{}
+	}
 	t, ok := r.Book.Choose(r.Catalog.Targets(r.service), r.wish, time.Now())
 	if !ok {
 		return t, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
@@ -191,16 +231,16 @@
 	now := time.Now()
 	r.sends++
 	r.target = t
-	a := &attempt{use: r.Book.Begin(t, r.wish, now), began: now}
+	a := &attempt{use: r.Book.Begin(t, r.wish, now), placed: r.placed, began: now}
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
 		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(), After: after,
 	})
 	if err != nil {
 		a.err = hookhall.AsError(err)
 		if ctx.Err() == nil {
-			a.use.Failed(true, time.Now())
+			a.failed(true)
 		}
-		a.use.End()
+		a.end()
 		return a
 	}
 	a.reply = reply
@@ -219,12 +259,13 @@
 	now := time.Now()
 	switch {
 	case m.Misdirected:
-		a.use.Failed(true, now)
+		a.failed(true)
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseMisdirected, "another target has the address")
 	case m.InputGone:
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "a result is gone")
 	}
 	a.use.Full(fullRest, now)
+	a.placed.Tell(placement.Full)
 	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseRefused, "the target refused with status %d", a.reply.Status)
 }
 
@@ -274,7 +315,7 @@
 	sendCtx, cancel := r.sendContext(ctx)
 	defer cancel()
 	for {
-		t, none := r.choose()
+		t, none := r.choose(ctx)
 		if none != nil {
 			return r.giveUp(ctx, none)
 		}
@@ -307,21 +348,21 @@
 
 // readWhole reads an answer to its end.
 func (r *request) readWhole(a *attempt) ([]byte, *hookhall.Error) {
-	defer a.use.End()
+	defer a.end()
 	b, err := io.ReadAll(io.LimitReader(a.reply.Body, mostAnswer))
 	_ = a.reply.Body.Close()
 	if err != nil {
-		a.use.Failed(false, time.Now())
+		a.failed(false)
 		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer was cut: %v", err)
 	}
 	if a.reply.Status < http.StatusMultipleChoices && !a.reply.Marks.Sealed {
-		a.use.Failed(false, time.Now())
+		a.failed(false)
 		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
 	if a.reply.Status >= http.StatusInternalServerError {
-		a.use.Failed(false, time.Now())
+		a.failed(false)
 	} else {
-		a.use.Succeeded(time.Since(a.began))
+		a.read()
 	}
 	return b, nil
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -18,15 +18,16 @@
 // stream is an answer that goes on event by event.
 type stream struct {
 	r     *request
-	begun bool   // the head went to the client
-	last  string // id of the last whole event that the client has
+	begun bool      // the head went to the client
+	wrote time.Time // the last event went to the client
+	last  string    // id of the last whole event that the client has
 }
 
 // serveStream passes a stream on, over several targets where the route allows.
 func (r *request) serveStream(ctx context.Context) error {
 	s := &stream{r: r, last: r.call.LastEvent}
 	for {
-		t, none := r.choose()
+		t, none := r.choose(ctx)
 		if none != nil {
 			return s.end(ctx, none)
 		}
@@ -62,8 +63,7 @@
 	if !a.reply.Marks.Sealed {
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
-	a.use.Read()
-	a.use.Succeeded(time.Since(a.began))
+	a.read()
 	s.r.results.Release()
 	if !s.begun {
 		s.begun = true
@@ -106,7 +106,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				a.use.Failed(false, time.Now())
+				a.failed(false)
 			}
 			return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the stream broke: %v", err)
 		}
@@ -124,6 +124,13 @@
 	if id := lastID(b); id != "" {
 		s.last = id
 	}
+	now := time.Now()
+	if s.wrote.IsZero() {
+		s.r.first = now.Sub(s.r.arrived)
+	} else {
+		s.r.gap = max(s.r.gap, now.Sub(s.wrote))
+	}
+	s.wrote = now
 	return nil
 }
 
--- /dev/null
+++ b/internal/coordination/placement/client.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/balance"
+)
+
+const (
+	// placeTime is how long a placer may take.
+	placeTime = 120 * time.Millisecond
+	// noteDelay gathers notes.
+	noteDelay = 5 * time.Millisecond
+	noteTime  = 500 * time.Millisecond
+	// keyPrefix keeps a service's placer apart from its stage broker.
+	keyPrefix = "place/"
+)
+
+// Remote is a placer in another process.
+type Remote interface {
+	Place(ctx context.Context, ticket, service string, w balance.Wish) (string, error)
+	Note(ctx context.Context, notes []Note) error
+}
+
+// Fleet finds placers.
+type Fleet interface {
+	Self() hookhall.Member
+	Owner(key string, skip map[string]bool, now time.Time) hookhall.Member
+	Suspect(address string, now time.Time)
+}
+
+// Client asks the placer of each service.
+type Client struct {
+	Local  *Placer
+	Fleet  Fleet
+	Remote func(address string) Remote
+
+	tickets atomic.Uint64
+	mu      sync.Mutex
+	notes   map[string][]Note // by address
+}
+
+// Placement is where a request was placed. The zero value tells nobody.
+type Placement struct {
+	// Target is the engine's id, "" when the placer knew none.
+	Target  string
+	client  *Client
+	address string
+	ticket  string
+}
+
+// Place asks for an engine. An empty Target means that the caller chooses.
+func (c *Client) Place(ctx context.Context, service string, w balance.Wish) Placement {
+	owner := c.Fleet.Owner(keyPrefix+service, nil, time.Now())
+	p := Placement{client: c, address: owner.Address}
+	p.ticket = c.Fleet.Self().Address + "/" + strconv.FormatUint(c.tickets.Add(1), 36)
+	if owner.Address == c.Fleet.Self().Address {
+		p.Target = c.Local.Place(p.ticket, service, w)
+		return p
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTime)
+	defer cancel()
+	id, err := c.Remote(owner.Address).Place(ctx, p.ticket, service, w)
+	if err != nil {
+		if ctx.Err() == context.DeadlineExceeded {
+			c.Fleet.Suspect(owner.Address, time.Now())
+		}
+		return Placement{}
+	}
+	p.Target = id
+	return p
+}
+
+// Tell passes a note on, without waiting.
+func (p Placement) Tell(k Kind) {
+	if p.Target == "" {
+		return
+	}
+	n := Note{p.ticket, k}
+	if p.address == p.client.Fleet.Self().Address {
+		p.client.Local.Take([]Note{n})
+		return
+	}
+	p.client.gather(p.address, n)
+}
+
+func (c *Client) gather(address string, n Note) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.notes == nil {
+		c.notes = map[string][]Note{}
+	}
+	c.notes[address] = append(c.notes[address], n)
+	if len(c.notes[address]) == 1 {
+		time.AfterFunc(noteDelay, func() { c.send(address) })
+	}
+}
+
+func (c *Client) send(address string) {
+	c.mu.Lock()
+	notes := c.notes[address]
+	delete(c.notes, address)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), noteTime)
+	defer cancel()
+	_ = c.Remote(address).Note(ctx, notes) // lost notes are made up for by Tidy
+}
--- /dev/null
+++ b/internal/coordination/placement/placer.go
@@ -0,0 +1,118 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/balance"
+)
+
+const (
+	// readMost is after how long a prompt is held to be read without a note.
+	readMost = 4 * time.Second
+	// runMost is after how long a request is held to have ended without one.
+	runMost = 20 * time.Second
+	// fullRest is how long an engine that was full is left out.
+	fullRest = 30 * time.Millisecond
+)
+
+// Kind says what became of a placed request.
+type Kind int
+
+// The kinds of notes.
+const (
+	Read Kind = iota
+	Ended
+	Failed
+	Full
+)
+
+// Note tells what became of the request with a ticket.
+type Note struct {
+	Ticket string
+	Kind   Kind
+}
+
+// Directory lists targets.
+type Directory interface {
+	Targets(pool string) []hookhall.Target
+}
+
+// Placer chooses for others, and for this process when it is the placer.
+type Placer struct {
+	directory Directory
+	book      *balance.Book
+
+	mu   sync.Mutex
+	open map[string]*placed
+}
+
+type placed struct {
+	use   *balance.Use
+	began time.Time
+}
+
+// NewPlacer makes a Placer that knows of no load.
+func NewPlacer(d Directory) *Placer {
+	return &Placer{directory: d, book: balance.NewBook(), open: map[string]*placed{}}
+}
+
+// Place chooses an engine and counts the request there; "" when there is none.
+func (p *Placer) Place(ticket, service string, w balance.Wish) string {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.book.Choose(p.directory.Targets(service), w, now)
+	if !ok {
+		return ""
+	}
+	p.open[ticket] = &placed{p.book.Begin(t, w, now), now}
+	return t.ID
+}
+
+// Take takes notes in.
+func (p *Placer) Take(notes []Note) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range notes {
+		o := p.open[n.Ticket]
+		if o == nil {
+			continue
+		}
+		switch n.Kind {
+		case Read:
+			o.use.Read()
+			o.use.Succeeded(now.Sub(o.began))
+			continue
+		case Failed:
+			o.use.Failed(true, now)
+		case Full:
+			o.use.Full(fullRest, now)
+		}
+		o.use.End()
+		delete(p.open, n.Ticket)
+	}
+}
+
+// Tidy forgets placements whose notes must have been lost, and engines that are
+// gone.
+func (p *Placer) Tidy(current func(id string) bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ticket, o := range p.open {
+		age := now.Sub(o.began)
+		if age > readMost {
+			o.use.Read()
+		}
+		if age > runMost {
+			o.use.End()
+			delete(p.open, ticket)
+		}
+	}
+	p.book.Keep(current, now)
+}
--- a/internal/state/balance/book.go
+++ b/internal/state/balance/book.go
@@ -17,9 +17,11 @@
 	// readRate is how many prompt tokens an engine reads in a millisecond, until
 	// it is known better.
 	readRate = 50.0
-	// anewWeight makes reading a shared part anew dearer than waiting for it:
+	// anewPenalty makes reading a shared part anew dearer than the time it takes:
 	// it takes the engine's time from others, too.
-	anewWeight = 2.0
+	anewPenalty = 1.0
+	// missedAim is what it costs, in milliseconds, to miss the aim.
+	missedAim = 500.0
 	// perMegabyte makes it dear to have results brought from another hall.
 	perMegabyte = 12.0
 	// perCall is what a call in progress adds to an engine's start of another,
@@ -68,6 +70,8 @@
 	OwnTokens    int
 	// Parts are all parts of the prompt, to be remembered.
 	Parts []string
+	// Slack is the time until the aim, 0 when it is past or not known.
+	Slack time.Duration
 	// Near has the bytes that the target reads, by hall.
 	Near map[string]float64
 	// Careful is set for calls that may run only once: they are no probes.
@@ -121,8 +125,14 @@
 		return (pace/1e6)*(1+load)*(1+failWeight*f.failRate) + chance
 	}
 	ms := float64(f.unread)/readRate + float64(f.inflight)*perCall
+	read := float64(w.OwnTokens) / readRate
 	if w.Shared != "" && !first && !f.holds {
-		ms += anewWeight * float64(w.SharedTokens) / readRate
+		read += float64(w.SharedTokens) / readRate
+		ms += anewPenalty * float64(w.SharedTokens) / readRate
+	}
+	ms += read
+	if w.Slack > 0 && float64(f.unread)/readRate+read > w.Slack.Seconds()*1e3 {
+		ms += missedAim
 	}
 	for hall, bytes := range w.Near {
 		if hall != t.Hall {
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -23,8 +23,10 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
+	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/balance"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -44,6 +46,7 @@
 type Server struct {
 	pb.UnimplementedFleetServer
 	Broker  *stages.Broker
+	Placer  *placement.Placer
 	Catalog *catalog.Catalog
 }
 
@@ -68,6 +71,32 @@
 	return &pb.FreeReply{}, nil
 }
 
+// Place implements the service.
+func (s *Server) Place(_ context.Context, r *pb.PlaceRequest) (*pb.PlaceReply, error) {
+	w := balance.Wish{
+		Engine: true, Shared: r.GetShared(), SharedTokens: int(r.GetSharedTokens()), OwnTokens: int(r.GetOwnTokens()),
+		Parts: r.GetParts(), Near: r.GetNear(), Slack: milliseconds(r.GetSlackMs()), Exclude: map[string]bool{},
+	}
+	for _, id := range r.GetExclude() {
+		w.Exclude[id] = true
+	}
+	return &pb.PlaceReply{Target: s.Placer.Place(r.GetTicket(), r.GetService(), w)}, nil
+}
+
+// Note implements the service.
+func (s *Server) Note(_ context.Context, r *pb.NoteRequest) (*pb.NoteReply, error) {
+	var notes []placement.Note
+	for _, n := range r.GetNotes() {
+		for k, v := range noteKinds {
+			if v == n.GetKind() {
+				notes = append(notes, placement.Note{Ticket: n.GetTicket(), Kind: k})
+			}
+		}
+	}
+	s.Placer.Take(notes)
+	return &pb.NoteReply{}, nil
+}
+
 // Ping implements the service.
 func (s *Server) Ping(context.Context, *pb.PingRequest) (*pb.PingReply, error) {
 	return &pb.PingReply{}, nil
@@ -192,6 +221,44 @@
 	return err
 }
 
+// Place implements placement.Remote.
+func (c *Client) Place(ctx context.Context, ticket, service string, w balance.Wish) (string, error) {
+	if c.err != nil {
+		return "", c.err
+	}
+	ask := &pb.PlaceRequest{
+		Ticket: ticket, Service: service, Shared: w.Shared, SharedTokens: int64(w.SharedTokens), OwnTokens: int64(w.OwnTokens),
+		Parts: w.Parts, Near: w.Near, SlackMs: w.Slack.Milliseconds(),
+	}
+	for id := range w.Exclude {
+		ask.Exclude = append(ask.Exclude, id)
+	}
+	reply, err := c.rpc.Place(ctx, ask)
+	if err != nil {
+		return "", err
+	}
+	return reply.GetTarget(), nil
+}
+
+// noteKinds are the kinds of notes as they travel.
+var noteKinds = map[placement.Kind]pb.NoteKind{
+	placement.Read: pb.NoteKind_NOTE_READ, placement.Ended: pb.NoteKind_NOTE_ENDED,
+	placement.Failed: pb.NoteKind_NOTE_FAILED, placement.Full: pb.NoteKind_NOTE_FULL,
+}
+
+// Note implements placement.Remote.
+func (c *Client) Note(ctx context.Context, notes []placement.Note) error {
+	if c.err != nil {
+		return c.err
+	}
+	ask := &pb.NoteRequest{}
+	for _, n := range notes {
+		ask.Notes = append(ask.Notes, &pb.PlacedNote{Ticket: n.Ticket, Kind: noteKinds[n.Kind]})
+	}
+	_, err := c.rpc.Note(ctx, ask)
+	return err
+}
+
 // Share passes news on.
 func (c *Client) Share(ctx context.Context, n *pb.News) (*pb.NewsReply, error) {
 	if c.err != nil {
