forward: stages made again when a result was lost or a stream goes on elsewhere

A resumable stream whose engine broke off needs its stages' results at the next engine, and they were given up when it began: the next engine refused with 409, and the answer was cut. A result that went with its maker before the engine read it ended the request, too. Now the stages are made again, twice at most, while time is left; a silent target is found out by keep-alive probes after 1.7 s.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// mostRemade bounds how often the stages of one request are made again.
+	mostRemade = 2
 	// mostSends bounds how often one request is offered to targets.
 	mostSends = 6
 	// fullRest is how long a target that was full is left out.
@@ -47,6 +49,8 @@
 	gap     time.Duration // the longest between events
 	wish    balance.Wish
 	tried   map[string]bool // targets that got the request and may have run it, or refused it
+	lost    bool            // a target lacked a result
+	remade  int             // how often stages were made again
 	sends   int
 	runs    int // targets that may have run it
 	target  hookhall.Target
@@ -77,7 +81,7 @@
 	if err := r.runStages(ctx); err != nil {
 		return err
 	}
-	defer r.results.Release()
+	defer func() { r.results.Release() }()
 	if r.route.Kind == hookhall.KindStreaming {
 		return r.serveStream(ctx)
 	}
@@ -103,6 +107,18 @@
 	return w
 }
 
+// remake has the work before the request made anew when its results are gone: a
+// stream goes on at another target, or the one before found a result lost.
+func (r *request) remake(ctx context.Context) error {
+	if r.results == nil || !(r.lost || r.results.Released()) {
+		return nil
+	}
+	r.results.Release()
+	r.lost = false
+	r.remade++
+	return r.runStages(ctx)
+}
+
 // runStages has the work before the request made.
 func (r *request) runStages(ctx context.Context) error {
 	if len(r.route.Stages) == 0 {
@@ -111,14 +127,21 @@
 	g := stages.Graph{
 		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.firstBy(), Urgency: r.urgency(), Hall: r.readingHall(),
 	}
-	results, err := r.Stages.Run(ctx, g)
-	r.staged = time.Since(r.arrived)
-	if err != nil {
-		return r.giveUp(ctx, hookhall.AsError(err))
+	for {
+		results, err := r.Stages.Run(ctx, g)
+		r.staged = time.Since(r.arrived)
+		if err == nil {
+			r.results = results
+			r.wish.Near = results.Bytes()
+			return nil
+		}
+		e := hookhall.AsError(err)
+		if e.Cause != hookhall.CauseStage || ctx.Err() != nil || r.remade >= mostRemade {
+			return r.giveUp(ctx, e)
+		}
+		r.remade++
+		r.Log.Warn("Stages are made again.", "request", r.call.ID, "route", r.route.Name, "detail", e.Detail, "left_ms", time.Until(r.end).Milliseconds())
 	}
-	r.results = results
-	r.wish.Near = results.Bytes()
-	return nil
 }
 
 // firstBy is when the client gives up without a first byte.
@@ -262,6 +285,7 @@
 		a.failed(true)
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseMisdirected, "another target has the address")
 	case m.InputGone:
+		r.lost = true
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "a result is gone")
 	}
 	a.use.Full(fullRest, now)
@@ -278,7 +302,9 @@
 
 // next decides what follows a failed send: true for another one.
 func (r *request) next(ctx context.Context, a *attempt, t hookhall.Target) bool {
-	r.tried[t.ID] = true
+	if !r.lost {
+		r.tried[t.ID] = true
+	}
 	if a.err.Verdict != hookhall.NotRun {
 		r.runs++
 	}
@@ -290,8 +316,8 @@
 		why = "it may have run"
 	case r.runs >= r.route.MaxAttempts && r.runs > 0:
 		why = "no attempt is left"
-	case a.err.Cause == hookhall.CauseStage:
-		why = "its stages are to be made again"
+	case r.lost && r.remade >= mostRemade:
+		why = "its results were lost too often"
 	case r.sends >= mostSends:
 		why = "offered too often"
 	case !r.Budget.Spend(r.service, r.Members(), time.Now()):
@@ -315,6 +341,9 @@
 	sendCtx, cancel := r.sendContext(ctx)
 	defer cancel()
 	for {
+		if err := r.remake(ctx); err != nil {
+			return err
+		}
 		t, none := r.choose(ctx)
 		if none != nil {
 			return r.giveUp(ctx, none)
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -27,6 +27,9 @@
 func (r *request) serveStream(ctx context.Context) error {
 	s := &stream{r: r, last: r.call.LastEvent}
 	for {
+		if err := r.remake(ctx); err != nil {
+			return s.end(ctx, hookhall.AsError(err))
+		}
 		t, none := r.choose(ctx)
 		if none != nil {
 			return s.end(ctx, none)
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -102,7 +102,11 @@
 			return o.Handles, nil
 		}
 		b.Free(w.Service, q.drop(job))
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "stage %d of %s: %s", w.Stage, w.Service, o.Reason)
+		cause := hookhall.CauseStage
+		if o.Reason == hookhall.PieceLate {
+			cause = hookhall.CauseDeadline
+		}
+		return nil, hookhall.Errorf(hookhall.NotRun, cause, "stage %d of %s: %s", w.Stage, w.Service, o.Reason)
 	case <-ctx.Done():
 		b.Free(w.Service, q.drop(job))
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "stage %d of %s was given up", w.Stage, w.Service)
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -70,8 +71,12 @@
 	owners  map[string]string  // handle to service
 	bytes   map[string]float64 // by hall
 	once    sync.Once
+	gone    atomic.Bool
 }
 
+// Released tells whether the results were given up.
+func (r *Results) Released() bool { return r != nil && r.gone.Load() }
+
 // Bytes is how much the target reads from each hall.
 func (r *Results) Bytes() map[string]float64 {
 	if r == nil {
@@ -94,6 +99,7 @@
 		return
 	}
 	r.once.Do(func() {
+		r.gone.Store(true)
 		byService := map[string][]string{}
 		for _, h := range r.handles {
 			byService[r.owners[h]] = append(byService[r.owners[h]], h)
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -60,7 +60,8 @@
 		Urgency: int(r.GetUrgency()), Hall: r.GetHall(), Cross: r.GetCrossBytes(),
 	})
 	if err != nil {
-		return &pb.StageReply{Reason: hookhall.AsError(err).Detail}, nil
+		e := hookhall.AsError(err)
+		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage}, nil
 	}
 	return &pb.StageReply{Handles: handles}, nil
 }
@@ -191,7 +192,11 @@
 		return nil, wayError(ctx, err)
 	}
 	if reply.GetReason() != "" || len(reply.GetHandles()) != w.Pieces {
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "%s", reply.GetReason())
+		cause := hookhall.CauseDeadline
+		if reply.GetMayRetry() {
+			cause = hookhall.CauseStage
+		}
+		return nil, hookhall.Errorf(hookhall.NotRun, cause, "%s", reply.GetReason())
 	}
 	return reply.GetHandles(), nil
 }
--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -33,8 +33,8 @@
 	next     http.Handler
 	refuse   func(w http.ResponseWriter, e *hookhall.Error)
 	inflight atomic.Int64
-	closing  atomic.Bool  // answers ask the client to close
-	refusing atomic.Bool  // nothing is passed on any more
+	closing  atomic.Bool // answers ask the client to close
+	refusing atomic.Bool // nothing is passed on any more
 }
 
 // NewDrain puts a Drain before h.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -23,7 +23,7 @@
 	// and sending it anew takes a second.
 	dialTime = 700 * time.Millisecond
 	// userTimeout is after how long unacknowledged bytes break a connection.
-	userTimeout = 3 * time.Second
+	userTimeout = 1500 * time.Millisecond
 	// mostIdle bounds the idle connections to one address.
 	mostIdle = 8
 	// mostDropped bounds the answers of earlier requests that are skipped.
@@ -34,6 +34,9 @@
 	tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux
 )
 
+// probes find a target out that has gone silent while an answer is awaited.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 400 * time.Millisecond, Count: 3}
+
 // Pool has the connections of one process.
 type Pool struct {
 	mu    sync.Mutex
@@ -128,7 +131,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTime, KeepAlive: time.Second, Control: control}
+	d := net.Dialer{Timeout: dialTime, KeepAliveConfig: probes, Control: control}
 	p.dials.Add(1)
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
