catalog, fleet: one reads the store for all, news along a tree

Ruled out: the processor (0.06 of a core at most). Now the reader, by rendezvous weighted by each instance's power, reads for all; news names what changed within 3 s and a digest of the rest, and goes along a tree of four; who has a gap, or was told nothing, reads for itself. The table is confirmed the same way, and fetched from the peer that told of a newer one. Tests: TestNews, TestRandomNews, TestOneReads.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -67,6 +67,9 @@
 	memoryShare = 0.7
 	flushTime   = 200 * time.Millisecond
 
+	// readerKey names the work of reading the store for all.
+	readerKey = "reader"
+
 	pathMetrics = "/metrics"
 	pathState   = "/state"
 )
@@ -93,6 +96,7 @@
 	catalog  *catalog.Catalog
 	members  *members.Members
 	clients  *fleet.Clients
+	spreader *fleet.Spreader
 	book     *balance.Book
 	broker   *stages.Broker
 	placer   *placement.Placer
@@ -122,13 +126,14 @@
 
 func (g *Gateway) build() {
 	s := g.settings
-	self := hookhall.Member{ID: s.Gateway.Instance, Instance: s.Gateway.Instance, Hall: s.Gateway.Hall, Address: s.Gateway.Peers}
+	self := hookhall.Member{ID: s.Gateway.Instance, Instance: s.Gateway.Instance, Hall: s.Gateway.Hall, Address: s.Gateway.Peers, Power: s.Gateway.Power()}
 	g.catalog = catalog.New(g.adapters.Store, g.adapters.Platform,
 		catalog.Timing{Heartbeat: time.Duration(s.Store.HeartbeatMS) * time.Millisecond}, g.logger(logging.Catalog))
 	g.members = members.New(self, g.adapters.Store, g.logger(logging.Members))
 	g.clients = fleet.NewClients()
-	spreader := &fleet.Spreader{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
-	g.catalog.Read = spreader.Spread
+	g.spreader = &fleet.Spreader{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
+	g.catalog.Read = g.spreader.Spread
+	g.catalog.Rank = func() int { return g.members.Rank(readerKey, time.Now()) }
 	g.book = balance.NewBook()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
 	g.placer = placement.NewPlacer(g.catalog)
@@ -164,7 +169,7 @@
 	mux.HandleFunc(pathState, g.state)
 	control := server(s.Metrics, mux)
 	peers := kgrpc.NewServer(kgrpc.Address(s.Peers), kgrpc.Timeout(0))
-	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Catalog: g.catalog})
+	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Spreader: g.spreader})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clients, ready, control, peers),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -13,13 +13,15 @@
 
 // GatewayPart tells a gateway who and where it is.
 type GatewayPart struct {
-	Instance string `toml:"instance"`  // the platform's name of this instance
-	Hall     string `toml:"hall"`      // the hall it stands in
-	Clients  string `toml:"clients"`   // IP:port that clients use
-	Ready    string `toml:"ready"`     // IP:port at which the balancer asks
-	Peers    string `toml:"peers"`     // IP:port that other gateways use
-	Metrics  string `toml:"metrics"`   // IP:port for metrics and state dumps
-	MemoryMB int    `toml:"memory_mb"` // what the process may use
+	Instance string  `toml:"instance"`  // the platform's name of this instance
+	Hall     string  `toml:"hall"`      // the hall it stands in
+	Clients  string  `toml:"clients"`   // IP:port that clients use
+	Ready    string  `toml:"ready"`     // IP:port at which the balancer asks
+	Peers    string  `toml:"peers"`     // IP:port that other gateways use
+	Metrics  string  `toml:"metrics"`   // IP:port for metrics and state dumps
+	Cores    float64 `toml:"cores"`     // of a processor, for the process
+	LinkMbps float64 `toml:"link_mbps"` // of the instance's link
+	MemoryMB int     `toml:"memory_mb"` // what the process may use
 }
 
 // StorePart tells where the platform's store is.
@@ -40,7 +42,7 @@
 // DefaultGateway has the defaults of all keys that have one.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Gateway: GatewayPart{MemoryMB: 256},
+		Gateway: GatewayPart{Cores: 1, LinkMbps: 1000, MemoryMB: 256},
 		Store:   StorePart{HeartbeatMS: 1000},
 		Bounds:  BoundsPart{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10},
 		Log:     LogPart{Level: "info"},
@@ -56,6 +58,8 @@
 	c.address("gateway.ready", s.Gateway.Ready)
 	c.address("gateway.peers", s.Gateway.Peers)
 	c.address("gateway.metrics", s.Gateway.Metrics)
+	c.positive("gateway.cores", s.Gateway.Cores)
+	c.positive("gateway.link_mbps", s.Gateway.LinkMbps)
 	c.within("gateway.memory_mb", s.Gateway.MemoryMB, 32, 1<<20)
 	c.address("store.address", s.Store.Address)
 	c.within("store.heartbeat_ms", s.Store.HeartbeatMS, 10, 600000)
@@ -75,3 +79,16 @@
 		c.add(key, "%v is not accepted; 0 to 1 is", v)
 	}
 }
+
+func (c *checker) positive(key string, v float64) {
+	if v <= 0 {
+		c.add(key, "%v is not accepted; more than 0 is", v)
+	}
+}
+
+// Power is what an instance can carry of the fleet's shared work, against others:
+// the scarcer of processor and link.
+func (p GatewayPart) Power() float64 {
+	const mbpsPerCore = 100 // links beyond that are no bound
+	return min(p.Cores, p.LinkMbps/mbpsPerCore)
+}
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -19,12 +19,16 @@
 
 const (
 	// watchTime is how long a watch of the table waits.
-	watchTime = 1200 * time.Millisecond
-	// targetsEvery is how old the targets may get before this process reads
-	// them itself.
-	targetsEvery = 450 * time.Millisecond
+	watchTime = 500 * time.Millisecond
+	// readEvery is how old the first reader lets its beliefs get.
+	readEvery = 400 * time.Millisecond
+	// rankStep is how much older they get at the second reader, and, twice that
+	// and some chance, at all others.
+	rankStep = 250 * time.Millisecond
+	// rankMost is the last rank that counts.
+	rankMost = 2
 	// look is how often it looks whether they are.
-	look = 50 * time.Millisecond
+	look = 40 * time.Millisecond
 	// pauseFirst and pauseMost bound the pauses after failures of the store.
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
@@ -53,6 +57,8 @@
 	ByPool map[string][]hookhall.Target
 	// ByID has all that are known, leaving and lapsed ones too.
 	ByID map[string]hookhall.Target
+	// Digest sums up all listed targets; equal digests mean equal lists.
+	Digest uint64
 	// HallAt has the hall of the target at an address.
 	HallAt map[string]string
 }
@@ -64,6 +70,8 @@
 	table    *routetable.Table
 	revision uint64
 	value    []byte
+	// confirmed is when this revision was the newest one, for all that is known.
+	confirmed time.Time
 }
 
 // Catalog follows the store.
@@ -75,8 +83,12 @@
 
 	table   atomic.Pointer[tableState]
 	picture atomic.Pointer[Picture]
-	// Read is called after each reading of the targets by this process.
-	Read func(Reading)
+	// Rank tells which reader this process is: 0 reads for all, 1 stands by, and
+	// others read only what they have not been told. Set before Run.
+	Rank func() int
+	// Read is called after this process has learned something from the store
+	// itself. Set before Run.
+	Read func()
 
 	mu    sync.Mutex // held while pictures and tables change
 	known map[string]*entry
@@ -86,7 +98,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, t Timing, l *log.Logger) *Catalog {
-	return &Catalog{store: s, platform: p, timing: t, log: l, known: map[string]*entry{}}
+	return &Catalog{store: s, platform: p, timing: t, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Read: func() {}}
 }
 
 // Table is the table in force, nil before the first.
@@ -136,12 +148,28 @@
 	wg.Wait()
 }
 
+// due tells whether this process must read for itself what it has last heard of
+// at a time.
+func (c *Catalog) due(heard, now time.Time) bool {
+	rank := min(c.Rank(), rankMost)
+	most := readEvery + time.Duration(rank)*rankStep
+	if rank == rankMost {
+		most = retry.Jitter(most + rankStep/2)
+	}
+	return now.Sub(heard) >= most
+}
+
 func (c *Catalog) followTable(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
 	at := uint64(0)
 	for ctx.Err() == nil {
-		var err error
+		if s := c.table.Load(); s != nil && c.Rank() > 0 && !c.due(s.confirmed, time.Now()) {
+			at = 0 // whoever was told by others may be ahead of an old watch
+			retry.Sleep(ctx, look)
+			continue
+		}
 		since := at
+		var err error
 		if at == 0 {
 			at, err = c.readTable(ctx)
 		} else {
@@ -162,6 +190,7 @@
 
 // readTable reads the table and returns the revision to watch from.
 func (c *Catalog) readTable(ctx context.Context) (uint64, error) {
+	began := time.Now()
 	i, at, err := c.store.Get(ctx, c.platform.RoutingKey())
 	if err != nil {
 		return 0, err
@@ -169,12 +198,13 @@
 	if i.Revision == 0 {
 		return 0, errors.Wrap(hookhall.ErrUnavailable, "no table yet")
 	}
-	c.LearnTable(i.Value, i.Revision, "store")
+	c.learnStored(i, began)
 	// Not from the key's own revision: its history may be gone since.
 	return max(at, i.Revision), nil
 }
 
 func (c *Catalog) watchTable(ctx context.Context, since uint64) (uint64, error) {
+	began := time.Now()
 	events, at, err := c.store.Watch(ctx, c.platform.RoutingKey(), since, watchTime)
 	if err != nil {
 		// Whatever was missed is read whole.
@@ -182,15 +212,58 @@
 	}
 	for _, i := range events {
 		if i.Key == c.platform.RoutingKey() && !i.Gone {
-			c.LearnTable(i.Value, i.Revision, "store")
+			c.learnStored(i, began)
+			return at, nil
 		}
 	}
+	if time.Since(began) >= watchTime {
+		began = began.Add(watchTime) // the store waited before it said that there is nothing
+	}
+	if s := c.table.Load(); s != nil {
+		c.ConfirmTable(s.revision, began)
+	}
 	return at, nil
 }
 
-// LearnTable takes in a table that was read at revision, here or by a peer. It
-// tells whether the table was newer.
-func (c *Catalog) LearnTable(value []byte, revision uint64, from string) bool {
+// learnStored takes in a table that the store had when a call began, and passes
+// it on if it is new.
+func (c *Catalog) learnStored(i hookhall.Item, began time.Time) {
+	if c.LearnTable(i.Value, i.Revision, "store", began) {
+		c.Read()
+	}
+}
+
+// ConfirmTable takes in that a revision was still the newest at a time. It tells
+// whether this process has that revision.
+func (c *Catalog) ConfirmTable(revision uint64, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.table.Load()
+	if s == nil || s.revision < revision {
+		return false
+	}
+	if s.revision == revision && at.After(s.confirmed) {
+		again := *s
+		again.confirmed = at
+		c.table.Store(&again)
+	}
+	return true
+}
+
+// TableAge is the table's revision, and for how long it has not been confirmed.
+func (c *Catalog) TableAge(now time.Time) (revision uint64, age time.Duration) {
+	if s := c.table.Load(); s != nil {
+		return s.revision, now.Sub(s.confirmed)
+	}
+	return 0, 0
+}
+
+// LearnTable takes in a table that was read at revision, here or by a peer, in a
+// call that began at a time. It tells whether the table was newer.
+func (c *Catalog) LearnTable(value []byte, revision uint64, from string, began time.Time) bool {
+	if c.ConfirmTable(revision, began) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.table.Load(); s != nil && s.revision >= revision {
@@ -201,7 +274,7 @@
 		c.log.Error("The table can't be read; the one in force stays.", "revision", revision, "error", err.Error())
 		return false
 	}
-	c.table.Store(&tableState{table: routetable.Compile(r), revision: revision, value: value})
+	c.table.Store(&tableState{table: routetable.Compile(r), revision: revision, value: value, confirmed: began})
 	c.log.Info("A table is in force.", "version", r.Version, "revision", revision, "from", from,
 		"routes", len(r.Routes), "services", len(r.Services), "accounts", len(r.Accounts))
 	return true
@@ -210,8 +283,7 @@
 func (c *Catalog) followTargets(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
 	for ctx.Err() == nil {
-		p := c.picture.Load()
-		if p != nil && p.Age(time.Now()) < retry.Jitter(targetsEvery) {
+		if p := c.picture.Load(); p != nil && !c.due(p.Began, time.Now()) {
 			retry.Sleep(ctx, look)
 			continue
 		}
@@ -223,10 +295,8 @@
 			continue
 		}
 		pause.Reset()
-		r := Reading{at, items, began}
-		c.Learn(r, "store")
-		if c.Read != nil {
-			c.Read(r)
+		if c.Learn(Reading{at, items, began}, "store") {
+			c.Read()
 		}
 	}
 }
@@ -243,9 +313,13 @@
 	c.log.Info("The store answers again.")
 }
 
-// publish makes the picture of what is known. The caller holds c.mu.
-func (c *Catalog) publish(r Reading, now time.Time) {
-	p := &Picture{Revision: r.Revision, Began: r.Began, ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{}}
+// publish makes the picture of what is known, as confirmed at a revision. The
+// caller holds c.mu.
+func (c *Catalog) publish(revision uint64, began, now time.Time) {
+	p := &Picture{
+		Revision: revision, Began: began,
+		ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{},
+	}
 	for id, e := range c.known {
 		p.ByID[id] = e.target
 		if e.missing.IsZero() || p.HallAt[e.target.Address] == "" {
@@ -254,6 +328,9 @@
 		if e.usable(now) {
 			p.ByPool[e.target.Pool] = append(p.ByPool[e.target.Pool], e.target)
 		}
+		if e.missing.IsZero() {
+			p.Digest ^= digest(e.target)
+		}
 	}
 	for _, list := range p.ByPool {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -4,8 +4,10 @@
 package catalog
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hookhall/hookhall"
 )
 
@@ -29,6 +31,10 @@
 	missing time.Time
 	// lapsed is until when a missing target is used all the same.
 	lapsed time.Time
+	// value is the key's value as last read, and changed when it, or its absence,
+	// last became known; heartbeats don't count.
+	value   []byte
+	changed time.Time
 	// left is set once it said that it leaves.
 	left bool
 }
@@ -40,67 +46,87 @@
 	return e.missing.IsZero() || now.Before(e.lapsed)
 }
 
-// Learn takes in a reading of the targets, by this process or by a peer. It
-// tells whether the reading was newer.
+// Learn takes in a reading of the targets. It tells whether the reading was newer.
 func (c *Catalog) Learn(r Reading, from string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.picture.Load()
-	if p != nil && (r.Revision < p.Revision || (r.Revision == p.Revision && !r.Began.After(p.Began))) {
+	if c.older(r.Revision, r.Began) {
 		return false
 	}
 	now := time.Now()
 	listed := map[string]bool{}
 	for _, i := range r.Items {
-		t, err := c.platform.ReadTarget(i.Key, i.Value)
-		if err != nil {
-			c.log.Error("A target's key can't be read.", "key", i.Key, "error", err.Error())
-			continue
+		if t, ok := c.read(i); ok {
+			listed[t.ID] = true
+			c.list(t, i.Value, from, now)
 		}
-		listed[t.ID] = true
-		c.list(t, from, now)
 	}
-	c.miss(listed, from, now)
-	c.publish(r, now)
+	var lost []*entry
+	for id, e := range c.known {
+		if !listed[id] && e.missing.IsZero() {
+			lost = append(lost, e)
+		}
+	}
+	c.miss(lost, from, now)
+	c.publish(r.Revision, r.Began, now)
 	return true
 }
 
-// list takes in a target that is in a reading.
-func (c *Catalog) list(t hookhall.Target, from string, now time.Time) {
+// older tells whether what was read at a revision is no news.
+func (c *Catalog) older(revision uint64, began time.Time) bool {
+	p := c.picture.Load()
+	return p != nil && (revision < p.Revision || (revision == p.Revision && !began.After(p.Began)))
+}
+
+func (c *Catalog) read(i hookhall.Item) (hookhall.Target, bool) {
+	t, err := c.platform.ReadTarget(i.Key, i.Value)
+	if err != nil {
+		c.log.Error("A target's key can't be read.", "key", i.Key, "error", err.Error())
+	}
+	return t, err == nil
+}
+
+// digest sums up what matters of a target; its heartbeats don't.
+func digest(t hookhall.Target) uint64 {
+	t.Beat = 0
+	return xxhash.Sum64String(fmt.Sprintf("%+v", t))
+}
+
+// list takes in a target that is listed.
+func (c *Catalog) list(t hookhall.Target, value []byte, from string, now time.Time) {
 	e := c.known[t.ID]
 	if e == nil {
-		e = &entry{target: t}
+		e = &entry{target: t, changed: now}
 		c.known[t.ID] = e
 		c.log.Info("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
 	if !e.missing.IsZero() {
 		c.log.Info("A target is listed again.", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missing))
-		e.missing, e.lapsed = time.Time{}, time.Time{}
+		e.missing, e.lapsed, e.changed = time.Time{}, time.Time{}, now
 	}
 	if t.Leaving && !e.left {
 		e.left = true
 		c.log.Info("A target is leaving.", "target", t.ID, "service", t.Pool, "from", from)
 	}
-	e.target = t
+	if digest(t) != digest(e.target) {
+		e.changed = now
+	}
+	e.target, e.value = t, value
 }
 
-// miss takes in which targets a reading lacks.
-func (c *Catalog) miss(listed map[string]bool, from string, now time.Time) {
-	var lost []*entry
-	current := 0
+// miss takes in targets that are not listed any more.
+func (c *Catalog) miss(lost []*entry, from string, now time.Time) {
+	listed := 0
 	for id, e := range c.known {
-		switch {
-		case listed[id]:
-			current++
-		case e.missing.IsZero():
-			lost = append(lost, e)
-		case now.Sub(e.missing) > forget:
+		if e.missing.IsZero() {
+			listed++
+		} else if now.Sub(e.missing) > forget {
 			delete(c.known, id)
 		}
 	}
-	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(current+len(lost))
+	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
 	for _, e := range lost {
-		e.missing = now
+		e.missing, e.changed = now, now
 		if lapse {
 			e.lapsed = now.Add(time.Duration(lapseBeats * float64(c.timing.Heartbeat)))
 		}
--- /dev/null
+++ b/internal/coordination/catalog/news_test.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// reading lists targets, all ready.
+func reading(at uint64, ids ...string) Reading {
+	r := Reading{Revision: at, Began: time.Now()}
+	for _, id := range ids {
+		r.Items = append(r.Items, hookhall.Item{Key: "t/" + id, Value: []byte("ready")})
+	}
+	return r
+}
+
+func TestNews(t *testing.T) {
+	Convey("Given a reader and a follower with the same targets", t, func() {
+		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+		reader.Learn(reading(1, "a", "b", "c"), "store")
+		follower.Learn(reading(1, "a", "b", "c"), "store")
+		began := follower.Picture().Began
+		Convey("news without changes confirms what the follower has", func() {
+			reader.Learn(reading(2, "a", "b", "c"), "store")
+			So(follower.LearnNews(reader.News(time.Now()), "reader"), ShouldBeTrue)
+			So(follower.Picture().Revision, ShouldEqual, 2)
+			So(follower.Picture().Began.After(began), ShouldBeTrue)
+		})
+		Convey("changes arrive, and the age with them", func() {
+			reader.Learn(reading(2, "a", "b", "d"), "store")
+			So(follower.LearnNews(reader.News(time.Now()), "reader"), ShouldBeTrue)
+			So(follower.Picture().Digest, ShouldEqual, reader.Picture().Digest)
+			So(follower.Picture().Revision, ShouldEqual, 2)
+			So(len(follower.Targets("pool")), ShouldEqual, 3)
+		})
+		Convey("a gap leaves the picture as old as it was", func() {
+			reader.Learn(reading(2, "a", "b", "d"), "store")
+			n := reader.News(time.Now())
+			n.Gone = nil // the news that told of c's end was lost long ago
+			So(follower.LearnNews(n, "reader"), ShouldBeTrue)
+			So(follower.Picture().Revision, ShouldEqual, 1)
+			So(follower.Picture().Began, ShouldEqual, began)
+			So(follower.Picture().ByID["d"].ID, ShouldEqual, "d")
+		})
+		Convey("old news is no news", func() {
+			old := reader.News(time.Now())
+			follower.Learn(reading(3, "a"), "store")
+			So(follower.LearnNews(old, "reader"), ShouldBeFalse)
+		})
+		Convey("a process without a picture reads first", func() {
+			So(newCatalog(newFakeStore()).LearnNews(reader.News(time.Now()), "reader"), ShouldBeFalse)
+		})
+	})
+}
+
+func lists(c *Catalog, id string) bool {
+	e := c.known[id]
+	return e != nil && e.missing.IsZero()
+}
+
+// TestRandomNews: whatever news is lost, a follower whose digest agrees has the
+// reader's list, and one whose digest does not keeps its age.
+func TestRandomNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+		reader.Learn(reading(1, "x0"), "store")
+		follower.Learn(reading(1, "x0"), "store")
+		for at := uint64(2); at < 30; at++ {
+			var ids []string
+			for i := range 6 {
+				if rapid.Bool().Draw(t, "listed") {
+					ids = append(ids, fmt.Sprint("x", i))
+				}
+			}
+			reader.Learn(reading(at, ids...), "store")
+			if rapid.Bool().Draw(t, "lost") {
+				continue
+			}
+			before := follower.Picture().Revision
+			follower.LearnNews(reader.News(time.Now()), "reader")
+			p := follower.Picture()
+			if p.Digest != reader.Picture().Digest {
+				if p.Revision != before {
+					t.Fatal("a gap was confirmed")
+				}
+				continue
+			}
+			for id := range reader.Picture().ByID {
+				if lists(reader, id) != lists(follower, id) {
+					t.Fatalf("%s differs under equal digests", id)
+				}
+			}
+		}
+	})
+}
+
+// TestOneReads: of processes that are told, only the first reads the store; when
+// it falls silent, the others read before what they know is too old.
+func TestOneReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.targets["a"] = "ready"
+		s.changed = make(chan struct{})
+		first, other := newCatalog(s), newCatalog(s)
+		other.Rank = func() int { return 2 }
+		silent := false
+		first.Read = func() {
+			if silent {
+				return
+			}
+			other.LearnNews(first.News(time.Now()), "first")
+			revision, age := first.TableAge(time.Now())
+			other.ConfirmTable(revision, time.Now().Add(-age))
+		}
+		own := 0
+		other.Read = func() { own++ }
+		s.setTable(1)
+		ctx := t.Context()
+		done := make(chan struct{}, 2)
+		for _, c := range []*Catalog{first, other} {
+			go func() { c.Run(ctx); done <- struct{}{} }()
+		}
+		time.Sleep(2 * time.Second)
+		own = 0
+		time.Sleep(10 * time.Second)
+		if own > 0 {
+			t.Errorf("the other one read %d times in ten seconds", own)
+		}
+		silent = true
+		time.Sleep(1300 * time.Millisecond)
+		if own == 0 {
+			t.Error("the other one did not read though nobody told it anything")
+		}
+	})
+}
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sort"
 	"strings"
 	"sync"
@@ -39,9 +40,13 @@
 	// renewEvery leaves two renewals' room for failures.
 	renewEvery = 2 * time.Second
 	// watchTime is how long a watch waits.
-	watchTime = 4 * time.Second
+	watchTime = 8 * time.Second
+	// settle gathers changes: many processes start or stop at once.
+	settle = 300 * time.Millisecond
 	// suspectFor is how long a peer that did not answer is left out.
 	suspectFor = 1500 * time.Millisecond
+	// leastPower stands for members that don't tell theirs.
+	leastPower = 0.05
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = time.Second
 )
@@ -81,6 +86,23 @@
 	return kept
 }
 
+// All has all members, suspected ones included, sorted by address.
+func (m *Members) All() []hookhall.Member { return *m.list.Load() }
+
+// Rank is this process's place in the order of key's owners: 0 for the owner, 1
+// for the next one, 2 for all others.
+func (m *Members) Rank(key string, now time.Time) int {
+	first := m.Owner(key, nil, now)
+	if first.Address == m.self.Address {
+		return 0
+	}
+	second := m.Owner(key, map[string]bool{first.Address: true}, now)
+	if second.Address == m.self.Address {
+		return 1
+	}
+	return 2
+}
+
 // Count is how many members there are, suspected ones included.
 func (m *Members) Count() int { return len(*m.list.Load()) }
 
@@ -106,19 +128,29 @@
 // Owner is the member that holds the work named by key, by rendezvous hashing.
 // skip leaves members out.
 func (m *Members) Owner(key string, skip map[string]bool, now time.Time) hookhall.Member {
-	best, top := m.self, uint64(0)
+	best, top := m.self, 0.0
 	found := false
 	for _, o := range m.List(now) {
 		if skip[o.Address] || (o.Address == m.self.Address && m.stopping.Load()) {
 			continue
 		}
-		if h := xxhash.Sum64String(key + "\x00" + o.Address); !found || h > top {
+		if h := weighed(key, o); !found || h > top {
 			best, top, found = o, h, true
 		}
 	}
 	return best
 }
 
+// weighed is the rank of a member for a key: the greatest of all is the owner.
+// Members own in proportion to the square of their power, so that weak ones are
+// seldom chosen (weighted rendezvous hashing).
+func weighed(key string, o hookhall.Member) float64 {
+	h := xxhash.Sum64String(key + "\x00" + o.Address)
+	unit := (float64(h>>11) + 0.5) / (1 << 53)
+	power := max(o.Power, leastPower)
+	return -power * power / math.Log(unit)
+}
+
 // Run follows the store until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -222,6 +254,7 @@
 	}
 	if len(events) > 0 {
 		m.publish()
+		retry.Sleep(ctx, settle)
 	}
 	return at, nil
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
-	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
@@ -34,8 +33,12 @@
 	"google.golang.org/grpc/status"
 )
 
-// idleTime without a call a connection is closed.
-const idleTime = 20 * time.Second
+const (
+	// idleTime without a call a connection is closed.
+	idleTime = 20 * time.Second
+	// mostTable bounds an operators' table in bytes.
+	mostTable = 8 << 20
+)
 
 var reconnect = grpc.ConnectParams{
 	Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 400 * time.Millisecond},
@@ -45,9 +48,9 @@
 // Server answers peers.
 type Server struct {
 	pb.UnimplementedFleetServer
-	Broker  *stages.Broker
-	Placer  *placement.Placer
-	Catalog *catalog.Catalog
+	Broker   *stages.Broker
+	Placer   *placement.Placer
+	Spreader *Spreader
 }
 
 // RunStage implements the service.
@@ -105,18 +108,17 @@
 
 // Share implements the service.
 func (s *Server) Share(_ context.Context, n *pb.News) (*pb.NewsReply, error) {
-	if len(n.GetConfig()) > 0 {
-		s.Catalog.LearnTable(n.GetConfig(), n.GetConfigRevision(), n.GetFrom())
-	}
-	if n.GetTargetsRevision() > 0 {
-		r := catalog.Reading{Revision: n.GetTargetsRevision(), Began: time.Now().Add(-milliseconds(n.GetAgeMs()))}
-		for _, t := range n.GetTargets() {
-			r.Items = append(r.Items, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
-		}
-		s.Catalog.Learn(r, n.GetFrom())
+	s.Spreader.Take(n)
+	return &pb.NewsReply{}, nil
+}
+
+// GetTable implements the service.
+func (s *Server) GetTable(context.Context, *pb.TableRequest) (*pb.Table, error) {
+	value, revision := s.Spreader.Catalog.RawTable()
+	if revision == 0 {
+		return nil, status.Error(codes.Unavailable, "no table is known yet")
 	}
-	_, revision := s.Catalog.RawTable()
-	return &pb.NewsReply{ConfigRevision: revision}, nil
+	return &pb.Table{Value: value, Revision: revision}, nil
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -265,9 +267,18 @@
 }
 
 // Share passes news on.
-func (c *Client) Share(ctx context.Context, n *pb.News) (*pb.NewsReply, error) {
+func (c *Client) Share(ctx context.Context, n *pb.News) error {
+	if c.err != nil {
+		return c.err
+	}
+	_, err := c.rpc.Share(ctx, n)
+	return err
+}
+
+// Table reads the table that the peer has in force.
+func (c *Client) Table(ctx context.Context) (*pb.Table, error) {
 	if c.err != nil {
 		return nil, c.err
 	}
-	return c.rpc.Share(ctx, n)
+	return c.rpc.GetTable(ctx, &pb.TableRequest{}, grpc.MaxCallRecvMsgSize(mostTable))
 }
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"sync"
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -13,56 +14,119 @@
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 )
 
-// shareTime bounds telling one peer.
-const shareTime = 400 * time.Millisecond
+const (
+	// shareTime bounds telling one peer.
+	shareTime = 400 * time.Millisecond
+	// fanOut is how many peers each process tells.
+	fanOut = 4
+)
 
-// Peers lists the other gateways.
+// Peers lists the gateways, this one included, sorted by address.
 type Peers interface {
 	Self() hookhall.Member
-	List(now time.Time) []hookhall.Member
+	All() []hookhall.Member
 }
 
-// Spreader passes this process's readings of the store on to its peers, so that
-// not every process has to read everything.
-//
-// TODO: each reading goes to each peer whole; CAPACITY.md tells at which size
-// that has to become changes along a tree.
+// Spreader passes on what this process, or a peer, has read of the store, so
+// that one process reads for all. News goes along a tree: the reader tells a few,
+// and each of them a few more, by the receivers' places after the reader in the
+// sorted list. Processes with different lists miss some; they read for
+// themselves when what they know has grown old.
 type Spreader struct {
 	Peers   Peers
 	Clients *Clients
 	Catalog *catalog.Catalog
-
-	known sync.Map // address to the revision of the table that the peer has
 }
 
-// Spread tells all peers, without waiting for them.
-func (s *Spreader) Spread(r catalog.Reading) {
-	n := &pb.News{From: s.Peers.Self().Instance, TargetsRevision: r.Revision}
-	for _, i := range r.Items {
-		n.Targets = append(n.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value})
+// Spread tells the first peers what this process has read, without waiting for
+// them.
+func (s *Spreader) Spread() {
+	now := time.Now()
+	n := s.Catalog.News(now)
+	revision, age := s.Catalog.TableAge(now)
+	m := &pb.News{
+		Reader: s.Peers.Self().Address, TargetsRevision: n.Revision, Digest: n.Digest, Gone: n.Gone,
+		AgeMs: milliage(now.Sub(n.Began)), ConfigRevision: revision, ConfigAgeMs: milliage(age),
+	}
+	for _, i := range n.Changed {
+		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
 	}
-	table, revision := s.Catalog.RawTable()
-	for _, m := range s.Peers.List(time.Now()) {
-		if m.Address == s.Peers.Self().Address {
+	s.relay(m, now)
+}
+
+// milliage rounds an age up.
+func milliage(d time.Duration) int64 { return d.Milliseconds() + 1 }
+
+// relay passes news on that came in at a time.
+func (s *Spreader) relay(m *pb.News, came time.Time) {
+	all := s.Peers.All()
+	reader := sort.Search(len(all), func(i int) bool { return all[i].Address >= m.GetReader() })
+	for i := range fanOut {
+		position := int(m.GetPosition())*fanOut + i + 1
+		if position >= len(all) {
+			return
+		}
+		to := all[(reader+position)%len(all)]
+		if to.Address == s.Peers.Self().Address || to.Address == m.GetReader() {
 			continue
 		}
+		held := milliage(time.Since(came)) // part of the age
 		own := &pb.News{
-			From: n.From, TargetsRevision: n.TargetsRevision, Targets: n.Targets,
-			ConfigRevision: revision, AgeMs: time.Since(r.Began).Milliseconds() + 1,
-		}
-		if has, ok := s.known.Load(m.Address); ok && has.(uint64) < revision {
-			own.Config = table
+			Reader: m.GetReader(), From: s.Peers.Self().Address, Position: int32(position),
+			ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
+			TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
+			Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
 		}
-		go s.tell(m.Address, own)
+		go s.tell(to.Address, own)
 	}
 }
 
 func (s *Spreader) tell(address string, n *pb.News) {
 	ctx, cancel := context.WithTimeout(context.Background(), shareTime)
 	defer cancel()
-	reply, err := s.Clients.Client(address).Share(ctx, n)
+	_ = s.Clients.Client(address).Share(ctx, n) // who is not told reads
+}
+
+// Take takes news in and passes on what was new.
+func (s *Spreader) Take(m *pb.News) {
+	came := time.Now()
+	n := catalog.News{
+		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(), Gone: m.GetGone(),
+	}
+	for _, t := range m.GetChanged() {
+		n.Changed = append(n.Changed, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
+	}
+	from := instance(m.GetReader())
+	fresh := s.Catalog.LearnNews(n, from)
+	had, _ := s.Catalog.TableAge(came)
+	if !s.Catalog.ConfirmTable(m.GetConfigRevision(), came.Add(-milliseconds(m.GetConfigAgeMs()))) && m.GetConfigRevision() > 0 {
+		go s.fetch(m.GetFrom(), m.GetConfigRevision())
+	}
+	if fresh || had < m.GetConfigRevision() {
+		s.relay(m, came)
+	}
+}
+
+// instance shortens an address for the log.
+func instance(address string) string {
+	host, _, _ := strings.Cut(address, ":")
+	return host
+}
+
+// fetch gets a table from the peer that told of it, unless the store has brought
+// it in the meantime.
+func (s *Spreader) fetch(address string, revision uint64) {
+	if have, _ := s.Catalog.TableAge(time.Now()); have >= revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shareTime)
+	defer cancel()
+	began := time.Now()
+	t, err := s.Clients.Client(address).Table(ctx)
 	if err != nil {
-		return // it reads for itself
+		return // the store, or the next news, will bring it
+	}
+	if s.Catalog.LearnTable(t.GetValue(), t.GetRevision(), instance(address), began) {
+		s.Catalog.Read()
 	}
-	s.known.Store(address, reply.GetConfigRevision())
 }
--- a/view.go
+++ b/view.go
@@ -12,6 +12,9 @@
 	Hall     string `json:"hall"`
 	// Address is the peers' address, an IP number and a port.
 	Address string `json:"address"`
+	// Power is how much of a processor and a link it has, against others; 0 when
+	// it doesn't say.
+	Power float64 `json:"power,omitempty"`
 }
 
 // Change is one membership change: what Epoch changed against Epoch-1.
