--- a/forward.go
+++ b/forward.go
@@ -55,6 +55,10 @@
 	Left    time.Duration // of the call's deadline
 	Urgency int           // 0 to 9, 0 first
 	Inputs  []string      // results that the target reads
+	// Once is set for a call that may run only once. It goes on a new connection:
+	// a kept one may be dead without a sign, and what was written to it may have
+	// run, while a connection that can't be opened proves that nothing ran.
+	Once bool
 	// After is the id of the last event that the client has, to resume a
 	// stream; "" begins it.
 	After string
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -101,8 +102,13 @@
 	broker   *stages.Broker
 	placer   *placement.Placer
 	forward  *forward.Forwarder
-	listener *front.Listener
 	drain    *front.Drain
+	// Listeners; the first can stop accepting by itself.
+	clientsAt *front.Listener
+	readyAt   net.Listener
+	peersAt   net.Listener
+	metricsAt net.Listener
+
 	app      *kratos.App
 	stopping atomic.Bool
 }
@@ -112,21 +118,37 @@
 	g := &Gateway{settings: s, adapters: a, out: logging.NewAsync(logTo), metrics: metrics.New()}
 	g.log = g.logger(logging.App)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Gateway.MemoryMB) * (1 << 20)))
-	var err error
-	if g.listener, err = front.Listen(s.Gateway.Clients); err != nil {
-		return nil, errors.Wrap(err, "gateway.clients")
+	if err := g.listen(); err != nil {
+		return nil, err
 	}
 	g.build()
 	return g, nil
 }
 
+// listen opens all addresses, so that a taken one is told before anything runs.
+func (g *Gateway) listen() error {
+	s := g.settings.Gateway
+	var err error
+	if g.clientsAt, err = front.Listen(s.Clients); err != nil {
+		return errors.Wrap(err, "gateway.clients")
+	}
+	if g.readyAt, err = net.Listen("tcp", s.Ready); err != nil {
+		return errors.Wrap(err, "gateway.ready")
+	}
+	if g.peersAt, err = net.Listen("tcp", s.Peers); err != nil {
+		return errors.Wrap(err, "gateway.peers")
+	}
+	g.metricsAt, err = net.Listen("tcp", s.Metrics)
+	return errors.Wrap(err, "gateway.metrics")
+}
+
 func (g *Gateway) logger(prefix string) *log.Logger {
 	return logging.New(g.out, g.settings.Log.Level, prefix)
 }
 
 func (g *Gateway) build() {
 	s := g.settings
-	self := hookhall.Member{ID: s.Gateway.Instance, Instance: s.Gateway.Instance, Hall: s.Gateway.Hall, Address: s.Gateway.Peers, Power: s.Gateway.Power()}
+	self := hookhall.Member{ID: s.Gateway.Instance, Instance: s.Gateway.Instance, Hall: s.Gateway.Hall, Address: g.peersAt.Addr().String(), Power: s.Gateway.Power()}
 	g.catalog = catalog.New(g.adapters.Store, g.adapters.Platform,
 		catalog.Timing{Heartbeat: time.Duration(s.Store.HeartbeatMS) * time.Millisecond}, g.logger(logging.Catalog))
 	g.members = members.New(self, g.adapters.Store, g.logger(logging.Members))
@@ -160,15 +182,14 @@
 // newApp makes the servers. Their default timeouts would cut streams off, and
 // their router would change paths.
 func (g *Gateway) newApp() *kratos.App {
-	s := g.settings.Gateway
 	g.drain = front.NewDrain(front.NewHandler(g.forward, g.adapters.Dialect))
-	clients := server(s.Clients, g.drain, khttp.Listener(g.listener))
-	ready := server(s.Ready, http.HandlerFunc(g.ready))
+	clients := server(g.clientsAt, g.drain)
+	ready := server(g.readyAt, http.HandlerFunc(g.ready))
 	mux := http.NewServeMux()
 	mux.Handle(pathMetrics, g.metrics.Handler())
 	mux.HandleFunc(pathState, g.state)
-	control := server(s.Metrics, mux)
-	peers := kgrpc.NewServer(kgrpc.Address(s.Peers), kgrpc.Timeout(0))
+	control := server(g.metricsAt, mux)
+	peers := kgrpc.NewServer(kgrpc.Listener(g.peersAt), kgrpc.Address(g.peersAt.Addr().String()), kgrpc.Timeout(0))
 	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Spreader: g.spreader})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clients, ready, control, peers),
@@ -176,8 +197,10 @@
 	)
 }
 
-func server(address string, h http.Handler, more ...khttp.ServerOption) *khttp.Server {
-	s := khttp.NewServer(append(more, khttp.Address(address), khttp.Timeout(0))...)
+func server(l net.Listener, h http.Handler) *khttp.Server {
+	// Without the address the framework lists the machine's interfaces, which not
+	// every platform allows.
+	s := khttp.NewServer(khttp.Listener(l), khttp.Address(l.Addr().String()), khttp.Timeout(0))
 	s.Handler = h
 	s.IdleTimeout = idleTime
 	s.ReadHeaderTimeout = readHeaderTime
@@ -194,7 +217,8 @@
 // Run serves until ctx ends, then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.log.Info("Starting.", "instance", g.settings.Gateway.Instance, "hall", g.settings.Gateway.Hall, "version", cli.Version(),
-		"clients", g.settings.Gateway.Clients, "peers", g.settings.Gateway.Peers, "store", g.settings.Store.Address)
+		"clients", g.clientsAt.Addr().String(), "ready", g.readyAt.Addr().String(), "peers", g.peersAt.Addr().String(),
+		"metrics", g.metricsAt.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady} {
@@ -233,7 +257,7 @@
 	go g.members.Leave(ctx)
 	retry.Sleep(ctx, notice)
 	g.drain.Close()
-	g.listener.StopAccepting()
+	g.clientsAt.StopAccepting()
 	retry.Sleep(ctx, lastCalls)
 	if left := g.drain.Finish(ctx); left > 0 {
 		g.log.Warn("Requests were cut off.", "count", left, "after", time.Since(began))
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -256,7 +256,8 @@
 	r.target = t
 	a := &attempt{use: r.Book.Begin(t, r.wish, now), placed: r.placed, began: now}
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
-		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(), After: after,
+		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
+		Once: !r.route.Repeatable(), After: after,
 	})
 	if err != nil {
 		a.err = hookhall.AsError(err)
