--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -128,6 +128,14 @@
 	return ""
 }
 
+// TargetsAge is how old the picture of the targets is.
+func (c *Catalog) TargetsAge(now time.Time) time.Duration {
+	if p := c.picture.Load(); p != nil {
+		return p.Age(now)
+	}
+	return 0
+}
+
 // Ready tells whether both the table and the targets are known.
 func (c *Catalog) Ready() bool { return c.table.Load() != nil && c.picture.Load() != nil }
 
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -39,16 +39,15 @@
 // fakeStore has one table and a list of targets; it can fail and forget.
 type fakeStore struct {
 	hookhall.Store
-	mu       sync.Mutex
-	at       uint64
-	table    hookhall.Item
-	targets  map[string]string
-	down     bool
-	horizon  uint64 // history before it is gone
-	gets     int
-	forgot   int
-	changed  chan struct{}
-	watching int
+	mu      sync.Mutex
+	at      uint64
+	table   hookhall.Item
+	targets map[string]string
+	down    bool
+	horizon uint64 // history before it is gone
+	gets    int
+	forgot  int
+	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -34,6 +34,7 @@
 type Catalog interface {
 	Table() *routetable.Table
 	Targets(pool string) []hookhall.Target
+	TargetsAge(now time.Time) time.Duration
 }
 
 // Stages makes the work before a request.
@@ -163,7 +164,7 @@
 		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "target", r.target.ID, "status", r.status,
 	}
 	if r.table != nil {
-		fields = append(fields, "table", r.table.Version())
+		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(time.Now()).Milliseconds())
 	}
 	if err == nil {
 		f.Log.Info("Answered.", fields...)
