--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 GO := go
 export GOFLAGS := -mod=readonly
 SEEDS ?= 50
+SECONDS_EACH ?= 8
 
-.PHONY: build demo test lint unit integration soak experiments slopes generate fuzz
+.PHONY: build demo test lint unit integration soak soak-gateways experiments slopes generate fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,6 +33,10 @@
 soak: build
 	HOOKHALL_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 80m -run TestSchedules ./test/...
 
+# The same for gateways on the platform: make soak-gateways SEEDS=50
+soak-gateways:
+	HOOKHALL_SEEDS=$(SEEDS) HOOKHALL_SOAK_SECONDS=$(SECONDS_EACH) $(GO) test -count=1 -timeout 80m -run TestSoak ./platform/
+
 # What docs/MEASURES.md shows; some five minutes.
 experiments: build
 	bin/hookhall-load experiment --scenario load --time 5s
