members: newcomers own no work at first; one line for the first targets

A member now owns work only once it has been listed for a second, by when all list it, and changes are gathered for 4 ms a member. Tests: internal/coordination/members.

--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -68,10 +68,20 @@
 		}
 	}
 	c.miss(lost, from, now)
+	if c.picture.Load() == nil {
+		c.log.Info("The targets are known.", "count", len(c.known), "revision", r.Revision, "from", from)
+	}
 	c.publish(r.Revision, r.Began, now)
 	return true
 }
 
+// tell logs a change. The first reading of all is told in one line.
+func (c *Catalog) tell(msg string, fields ...any) {
+	if c.picture.Load() != nil {
+		c.log.Info(msg, fields...)
+	}
+}
+
 // older tells whether what was read at a revision is no news.
 func (c *Catalog) older(revision uint64, began time.Time) bool {
 	p := c.picture.Load()
@@ -98,7 +108,7 @@
 	if e == nil {
 		e = &entry{target: t, changed: now}
 		c.known[t.ID] = e
-		c.log.Info("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
+		c.tell("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
 	if !e.missing.IsZero() {
 		c.log.Info("A target is listed again.", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missing))
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -41,8 +41,14 @@
 	renewEvery = 2 * time.Second
 	// watchTime is how long a watch waits.
 	watchTime = 8 * time.Second
-	// settle gathers changes: many processes start or stop at once.
-	settle = 300 * time.Millisecond
+	// settle gathers changes, since many processes start or stop at once: it is
+	// this long for each member, settleMost at most.
+	settle     = 4 * time.Millisecond
+	settleMost = 400 * time.Millisecond
+	// newcomer is how long a member has to be listed before it owns work: by then
+	// all others list it, too, and work changes hands at about the same moment
+	// everywhere.
+	newcomer = time.Second
 	// suspectFor is how long a peer that did not answer is left out.
 	suspectFor = 1500 * time.Millisecond
 	// leastPower stands for members that don't tell theirs.
@@ -62,6 +68,7 @@
 	stopping atomic.Bool
 	lease    atomic.Uint64
 	byKey    map[string]hookhall.Member
+	since    sync.Map // address to when it was first listed; self: registered
 }
 
 // New makes a Members that knows only this process.
@@ -126,19 +133,36 @@
 }
 
 // Owner is the member that holds the work named by key, by rendezvous hashing.
-// skip leaves members out.
+// skip leaves members out. Newcomers own nothing, unless all are.
 func (m *Members) Owner(key string, skip map[string]bool, now time.Time) hookhall.Member {
-	best, top := m.self, 0.0
-	found := false
-	for _, o := range m.List(now) {
-		if skip[o.Address] || (o.Address == m.self.Address && m.stopping.Load()) {
+	list := m.List(now)
+	best, found := m.choose(key, list, func(o hookhall.Member) bool { return !skip[o.Address] && !m.fresh(o.Address, now) })
+	if !found {
+		best, found = m.choose(key, list, func(o hookhall.Member) bool { return !skip[o.Address] })
+	}
+	if !found {
+		return m.self
+	}
+	return best
+}
+
+func (m *Members) choose(key string, list []hookhall.Member, may func(hookhall.Member) bool) (best hookhall.Member, found bool) {
+	top := 0.0
+	for _, o := range list {
+		if !may(o) || (o.Address == m.self.Address && m.stopping.Load()) {
 			continue
 		}
 		if h := weighed(key, o); !found || h > top {
 			best, top, found = o, h, true
 		}
 	}
-	return best
+	return best, found
+}
+
+// fresh tells whether a member was listed only a moment ago.
+func (m *Members) fresh(address string, now time.Time) bool {
+	since, ok := m.since.Load(address)
+	return !ok || now.Sub(since.(time.Time)) < newcomer
 }
 
 // weighed is the rank of a member for a key: the greatest of all is the owner.
@@ -205,6 +229,7 @@
 	}
 	if !m.stopping.Load() {
 		m.lease.Store(lease)
+		m.since.LoadOrStore(m.self.Address, time.Now())
 		m.log.Info("Registered.", "lease", lease)
 	}
 	return nil
@@ -254,7 +279,7 @@
 	}
 	if len(events) > 0 {
 		m.publish()
-		retry.Sleep(ctx, settle)
+		retry.Sleep(ctx, min(time.Duration(m.Count())*settle, settleMost))
 	}
 	return at, nil
 }
@@ -276,12 +301,22 @@
 }
 
 func (m *Members) publish() {
+	now := time.Now()
 	list := []hookhall.Member{m.self}
+	listed := map[string]bool{m.self.Address: true}
 	for _, o := range m.byKey {
-		if o.Address != m.self.Address {
+		if !listed[o.Address] {
+			listed[o.Address] = true
 			list = append(list, o)
+			m.since.LoadOrStore(o.Address, now)
 		}
 	}
+	m.since.Range(func(address, _ any) bool {
+		if !listed[address.(string)] {
+			m.since.Delete(address)
+		}
+		return true
+	})
 	sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
 	m.list.Store(&list)
 	m.log.Info("The gateways.", "count", len(list))
--- /dev/null
+++ b/internal/coordination/members/members_test.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package members
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func member(n int) hookhall.Member {
+	return hookhall.Member{ID: fmt.Sprint("m", n), Instance: fmt.Sprint("m", n), Address: fmt.Sprintf("10.0.0.%d:1", n), Power: 1}
+}
+
+// listed makes a Members that lists others than itself, number 1, as of long ago.
+func listed(n int) *Members {
+	m := New(member(1), nil, log.New(io.Discard))
+	for i := range n {
+		m.byKey[fmt.Sprint(prefix, i+1)] = member(i + 1)
+	}
+	m.publish()
+	for i := range n {
+		m.since.Store(member(i+1).Address, time.Now().Add(-time.Hour))
+	}
+	return m
+}
+
+func TestOwner(t *testing.T) {
+	now := time.Now()
+	Convey("Given nine members", t, func() {
+		m := listed(9)
+		owners := map[string]int{}
+		for i := range 900 {
+			owners[m.Owner(fmt.Sprint("k", i), nil, now).Address]++
+		}
+		Convey("each owns a share", func() {
+			So(len(owners), ShouldEqual, 9)
+			for _, n := range owners {
+				So(n, ShouldBeBetween, 50, 160)
+			}
+		})
+		Convey("one that goes leaves the others' work where it is", func() {
+			less := listed(8)
+			for i := range 200 {
+				key := fmt.Sprint("k", i)
+				if before := m.Owner(key, nil, now); before.Address != member(9).Address {
+					So(less.Owner(key, nil, now).Address, ShouldEqual, before.Address)
+				}
+			}
+		})
+		Convey("a silent one owns nothing for a while", func() {
+			first := m.Owner("k", nil, now)
+			m.Suspect(first.Address, now)
+			if first.Address != m.self.Address {
+				So(m.Owner("k", nil, now).Address, ShouldNotEqual, first.Address)
+			}
+			So(m.Owner("k", nil, now.Add(2*suspectFor)).Address, ShouldEqual, first.Address)
+		})
+		Convey("a newcomer owns nothing at first", func() {
+			m.byKey[prefix+"10"] = member(10)
+			m.publish()
+			for i := range 300 {
+				So(m.Owner(fmt.Sprint("k", i), nil, time.Now()).Address, ShouldNotEqual, member(10).Address)
+			}
+			later := time.Now().Add(2 * newcomer)
+			got := 0
+			for i := range 300 {
+				if m.Owner(fmt.Sprint("k", i), nil, later).Address == member(10).Address {
+					got++
+				}
+			}
+			So(got, ShouldBeGreaterThan, 0)
+		})
+		Convey("one that stops owns nothing by its own word", func() {
+			m.stopping.Store(true)
+			for i := range 300 {
+				So(m.Owner(fmt.Sprint("k", i), nil, now).Address, ShouldNotEqual, m.self.Address)
+			}
+		})
+		Convey("ranks are 0, 1 and 2", func() {
+			first := m.Owner("reader", nil, now)
+			second := m.Owner("reader", map[string]bool{first.Address: true}, now)
+			want := 2
+			switch m.self.Address {
+			case first.Address:
+				want = 0
+			case second.Address:
+				want = 1
+			}
+			So(m.Rank("reader", now), ShouldEqual, want)
+		})
+	})
+	Convey("When all are newcomers, they own at once", t, func() {
+		m := New(member(1), nil, log.New(io.Discard))
+		m.byKey[prefix+"2"] = member(2)
+		m.publish()
+		owners := map[string]bool{}
+		for i := range 100 {
+			owners[m.Owner(fmt.Sprint("k", i), nil, time.Now()).Address] = true
+		}
+		So(len(owners), ShouldEqual, 2)
+	})
+	Convey("Weak members own little", t, func() {
+		m := New(member(1), nil, log.New(io.Discard))
+		weak := member(2)
+		weak.Power = 0.2
+		m.byKey[prefix+"2"] = weak
+		m.publish()
+		n := 0
+		for i := range 1000 {
+			if m.Owner(fmt.Sprint("k", i), nil, time.Now()).Address == weak.Address {
+				n++
+			}
+		}
+		So(n, ShouldBeBetween, 10, 100)
+	})
+}
+
+func TestTake(t *testing.T) {
+	m := listed(1)
+	b, err := json.Marshal(member(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.take(hookhall.Item{Key: prefix + "m5", Value: b})
+	m.take(hookhall.Item{Key: prefix + "bad", Value: []byte("{")})
+	m.take(hookhall.Item{Key: "other/m6", Value: b})
+	m.publish()
+	if m.Count() != 2 {
+		t.Fatalf("%d members", m.Count())
+	}
+	m.take(hookhall.Item{Key: prefix + "m5", Gone: true})
+	m.publish()
+	if m.Count() != 1 {
+		t.Fatalf("%d members", m.Count())
+	}
+}
