fleet, catalog: large tables packed along the tree; fewer calls for members

Now it travels packed, the same bytes all along, and is told further once it is there; those after a peer that does not answer are told in its stead. Tests: TestPackedTable.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -317,7 +317,7 @@
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
-		_, s.TableRev = g.catalog.RawTable()
+		_, s.TableRev = g.catalog.PackedTable()
 	}
 	if p := g.catalog.Picture(); p != nil {
 		s.Targets, s.AgeMS = p.Revision, p.Age(now).Milliseconds()
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -19,12 +20,13 @@
 
 const (
 	// watchTime is how long a watch of the table waits.
-	watchTime = 500 * time.Millisecond
+	watchTime = 300 * time.Millisecond
 	// readEvery is how old the first reader lets its beliefs get.
 	readEvery = 400 * time.Millisecond
 	// rankStep is how much older they get at the second reader, and, twice that
-	// and some chance, at all others.
-	rankStep = 250 * time.Millisecond
+	// and some chance, at all others. What others are told of the table is up to a
+	// watch and the reader's interval old.
+	rankStep = 350 * time.Millisecond
 	// rankMost is the last rank that counts.
 	rankMost = 2
 	// look is how often it looks whether they are.
@@ -69,7 +71,9 @@
 type tableState struct {
 	table    *routetable.Table
 	revision uint64
-	value    []byte
+	// packed is the table's value as it goes to peers: a large one takes its time
+	// on a small link. Whoever gets it from a peer passes the same bytes on.
+	packed []byte
 	// confirmed is when this revision was the newest one, for all that is known.
 	confirmed time.Time
 }
@@ -139,10 +143,10 @@
 // Ready tells whether both the table and the targets are known.
 func (c *Catalog) Ready() bool { return c.table.Load() != nil && c.picture.Load() != nil }
 
-// RawTable is the table's value and revision, for peers.
-func (c *Catalog) RawTable() ([]byte, uint64) {
+// PackedTable is the table's value, compressed, with its revision, for peers.
+func (c *Catalog) PackedTable() ([]byte, uint64) {
 	if s := c.table.Load(); s != nil {
-		return s.value, s.revision
+		return s.packed, s.revision
 	}
 	return nil, 0
 }
@@ -162,7 +166,7 @@
 	rank := min(c.Rank(), rankMost)
 	most := readEvery + time.Duration(rank)*rankStep
 	if rank == rankMost {
-		most = retry.Jitter(most + rankStep/2)
+		most += rand.N(rankStep / 2)
 	}
 	return now.Sub(heard) >= most
 }
@@ -266,25 +270,48 @@
 	return 0, 0
 }
 
-// LearnTable takes in a table that was read at revision, here or by a peer, in a
-// call that began at a time. It tells whether the table was newer.
+// LearnTable takes in a table that was read at revision in a call that began at a
+// time. It tells whether the table was newer.
 func (c *Catalog) LearnTable(value []byte, revision uint64, from string, began time.Time) bool {
 	if c.ConfirmTable(revision, began) {
 		return false
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s := c.table.Load(); s != nil && s.revision >= revision {
+	packed, err := pack(value)
+	if err != nil {
+		c.log.Error("The table can't be packed.", "revision", revision, "error", err.Error())
+		return false
+	}
+	return c.learn(value, packed, revision, from, began)
+}
+
+// LearnPacked is LearnTable of what a peer's PackedTable gave.
+func (c *Catalog) LearnPacked(packed []byte, revision uint64, from string, began time.Time) bool {
+	if c.ConfirmTable(revision, began) {
 		return false
 	}
+	value, err := unpack(packed)
+	if err != nil {
+		c.log.Error("A peer's table can't be unpacked.", "revision", revision, "from", from, "error", err.Error())
+		return false
+	}
+	return c.learn(value, packed, revision, from, began)
+}
+
+func (c *Catalog) learn(value, packed []byte, revision uint64, from string, began time.Time) bool {
 	r, err := c.platform.ReadRouting(value)
 	if err != nil {
 		c.log.Error("The table can't be read; the one in force stays.", "revision", revision, "error", err.Error())
 		return false
 	}
-	c.table.Store(&tableState{table: routetable.Compile(r), revision: revision, value: value, confirmed: began})
+	compiled := routetable.Compile(r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.table.Load(); s != nil && s.revision >= revision {
+		return false
+	}
+	c.table.Store(&tableState{table: compiled, revision: revision, packed: packed, confirmed: began})
 	c.log.Info("A table is in force.", "version", r.Version, "revision", revision, "from", from,
-		"routes", len(r.Routes), "services", len(r.Services), "accounts", len(r.Accounts))
+		"routes", len(r.Routes), "services", len(r.Services), "accounts", len(r.Accounts), "bytes", len(value), "packed", len(packed))
 	return true
 }
 
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -177,6 +177,33 @@
 	})
 }
 
+// TestPackedTable: a table goes from one process to another packed, and bytes that
+// are none change nothing.
+func TestPackedTable(t *testing.T) {
+	a, b := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+	value, err := json.Marshal(hookhall.Routing{Version: 9, Routes: make([]hookhall.Route, 1000)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.LearnTable(value, 5, "store", time.Now())
+	packed, revision := a.PackedTable()
+	if len(packed) > len(value)/5 {
+		t.Errorf("%d bytes of %d", len(packed), len(value))
+	}
+	if b.LearnPacked([]byte("no table"), 4, "peer", time.Now()) || b.Table() != nil {
+		t.Error("rubbish was taken for a table")
+	}
+	if !b.LearnPacked(packed, revision, "peer", time.Now()) || b.Table().Version() != 9 {
+		t.Error("the table did not arrive")
+	}
+	if again, _ := b.PackedTable(); string(again) != string(packed) {
+		t.Error("it was packed anew")
+	}
+	if b.LearnPacked(packed, revision-1, "peer", time.Now()) {
+		t.Error("an older revision was taken")
+	}
+}
+
 func TestOutageKeepsWhatIsBelieved(t *testing.T) {
 	s := newFakeStore()
 	s.targets["a"] = "ready"
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -43,18 +43,18 @@
 	watchTime = 8 * time.Second
 	// settle gathers changes, since many processes start or stop at once: it is
 	// this long for each member, settleMost at most.
-	settle     = 4 * time.Millisecond
-	settleMost = 400 * time.Millisecond
+	settle     = 12 * time.Millisecond
+	settleMost = 1500 * time.Millisecond
 	// newcomer is how long a member has to be listed before it owns work: by then
 	// all others list it, too, and work changes hands at about the same moment
-	// everywhere.
+	// everywhere. It is longer when changes are gathered for longer.
 	newcomer = time.Second
 	// suspectFor is how long a peer that did not answer is left out.
 	suspectFor = 1500 * time.Millisecond
 	// leastPower stands for members that don't tell theirs.
 	leastPower = 0.05
 	pauseFirst = 100 * time.Millisecond
-	pauseMost  = time.Second
+	pauseMost  = 2 * time.Second
 )
 
 // Members follows the gateways.
@@ -86,7 +86,7 @@
 	all := *m.list.Load()
 	kept := make([]hookhall.Member, 0, len(all))
 	for _, o := range all {
-		if o.Address == m.self.Address || !m.suspected(o.Address, now) {
+		if o.Address == m.self.Address || !m.Suspected(o.Address, now) {
 			kept = append(kept, o)
 		}
 	}
@@ -120,7 +120,8 @@
 	}
 }
 
-func (m *Members) suspected(address string, now time.Time) bool {
+// Suspected tells whether a peer did not answer a moment ago.
+func (m *Members) Suspected(address string, now time.Time) bool {
 	v, ok := m.suspects.Load(address)
 	if !ok {
 		return false
@@ -159,10 +160,13 @@
 	return best, found
 }
 
+// settles is for how long changes are gathered.
+func (m *Members) settles() time.Duration { return min(time.Duration(m.Count())*settle, settleMost) }
+
 // fresh tells whether a member was listed only a moment ago.
 func (m *Members) fresh(address string, now time.Time) bool {
 	since, ok := m.since.Load(address)
-	return !ok || now.Sub(since.(time.Time)) < newcomer
+	return !ok || now.Sub(since.(time.Time)) < max(newcomer, 2*m.settles())
 }
 
 // weighed is the rank of a member for a key: the greatest of all is the owner.
@@ -279,7 +283,7 @@
 	}
 	if len(events) > 0 {
 		m.publish()
-		retry.Sleep(ctx, min(time.Duration(m.Count())*settle, settleMost))
+		retry.Sleep(ctx, m.settles())
 	}
 	return at, nil
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -114,11 +114,11 @@
 
 // GetTable implements the service.
 func (s *Server) GetTable(context.Context, *pb.TableRequest) (*pb.Table, error) {
-	value, revision := s.Spreader.Catalog.RawTable()
+	packed, revision := s.Spreader.Catalog.PackedTable()
 	if revision == 0 {
 		return nil, status.Error(codes.Unavailable, "no table is known yet")
 	}
-	return &pb.Table{Value: value, Revision: revision}, nil
+	return &pb.Table{Packed: packed, Revision: revision}, nil
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -7,16 +7,23 @@
 	"context"
 	"sort"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
 	// shareTime bounds telling one peer.
-	shareTime = 400 * time.Millisecond
+	shareTime = 300 * time.Millisecond
+	// skipTime is how long a peer that did not answer is passed over.
+	skipTime = time.Second
+	// fetchTime bounds getting a table from a peer.
+	fetchTime = 3 * time.Second
 	// fanOut is how many peers each process tells.
 	fanOut = 4
 )
@@ -36,6 +43,19 @@
 	Peers   Peers
 	Clients *Clients
 	Catalog *catalog.Catalog
+
+	fetching atomic.Bool // a table is being fetched
+	silent   sync.Map    // address to when the peer did not answer
+}
+
+// skipped tells whether a peer did not answer a moment ago.
+func (s *Spreader) skipped(address string, now time.Time) bool {
+	at, ok := s.silent.Load(address)
+	if ok && now.Sub(at.(time.Time)) > skipTime {
+		s.silent.Delete(address)
+		return false
+	}
+	return ok
 }
 
 // Spread tells the first peers what this process has read, without waiting for
@@ -61,30 +81,52 @@
 func (s *Spreader) relay(m *pb.News, came time.Time) {
 	all := s.Peers.All()
 	reader := sort.Search(len(all), func(i int) bool { return all[i].Address >= m.GetReader() })
+	s.children(m, came, all, reader, int(m.GetPosition()))
+}
+
+// children tells those that come after a place in the tree. Those after a peer
+// that does not answer are told in its stead.
+func (s *Spreader) children(m *pb.News, came time.Time, all []hookhall.Member, reader, place int) {
 	for i := range fanOut {
-		position := int(m.GetPosition())*fanOut + i + 1
+		position := place*fanOut + i + 1
 		if position >= len(all) {
 			return
 		}
 		to := all[(reader+position)%len(all)]
-		if to.Address == s.Peers.Self().Address || to.Address == m.GetReader() {
+		if to.Address == m.GetReader() {
 			continue
 		}
-		held := milliage(time.Since(came)) // part of the age
-		own := &pb.News{
-			Reader: m.GetReader(), From: s.Peers.Self().Address, Position: int32(position),
-			ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
-			TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
-			Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
+		if to.Address == s.Peers.Self().Address || s.skipped(to.Address, time.Now()) {
+			s.children(m, came, all, reader, position)
+			continue
 		}
-		go s.tell(to.Address, own)
+		own := s.copyFor(m, came, position)
+		go func() {
+			if !s.tell(to.Address, own) {
+				s.silent.Store(to.Address, time.Now())
+				s.children(m, came, all, reader, position)
+			}
+		}()
 	}
 }
 
-func (s *Spreader) tell(address string, n *pb.News) {
+// copyFor makes the news for a place in the tree; the time that it was held here
+// is part of its ages.
+func (s *Spreader) copyFor(m *pb.News, came time.Time, position int) *pb.News {
+	held := milliage(time.Since(came))
+	return &pb.News{
+		Reader: m.GetReader(), From: s.Peers.Self().Address, Position: int32(position),
+		ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
+		TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
+		Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
+	}
+}
+
+// tell tells one peer, and whether it answered.
+func (s *Spreader) tell(address string, n *pb.News) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), shareTime)
 	defer cancel()
-	_ = s.Clients.Client(address).Share(ctx, n) // who is not told reads
+	return s.Clients.Client(address).Share(ctx, n) == nil
 }
 
 // Take takes news in and passes on what was new.
@@ -98,11 +140,16 @@
 	}
 	from := instance(m.GetReader())
 	fresh := s.Catalog.LearnNews(n, from)
-	had, _ := s.Catalog.TableAge(came)
-	if !s.Catalog.ConfirmTable(m.GetConfigRevision(), came.Add(-milliseconds(m.GetConfigAgeMs()))) && m.GetConfigRevision() > 0 {
-		go s.fetch(m.GetFrom(), m.GetConfigRevision())
+	told := m.GetConfigRevision()
+	if told > 0 && !s.Catalog.ConfirmTable(told, came.Add(-milliseconds(m.GetConfigAgeMs()))) {
+		if s.fetching.CompareAndSwap(false, true) {
+			go s.fetch(proto.Clone(m).(*pb.News), came)
+		}
+		// Those further along are told of the table once it can be had here.
+		m = proto.Clone(m).(*pb.News)
+		m.ConfigRevision, m.ConfigAgeMs = 0, 0
 	}
-	if fresh || had < m.GetConfigRevision() {
+	if fresh {
 		s.relay(m, came)
 	}
 }
@@ -113,20 +160,20 @@
 	return host
 }
 
-// fetch gets a table from the peer that told of it, unless the store has brought
-// it in the meantime.
-func (s *Spreader) fetch(address string, revision uint64) {
-	if have, _ := s.Catalog.TableAge(time.Now()); have >= revision {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shareTime)
+// fetch gets a table from the peer that told of it, and tells those further along.
+func (s *Spreader) fetch(m *pb.News, came time.Time) {
+	defer s.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
 	defer cancel()
 	began := time.Now()
-	t, err := s.Clients.Client(address).Table(ctx)
+	t, err := s.Clients.Client(m.GetFrom()).Table(ctx)
 	if err != nil {
 		return // the store, or the next news, will bring it
 	}
-	if s.Catalog.LearnTable(t.GetValue(), t.GetRevision(), instance(address), began) {
-		s.Catalog.Read()
+	if s.Catalog.LearnPacked(t.GetPacked(), t.GetRevision(), instance(m.GetFrom()), began) {
+		revision, age := s.Catalog.TableAge(time.Now())
+		m.ConfigRevision, m.ConfigAgeMs = revision, milliage(age)
+		m.AgeMs += milliage(time.Since(came))
+		s.relay(m, time.Now())
 	}
 }
