--- /dev/null
+++ b/internal/coordination/forward/attempt.go
@@ -0,0 +1,163 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/placement"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/state/balance"
+)
+
+// attempt is one send with what became of it.
+type attempt struct {
+	reply  *hookhall.Reply
+	use    *balance.Use
+	placed placement.Placement
+	err    *hookhall.Error
+	began  time.Time
+}
+
+// read counts the prompt as read: the answer has begun.
+func (a *attempt) read() {
+	a.use.Read()
+	a.use.Succeeded(time.Since(a.began))
+	a.placed.Tell(placement.Read)
+}
+
+// failed counts a failure of the target; hard when it was silent or could not be
+// reached.
+func (a *attempt) failed(hard bool) {
+	a.use.Failed(hard, time.Now())
+	if hard {
+		a.placed.Tell(placement.Failed)
+	}
+}
+
+// end counts the attempt's end.
+func (a *attempt) end() {
+	a.use.End()
+	a.placed.Tell(placement.Ended)
+}
+
+// close ends an attempt whose answer is not used.
+func (a *attempt) close() {
+	if a.reply != nil {
+		_ = a.reply.Body.Close()
+	}
+	a.end()
+}
+
+// choose finds the next target, or says why there is none. Engines are chosen by
+// their placer, if it answers.
+func (r *request) choose(ctx context.Context) (hookhall.Target, *hookhall.Error) {
+	r.wish.Slack = max(time.Until(r.aim), 0)
+	r.placed = placement.Placement{}
+	if r.wish.Engine {
+		r.placed = r.Placement.Place(ctx, r.service, r.wish)
+		for _, t := range r.Catalog.Targets(r.service) {
+			if t.ID == r.placed.Target {
+				return t, nil
+			}
+		}
+		r.placed.Tell(placement.Ended) // this process does not know it
+		r.placed = placement.Placement{}
+	}
+	t, ok := r.Book.Choose(r.Catalog.Targets(r.service), r.wish, time.Now())
+	if !ok {
+		return t, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
+	}
+	return t, nil
+}
+
+// send offers the request to t. A refusal by the target is an error.
+func (r *request) send(ctx context.Context, t hookhall.Target, after string) *attempt {
+	now := time.Now()
+	r.sends++
+	r.target = t
+	a := &attempt{use: r.Book.Begin(t, r.wish, now), placed: r.placed, began: now}
+	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
+		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
+		Once: !r.route.Repeatable(), After: after,
+	})
+	if err != nil {
+		a.err = hookhall.AsError(err)
+		if ctx.Err() == nil {
+			a.failed(true)
+		}
+		a.end()
+		return a
+	}
+	a.reply = reply
+	r.status = reply.Status
+	if reply.Marks.NotRun {
+		a.err = r.refused(a)
+		a.close()
+		a.reply = nil
+	}
+	return a
+}
+
+// refused reads a target's word that it did not run the request.
+func (r *request) refused(a *attempt) *hookhall.Error {
+	m := a.reply.Marks
+	now := time.Now()
+	switch {
+	case m.Misdirected:
+		a.failed(true)
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseMisdirected, "another target has the address")
+	case m.InputGone:
+		r.lost = true
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "a result is gone")
+	}
+	a.use.Full(fullRest, now)
+	a.placed.Tell(placement.Full)
+	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseRefused, "the target refused with status %d", a.reply.Status)
+}
+
+// logSend writes a line on a send that did not bring the answer.
+func (r *request) logSend(a *attempt, t hookhall.Target, next string) {
+	r.Log.Warn("A send failed.", "request", r.call.ID, "service", r.service, "target", t.ID, "send", r.sends,
+		"took_ms", time.Since(a.began).Milliseconds(), "verdict", a.err.Verdict.String(), "cause", string(a.err.Cause),
+		"detail", a.err.Detail, "next", next)
+}
+
+// next decides what follows a failed send: true for another one.
+func (r *request) next(ctx context.Context, a *attempt, t hookhall.Target) bool {
+	if !r.lost {
+		r.tried[t.ID] = true
+	}
+	if a.err.Verdict != hookhall.NotRun {
+		r.runs++
+	}
+	why := ""
+	switch {
+	case ctx.Err() != nil:
+		why = "no time is left"
+	case a.err.Verdict != hookhall.NotRun && !r.route.Repeatable():
+		why = "it may have run"
+	case r.runs >= r.route.MaxAttempts && r.runs > 0:
+		why = "no attempt is left"
+	case r.lost && r.remade >= mostRemade:
+		why = "its results were lost too often"
+	case r.sends >= mostSends:
+		why = "offered too often"
+	case !r.Budget.Spend(r.service, r.Members(), time.Now()):
+		why = "the retry budget is spent"
+	}
+	if why != "" {
+		r.logSend(a, t, why)
+		return false
+	}
+	r.Meter.Repeated(r.service)
+	r.logSend(a, t, "another target")
+	if a.err.Cause == hookhall.CauseRefused && len(r.tried) >= len(r.Catalog.Targets(r.service)) {
+		clear(r.tried)
+		return retry.Sleep(ctx, fullPause)
+	}
+	return true
+}
