balance, batch, fleet: the field's names

Tracker and record for what is known of targets (an account is a client's), worker for a pool's target in its queue, Broadcaster for who tells news, CallInfo and ReplyInfo for what is read of headers. No change of behaviour.

--- a/forward.go
+++ b/forward.go
@@ -19,11 +19,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Marks
+	CallInfo
 }
 
-// Marks is what the product needs to know of a call; a Dialect reads them.
-type Marks struct {
+// CallInfo is what the product needs to know of a call; a Dialect reads them.
+type CallInfo struct {
 	// ID names the call; targets echo it.
 	ID string
 	// Credential is the client's key, "" without one.
@@ -64,9 +64,9 @@
 	After string
 }
 
-// ReplyMarks is what the product needs to know of a target's answer; a Dialect
+// ReplyInfo is what the product needs to know of a target's answer; a Dialect
 // reads them from its head.
-type ReplyMarks struct {
+type ReplyInfo struct {
 	// ID is the call that the answer belongs to, "" when it doesn't say.
 	ID string
 	// Sealed is set when the answer bears the target's signature.
@@ -87,7 +87,7 @@
 	Header http.Header
 	// Length is the body's, -1 when it is not announced.
 	Length int64
-	Marks  ReplyMarks
+	Info   ReplyInfo
 	// Body must be closed. An answer that was cut ends with an error other
 	// than io.EOF.
 	Body io.ReadCloser
@@ -97,11 +97,11 @@
 // decides nothing and keeps nothing.
 type Dialect interface {
 	// Read reads a client's marks.
-	Read(h http.Header) (Marks, error)
+	Read(h http.Header) (CallInfo, error)
 	// Outgoing returns the header of one attempt; the call's own is not changed.
 	Outgoing(c *Call, a Attempt) http.Header
 	// ReadReply reads the marks of a target's answer.
-	ReadReply(status int, h http.Header) ReplyMarks
+	ReadReply(status int, h http.Header) ReplyInfo
 	// Refusal writes when to come back.
 	Refusal(h http.Header, after time.Duration)
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -93,16 +93,16 @@
 	log      *log.Logger
 	out      *logging.Async
 
-	metrics  *metrics.Metrics
-	catalog  *catalog.Catalog
-	members  *members.Members
-	clients  *fleet.Clients
-	spreader *fleet.Spreader
-	book     *balance.Book
-	broker   *stages.Broker
-	placer   *placement.Placer
-	forward  *forward.Forwarder
-	drain    *front.Drain
+	metrics     *metrics.Metrics
+	catalog     *catalog.Catalog
+	members     *members.Members
+	clients     *fleet.Clients
+	broadcaster *fleet.Broadcaster
+	tracker     *balance.Tracker
+	broker      *stages.Broker
+	placer      *placement.Placer
+	forward     *forward.Forwarder
+	drain       *front.Drain
 	// Listeners; the first can stop accepting by itself.
 	clientsAt *front.Listener
 	readyAt   net.Listener
@@ -153,10 +153,10 @@
 		catalog.Timing{Heartbeat: time.Duration(s.Store.HeartbeatMS) * time.Millisecond}, g.logger(logging.Catalog))
 	g.members = members.New(self, g.adapters.Store, g.logger(logging.Members))
 	g.clients = fleet.NewClients()
-	g.spreader = &fleet.Spreader{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
-	g.catalog.Read = g.spreader.Spread
+	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
+	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = func() int { return g.members.Rank(readerKey, time.Now()) }
-	g.book = balance.NewBook()
+	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
 	g.placer = placement.NewPlacer(g.catalog)
 	runner := &stages.Runner{
@@ -169,7 +169,7 @@
 			Local: g.placer, Fleet: g.members,
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
 		},
-		Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Book: g.book,
+		Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
@@ -190,7 +190,7 @@
 	mux.HandleFunc(pathState, g.state)
 	control := server(g.metricsAt, mux)
 	peers := kgrpc.NewServer(kgrpc.Listener(g.peersAt), kgrpc.Address(g.peersAt.Addr().String()), kgrpc.Timeout(0))
-	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Spreader: g.spreader})
+	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Broadcaster: g.broadcaster})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clients, ready, control, peers),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
@@ -283,7 +283,7 @@
 		g.adapters.Connections.Sweep(now)
 		if p := g.catalog.Picture(); p != nil {
 			known := func(id string) bool { _, ok := p.ByID[id]; return ok }
-			g.book.Keep(known, now)
+			g.tracker.Keep(known, now)
 			g.placer.Tidy(known, now)
 		}
 		current := map[string]bool{}
@@ -322,7 +322,7 @@
 	if p := g.catalog.Picture(); p != nil {
 		s.Targets, s.AgeMS = p.Revision, p.Age(now).Milliseconds()
 		for id := range p.ByID {
-			s.Balance[id] = g.book.Status(id, now)
+			s.Balance[id] = g.tracker.Status(id, now)
 		}
 	}
 	return s
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -191,7 +191,7 @@
 			c.log.Info("The store has forgotten its history; the table is read anew.", "since", since)
 			continue
 		}
-		c.told(ctx, err)
+		c.noteCall(ctx, err)
 		if err != nil {
 			pause.Wait(ctx)
 			continue
@@ -324,7 +324,7 @@
 		}
 		began := time.Now()
 		items, at, err := c.store.Range(ctx, c.platform.TargetPrefix())
-		c.told(ctx, err)
+		c.noteCall(ctx, err)
 		if err != nil {
 			pause.Wait(ctx)
 			continue
@@ -336,8 +336,8 @@
 	}
 }
 
-// told takes in how a call of the store ended.
-func (c *Catalog) told(ctx context.Context, err error) {
+// noteCall takes in how a call of the store ended.
+func (c *Catalog) noteCall(ctx context.Context, err error) {
 	if ctx.Err() != nil || c.failing.Swap(err != nil) == (err != nil) {
 		return
 	}
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -245,7 +245,7 @@
 		read(c, 1, "a", "b", "c", "d", "e")
 		So(usable(c), ShouldEqual, 5)
 		Convey("one that goes missing after an outage gets nothing new", func() {
-			c.told(t.Context(), hookhall.ErrUnavailable)
+			c.noteCall(t.Context(), hookhall.ErrUnavailable)
 			read(c, 2, "a", "b", "c", "d")
 			So(usable(c), ShouldEqual, 4)
 		})
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -75,8 +75,8 @@
 	return true
 }
 
-// tell logs a change. The first reading of all is told in one line.
-func (c *Catalog) tell(msg string, fields ...any) {
+// logChange logs a change. The first reading of all is told in one line.
+func (c *Catalog) logChange(msg string, fields ...any) {
 	if c.picture.Load() != nil {
 		c.log.Info(msg, fields...)
 	}
@@ -108,7 +108,7 @@
 	if e == nil {
 		e = &entry{target: t, changed: now}
 		c.known[t.ID] = e
-		c.tell("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
+		c.logChange("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
 	if !e.missing.IsZero() {
 		c.log.Info("A target is listed again.", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missing))
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -67,7 +67,7 @@
 		r.placed.Tell(placement.Ended) // this process does not know it
 		r.placed = placement.Placement{}
 	}
-	t, ok := r.Book.Choose(r.Catalog.Targets(r.service), r.wish, time.Now())
+	t, ok := r.Tracker.Choose(r.Catalog.Targets(r.service), r.wish, time.Now())
 	if !ok {
 		return t, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
 	}
@@ -79,7 +79,7 @@
 	now := time.Now()
 	r.sends++
 	r.target = t
-	a := &attempt{use: r.Book.Begin(t, r.wish, now), placed: r.placed, began: now}
+	a := &attempt{use: r.Tracker.Begin(t, r.wish, now), placed: r.placed, began: now}
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
 		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
 		Once: !r.route.Repeatable(), After: after,
@@ -94,7 +94,7 @@
 	}
 	a.reply = reply
 	r.status = reply.Status
-	if reply.Marks.NotRun {
+	if reply.Info.NotRun {
 		a.err = r.refused(a)
 		a.close()
 		a.reply = nil
@@ -104,7 +104,7 @@
 
 // refused reads a target's word that it did not run the request.
 func (r *request) refused(a *attempt) *hookhall.Error {
-	m := a.reply.Marks
+	m := a.reply.Info
 	now := time.Now()
 	switch {
 	case m.Misdirected:
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -61,7 +61,7 @@
 	Stages    Stages
 	Sender    hookhall.Sender
 	Placement Placement
-	Book      *balance.Book
+	Tracker   *balance.Tracker
 	Budget    *budget.Budget
 	Members   func() int
 	Meter     Meter
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -60,7 +60,7 @@
 		a.failed(false)
 		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer was cut: %v", err)
 	}
-	if a.reply.Status < http.StatusMultipleChoices && !a.reply.Marks.Sealed {
+	if a.reply.Status < http.StatusMultipleChoices && !a.reply.Info.Sealed {
 		a.failed(false)
 		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -63,7 +63,7 @@
 	if a.reply.Status >= http.StatusMultipleChoices {
 		return s.failure(a)
 	}
-	if !a.reply.Marks.Sealed {
+	if !a.reply.Info.Sealed {
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
 	a.read()
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -45,7 +45,7 @@
 // Placer chooses for others, and for this process when it is the placer.
 type Placer struct {
 	directory Directory
-	book      *balance.Book
+	tracker   *balance.Tracker
 
 	mu   sync.Mutex
 	open map[string]*placed
@@ -58,7 +58,7 @@
 
 // NewPlacer makes a Placer that knows of no load.
 func NewPlacer(d Directory) *Placer {
-	return &Placer{directory: d, book: balance.NewBook(), open: map[string]*placed{}}
+	return &Placer{directory: d, tracker: balance.NewTracker(), open: map[string]*placed{}}
 }
 
 // Place chooses an engine and counts the request there; "" when there is none.
@@ -66,11 +66,11 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := p.book.Choose(p.directory.Targets(service), w, now)
+	t, ok := p.tracker.Choose(p.directory.Targets(service), w, now)
 	if !ok {
 		return ""
 	}
-	p.open[ticket] = &placed{p.book.Begin(t, w, now), now}
+	p.open[ticket] = &placed{p.tracker.Begin(t, w, now), now}
 	return t.ID
 }
 
@@ -114,5 +114,5 @@
 			delete(p.open, ticket)
 		}
 	}
-	p.book.Keep(current, now)
+	p.tracker.Keep(current, now)
 }
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -161,7 +161,7 @@
 	}
 	now := time.Now()
 	b.graph = Graph{
-		Call:  &hookhall.Call{Marks: hookhall.Marks{ID: "call", Pieces: pieces, PieceKey: "key"}},
+		Call:  &hookhall.Call{CallInfo: hookhall.CallInfo{ID: "call", Pieces: pieces, PieceKey: "key"}},
 		Route: table.Route("h", "/"), Table: table, Aim: now.Add(5 * time.Second), End: now.Add(10 * time.Second),
 	}
 	return b
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,7 @@
 	for i := len(stages) - 1; i >= 0; i-- {
 		after, deepest := engineGuess, 0
 		for j := i + 1; j < len(stages); j++ {
-			if w.pieces(j) > 0 && contains(stages[j].After, i) {
+			if w.pieces(j) > 0 && slices.Contains(stages[j].After, i) {
 				after, deepest = max(after, w.rest[j]), max(deepest, depth[j])
 				w.least[i] = max(w.least[i], w.least[j]+w.callTime(j))
 			}
@@ -104,15 +105,6 @@
 	return true
 }
 
-func contains(list []int, v int) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
-
 // expected is how long a stage takes from when it may begin.
 func (w *walk) expected(stage int) time.Duration {
 	n := w.pieces(stage)
@@ -141,7 +133,7 @@
 	}
 	out, last := 0.0, true
 	for k, s := range w.graph.Route.Stages {
-		if contains(s.After, stage) && w.pieces(k) > 0 {
+		if slices.Contains(s.After, stage) && w.pieces(k) > 0 {
 			out += n * spec.Bytes * float64(w.pieces(k))
 			last = false
 		}
--- a/internal/state/balance/doc.go
+++ b/internal/state/balance/doc.go
@@ -5,7 +5,7 @@
 //
 // # Model
 //
-// A Book has an account of every target that this process has sent to: calls in
+// A Tracker has a record of every target that this process has sent to: calls in
 // progress, prompt tokens that it was sent and has not read yet, the pace of
 // its answers, failures, and the prompt parts that it should hold. A choice
 // compares estimates of when each target would begin to answer.
--- a/internal/state/balance/account.go
+++ b/internal/state/balance/record.go
@@ -20,8 +20,8 @@
 	partKeep = 30 * time.Second
 )
 
-// account is what is known of one target.
-type account struct {
+// record is what is known of one target.
+type record struct {
 	mu       sync.Mutex
 	inflight int
 	unread   int // prompt tokens sent and not read yet
@@ -33,7 +33,7 @@
 	used     time.Time
 }
 
-func (a *account) begin(unread int, parts []string, now time.Time) {
+func (a *record) begin(unread int, parts []string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inflight++
@@ -47,19 +47,19 @@
 	}
 }
 
-func (a *account) read(tokens int) {
+func (a *record) read(tokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.unread -= tokens
 }
 
-func (a *account) end() {
+func (a *record) end() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inflight--
 }
 
-func (a *account) succeeded(took time.Duration) {
+func (a *record) succeeded(took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.failures = 0
@@ -73,7 +73,7 @@
 }
 
 // failed counts a failure; a hard one (no connection, silence) ejects at once.
-func (a *account) failed(hard bool, now time.Time) {
+func (a *record) failed(hard bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.failures++
@@ -86,7 +86,7 @@
 }
 
 // rest leaves a target out for a moment: it was full.
-func (a *account) rest(d time.Duration, now time.Time) {
+func (a *record) rest(d time.Duration, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if until := now.Add(d); until.After(a.until) {
@@ -104,7 +104,7 @@
 	holds    bool
 }
 
-func (a *account) figures(part string, now time.Time) figures {
+func (a *record) figures(part string, now time.Time) figures {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used, ok := a.parts[part]
@@ -112,7 +112,7 @@
 }
 
 // sweep forgets parts that were not used for long.
-func (a *account) sweep(now time.Time) {
+func (a *record) sweep(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for p, used := range a.parts {
--- a/internal/state/balance/book.go
+++ b/internal/state/balance/tracker.go
@@ -33,28 +33,28 @@
 	unknownPace = float64(20 * time.Millisecond)
 )
 
-// Book has the accounts of all targets.
-type Book struct{ accounts sync.Map }
+// Tracker has the records of all targets.
+type Tracker struct{ records sync.Map }
 
-// NewBook makes an empty Book.
-func NewBook() *Book { return &Book{} }
+// NewTracker makes an empty Tracker.
+func NewTracker() *Tracker { return &Tracker{} }
 
-func (b *Book) account(id string) *account {
-	if a, ok := b.accounts.Load(id); ok {
-		return a.(*account)
+func (b *Tracker) record(id string) *record {
+	if a, ok := b.records.Load(id); ok {
+		return a.(*record)
 	}
-	a, _ := b.accounts.LoadOrStore(id, &account{})
-	return a.(*account)
+	a, _ := b.records.LoadOrStore(id, &record{})
+	return a.(*record)
 }
 
-// Keep forgets the accounts of targets that are gone.
-func (b *Book) Keep(current func(id string) bool, now time.Time) {
-	b.accounts.Range(func(k, v any) bool {
+// Keep forgets the records of targets that are gone.
+func (b *Tracker) Keep(current func(id string) bool, now time.Time) {
+	b.records.Range(func(k, v any) bool {
 		if !current(k.(string)) {
-			b.accounts.Delete(k)
+			b.records.Delete(k)
 			return true
 		}
-		v.(*account).sweep(now)
+		v.(*record).sweep(now)
 		return true
 	})
 }
@@ -82,7 +82,7 @@
 
 // Choose picks the target with the earliest expected answer among targets, and
 // tells the estimate. ok is false when none is left.
-func (b *Book) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
+func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	first := ""
 	if w.Engine && w.Shared != "" {
 		first = First(w.Shared, targets)
@@ -95,7 +95,7 @@
 		if c.Leaving || w.Exclude[c.ID] {
 			continue
 		}
-		f := b.account(c.ID).figures(w.Shared, now)
+		f := b.record(c.ID).figures(w.Shared, now)
 		if f.until.After(now) {
 			if !found || f.until.Before(soonest) {
 				fallback, soonest, found = c, f.until, true
@@ -163,17 +163,17 @@
 
 // Use is one call in progress at a target.
 type Use struct {
-	account *account
-	unread  int
-	began   time.Time
-	read    bool
-	over    bool
+	record *record
+	unread int
+	began  time.Time
+	read   bool
+	over   bool
 }
 
 // Begin counts a call to t.
-func (b *Book) Begin(t hookhall.Target, w Wish, now time.Time) *Use {
-	a := b.account(t.ID)
-	u := &Use{account: a, began: now}
+func (b *Tracker) Begin(t hookhall.Target, w Wish, now time.Time) *Use {
+	a := b.record(t.ID)
+	u := &Use{record: a, began: now}
 	if w.Engine {
 		u.unread = w.OwnTokens
 		if !a.figures(w.Shared, now).holds {
@@ -188,7 +188,7 @@
 func (u *Use) Read() {
 	if !u.read {
 		u.read = true
-		u.account.read(u.unread)
+		u.record.read(u.unread)
 	}
 }
 
@@ -197,19 +197,19 @@
 	u.Read()
 	if !u.over {
 		u.over = true
-		u.account.end()
+		u.record.end()
 	}
 }
 
 // Succeeded counts an answer whose head came after took.
-func (u *Use) Succeeded(took time.Duration) { u.account.succeeded(took) }
+func (u *Use) Succeeded(took time.Duration) { u.record.succeeded(took) }
 
 // Failed counts a failure; hard tells that the target could not be reached or
 // was silent, which no call can be to blame for.
-func (u *Use) Failed(hard bool, now time.Time) { u.account.failed(hard, now) }
+func (u *Use) Failed(hard bool, now time.Time) { u.record.failed(hard, now) }
 
 // Full leaves the target out for a moment.
-func (u *Use) Full(d time.Duration, now time.Time) { u.account.rest(d, now) }
+func (u *Use) Full(d time.Duration, now time.Time) { u.record.rest(d, now) }
 
 // Status is a target's part of a state dump.
 type Status struct {
@@ -220,8 +220,8 @@
 	Ejected  bool
 }
 
-// Status reads a target's account.
-func (b *Book) Status(id string, now time.Time) Status {
-	f := b.account(id).figures("", now)
+// Status reads a target's record.
+func (b *Tracker) Status(id string, now time.Time) Status {
+	f := b.record(id).figures("", now)
 	return Status{f.inflight, f.unread, f.pace / 1e6, f.failRate, f.until.After(now)}
 }
--- a/internal/state/batch/doc.go
+++ b/internal/state/batch/doc.go
@@ -7,7 +7,7 @@
 // # Model
 //
 // A Job is one stage of one request with its pieces. A Queue holds the jobs
-// that wait for one service and a Seat for each of the pool's targets: the
+// that wait for one service and a worker for each of the pool's targets: the
 // calls at work there, the bytes that results take up, and the time until
 // which it is left alone. Next takes the most urgent pieces that a target has
 // room for; Done takes in the answers. A pool works through calls whose cost is
@@ -22,7 +22,7 @@
 // # Invariants
 //
 //   - A piece is in at most one call at a time.
-//   - The bytes counted at a seat are those of calls at work there and of
+//   - The bytes counted at a worker are those of calls at work there and of
 //     results that nobody has given up, until the pool drops them itself.
 //   - A job is finished once: with all its handles, or with one reason.
 package batch
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -25,13 +25,13 @@
 
 // Queue is the work that waits for one pool. It is not safe for concurrent use.
 type Queue struct {
-	spec  hookhall.PoolSpec
-	jobs  []*Job
-	seats map[string]*Seat // by target's id
+	spec    hookhall.PoolSpec
+	jobs    []*Job
+	workers map[string]*worker // by target's id
 }
 
 // NewQueue makes an empty queue.
-func NewQueue() *Queue { return &Queue{seats: map[string]*Seat{}} }
+func NewQueue() *Queue { return &Queue{workers: map[string]*worker{}} }
 
 // Configure takes in what the operators say of the pool, and which targets may
 // get work. Targets that are not named get none, and their results are
@@ -41,15 +41,15 @@
 	current := map[string]bool{}
 	for _, t := range targets {
 		current[t.ID] = true
-		if s := q.seats[t.ID]; s != nil {
+		if s := q.workers[t.ID]; s != nil {
 			s.Target = t
 			continue
 		}
-		q.seats[t.ID] = newSeat(t)
+		q.workers[t.ID] = newWorker(t)
 	}
-	for id, s := range q.seats {
+	for id, s := range q.workers {
 		if !current[id] && s.busy == 0 {
-			delete(q.seats, id)
+			delete(q.workers, id)
 		} else if !current[id] {
 			s.Target.Leaving = true
 		}
@@ -122,15 +122,15 @@
 	return batches
 }
 
-// open lists the seats that may get a call, the best first: quick ones, those in
+// open lists the workers that may get a call, the best first: quick ones, those in
 // the hall of the most urgent job, those with more room.
-func (q *Queue) open(now time.Time) []*Seat {
+func (q *Queue) open(now time.Time) []*worker {
 	first := q.first()
 	if first == nil {
 		return nil
 	}
-	var list []*Seat
-	for _, s := range q.seats {
+	var list []*worker
+	for _, s := range q.workers {
 		if s.open(q.spec.Slots, now) {
 			s.expire(now)
 			list = append(list, s)
@@ -150,7 +150,7 @@
 	return nil
 }
 
-func better(a, b *Seat, j *Job) bool {
+func better(a, b *worker, j *Job) bool {
 	as, bs := a.pace > slowPace, b.pace > slowPace
 	if as != bs {
 		return bs
@@ -168,7 +168,7 @@
 // halls are those with a target that works.
 func (q *Queue) halls() map[string]bool {
 	halls := map[string]bool{}
-	for _, s := range q.seats {
+	for _, s := range q.workers {
 		if !s.Target.Leaving && s.fails == 0 && s.pace < slowPace {
 			halls[s.Target.Hall] = true
 		}
@@ -179,7 +179,7 @@
 // fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
 // whole go first: the results of a part of a job take up room until the rest is
 // made, too.
-func (q *Queue) fill(s *Seat, halls map[string]bool, now time.Time) *Batch {
+func (q *Queue) fill(s *worker, halls map[string]bool, now time.Time) *Batch {
 	b := &Batch{Target: s.Target, began: now}
 	most := max(q.spec.Batch, 1)
 	for _, whole := range []bool{true, false} {
@@ -202,7 +202,7 @@
 // suits tells whether a job may go to a target: one that can still make its aim
 // does not go where the target's pace would cost it, and one whose data lies in
 // another hall waits for a target there while it has the time.
-func (q *Queue) suits(s *Seat, j *Job, halls map[string]bool, now time.Time) bool {
+func (q *Queue) suits(s *worker, j *Job, halls map[string]bool, now time.Time) bool {
 	call := q.spec.CallTime + time.Duration(q.spec.Batch)*q.spec.ItemTime
 	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && halls[j.Hall] && !j.pressed(call, now) {
 		return false
@@ -214,7 +214,7 @@
 }
 
 // takePieces moves pieces of j into b while there is room.
-func (q *Queue) takePieces(s *Seat, j *Job, b *Batch, most int, now time.Time) {
+func (q *Queue) takePieces(s *worker, j *Job, b *Batch, most int, now time.Time) {
 	for len(j.waiting) > 0 && len(b.Pieces) < most {
 		if q.spec.Room > 0 && s.bytes+j.Bytes > q.spec.Room {
 			return
@@ -249,9 +249,9 @@
 // Done takes in a call's answers; a nil list means that the call failed. It
 // returns handles that nobody needs, to be given up.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
-	s := q.seats[b.Target.ID]
+	s := q.workers[b.Target.ID]
 	if s == nil {
-		s = newSeat(b.Target)
+		s = newWorker(b.Target)
 	}
 	s.busy--
 	for _, j := range b.jobs {
@@ -278,7 +278,7 @@
 }
 
 // take takes in one piece's result and returns its handle if nobody needs it.
-func (q *Queue) take(s *Seat, j *Job, index int, r hookhall.PieceResult, now time.Time) string {
+func (q *Queue) take(s *worker, j *Job, index int, r hookhall.PieceResult, now time.Time) string {
 	if r.Handle == "" {
 		q.fail(s, j, index, r.Failure, now)
 		return ""
@@ -298,7 +298,7 @@
 	return ""
 }
 
-func (q *Queue) fail(s *Seat, j *Job, index int, f hookhall.PieceFailure, now time.Time) {
+func (q *Queue) fail(s *worker, j *Job, index int, f hookhall.PieceFailure, now time.Time) {
 	switch f {
 	case hookhall.PieceGone, hookhall.PieceLate:
 		q.remove(j)
@@ -326,7 +326,7 @@
 // Free forgets results that were given up.
 func (q *Queue) Free(handles []string) {
 	for _, h := range handles {
-		for _, s := range q.seats {
+		for _, s := range q.workers {
 			if s.free(h) {
 				s.noRoom = time.Time{}
 				break
@@ -349,7 +349,7 @@
 // Held is how many bytes results take up at all targets, by the queue's account,
 // and how many results there are.
 func (q *Queue) Held() (bytes float64, results int) {
-	for _, s := range q.seats {
+	for _, s := range q.workers {
 		bytes += s.bytes
 		results += len(s.held)
 	}
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -283,7 +283,7 @@
 				}
 			}
 			open = append(open, q.Next(now)...)
-			for _, s := range q.seats {
+			for _, s := range q.workers {
 				if s.bytes < 0 || s.bytes > spec.Room {
 					t.Fatalf("%v bytes at %s", s.bytes, s.Target.ID)
 				}
--- a/internal/state/batch/seat.go
+++ b/internal/state/batch/worker.go
@@ -26,8 +26,8 @@
 	paceMost = 2.0
 )
 
-// Seat is what the queue knows of one target.
-type Seat struct {
+// worker is what the queue knows of one target.
+type worker struct {
 	Target hookhall.Target
 	busy   int
 	held   map[string]held // results by handle
@@ -43,12 +43,12 @@
 	expiry time.Time
 }
 
-func newSeat(t hookhall.Target) *Seat {
-	return &Seat{Target: t, held: map[string]held{}, pace: 1}
+func newWorker(t hookhall.Target) *worker {
+	return &worker{Target: t, held: map[string]held{}, pace: 1}
 }
 
 // expire drops what the pool has dropped itself.
-func (s *Seat) expire(now time.Time) {
+func (s *worker) expire(now time.Time) {
 	for h, r := range s.held {
 		if now.After(r.expiry) {
 			s.free(h)
@@ -56,7 +56,7 @@
 	}
 }
 
-func (s *Seat) free(handle string) bool {
+func (s *worker) free(handle string) bool {
 	r, ok := s.held[handle]
 	if ok {
 		s.bytes -= r.bytes
@@ -66,23 +66,23 @@
 }
 
 // open tells whether the target may get a call.
-func (s *Seat) open(slots int, now time.Time) bool {
+func (s *worker) open(slots int, now time.Time) bool {
 	return s.busy < max(slots, 1) && !s.Target.Leaving && !now.Before(s.until) && !now.Before(s.noRoom)
 }
 
-func (s *Seat) failed(now time.Time) {
+func (s *worker) failed(now time.Time) {
 	pause := min(failPause<<min(s.fails, 8), failPauseMost)
 	s.fails++
 	s.until = now.Add(pause)
 }
 
 // patience is how long a call may take before others are asked as well.
-func (s *Seat) patience(expected time.Duration) time.Duration {
+func (s *worker) patience(expected time.Duration) time.Duration {
 	return time.Duration(overdueAfter * min(max(s.pace, 1), paceMost) * float64(expected))
 }
 
 // learn takes in how long a call took against what was expected.
-func (s *Seat) learn(took, expected time.Duration) {
+func (s *worker) learn(took, expected time.Duration) {
 	if expected <= 0 {
 		return
 	}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -48,9 +48,9 @@
 // Server answers peers.
 type Server struct {
 	pb.UnimplementedFleetServer
-	Broker   *stages.Broker
-	Placer   *placement.Placer
-	Spreader *Spreader
+	Broker      *stages.Broker
+	Placer      *placement.Placer
+	Broadcaster *Broadcaster
 }
 
 // RunStage implements the service.
@@ -108,13 +108,13 @@
 
 // Share implements the service.
 func (s *Server) Share(_ context.Context, n *pb.News) (*pb.NewsReply, error) {
-	s.Spreader.Take(n)
+	s.Broadcaster.Take(n)
 	return &pb.NewsReply{}, nil
 }
 
 // GetTable implements the service.
 func (s *Server) GetTable(context.Context, *pb.TableRequest) (*pb.Table, error) {
-	packed, revision := s.Spreader.Catalog.PackedTable()
+	packed, revision := s.Broadcaster.Catalog.PackedTable()
 	if revision == 0 {
 		return nil, status.Error(codes.Unavailable, "no table is known yet")
 	}
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -34,12 +34,12 @@
 	All() []hookhall.Member
 }
 
-// Spreader passes on what this process, or a peer, has read of the store, so
+// Broadcaster passes on what this process, or a peer, has read of the store, so
 // that one process reads for all. News goes along a tree: the reader tells a few,
 // and each of them a few more, by the receivers' places after the reader in the
 // sorted list. Processes with different lists miss some; they read for
 // themselves when what they know has grown old.
-type Spreader struct {
+type Broadcaster struct {
 	Peers   Peers
 	Clients *Clients
 	Catalog *catalog.Catalog
@@ -49,7 +49,7 @@
 }
 
 // skipped tells whether a peer did not answer a moment ago.
-func (s *Spreader) skipped(address string, now time.Time) bool {
+func (s *Broadcaster) skipped(address string, now time.Time) bool {
 	at, ok := s.silent.Load(address)
 	if ok && now.Sub(at.(time.Time)) > skipTime {
 		s.silent.Delete(address)
@@ -58,15 +58,15 @@
 	return ok
 }
 
-// Spread tells the first peers what this process has read, without waiting for
+// Broadcast tells the first peers what this process has read, without waiting for
 // them.
-func (s *Spreader) Spread() {
+func (s *Broadcaster) Broadcast() {
 	now := time.Now()
 	n := s.Catalog.News(now)
 	revision, age := s.Catalog.TableAge(now)
 	m := &pb.News{
 		Reader: s.Peers.Self().Address, TargetsRevision: n.Revision, Digest: n.Digest, Gone: n.Gone,
-		AgeMs: milliage(now.Sub(n.Began)), ConfigRevision: revision, ConfigAgeMs: milliage(age),
+		AgeMs: ageMS(now.Sub(n.Began)), ConfigRevision: revision, ConfigAgeMs: ageMS(age),
 	}
 	for _, i := range n.Changed {
 		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
@@ -74,11 +74,11 @@
 	s.relay(m, now)
 }
 
-// milliage rounds an age up.
-func milliage(d time.Duration) int64 { return d.Milliseconds() + 1 }
+// ageMS rounds an age up.
+func ageMS(d time.Duration) int64 { return d.Milliseconds() + 1 }
 
 // relay passes news on that came in at a time.
-func (s *Spreader) relay(m *pb.News, came time.Time) {
+func (s *Broadcaster) relay(m *pb.News, came time.Time) {
 	all := s.Peers.All()
 	reader := sort.Search(len(all), func(i int) bool { return all[i].Address >= m.GetReader() })
 	s.children(m, came, all, reader, int(m.GetPosition()))
@@ -86,7 +86,7 @@
 
 // children tells those that come after a place in the tree. Those after a peer
 // that does not answer are told in its stead.
-func (s *Spreader) children(m *pb.News, came time.Time, all []hookhall.Member, reader, place int) {
+func (s *Broadcaster) children(m *pb.News, came time.Time, all []hookhall.Member, reader, place int) {
 	for i := range fanOut {
 		position := place*fanOut + i + 1
 		if position >= len(all) {
@@ -112,8 +112,8 @@
 
 // copyFor makes the news for a place in the tree; the time that it was held here
 // is part of its ages.
-func (s *Spreader) copyFor(m *pb.News, came time.Time, position int) *pb.News {
-	held := milliage(time.Since(came))
+func (s *Broadcaster) copyFor(m *pb.News, came time.Time, position int) *pb.News {
+	held := ageMS(time.Since(came))
 	return &pb.News{
 		Reader: m.GetReader(), From: s.Peers.Self().Address, Position: int32(position),
 		ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
@@ -123,14 +123,14 @@
 }
 
 // tell tells one peer, and whether it answered.
-func (s *Spreader) tell(address string, n *pb.News) bool {
+func (s *Broadcaster) tell(address string, n *pb.News) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), shareTime)
 	defer cancel()
 	return s.Clients.Client(address).Share(ctx, n) == nil
 }
 
 // Take takes news in and passes on what was new.
-func (s *Spreader) Take(m *pb.News) {
+func (s *Broadcaster) Take(m *pb.News) {
 	came := time.Now()
 	n := catalog.News{
 		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(), Gone: m.GetGone(),
@@ -161,7 +161,7 @@
 }
 
 // fetch gets a table from the peer that told of it, and tells those further along.
-func (s *Spreader) fetch(m *pb.News, came time.Time) {
+func (s *Broadcaster) fetch(m *pb.News, came time.Time) {
 	defer s.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTime)
 	defer cancel()
@@ -172,8 +172,8 @@
 	}
 	if s.Catalog.LearnPacked(t.GetPacked(), t.GetRevision(), instance(m.GetFrom()), began) {
 		revision, age := s.Catalog.TableAge(time.Now())
-		m.ConfigRevision, m.ConfigAgeMs = revision, milliage(age)
-		m.AgeMs += milliage(time.Since(came))
+		m.ConfigRevision, m.ConfigAgeMs = revision, ageMS(age)
+		m.AgeMs += ageMS(time.Since(came))
 		s.relay(m, time.Now())
 	}
 }
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -19,7 +19,9 @@
 // plainDialect reads nothing and writes Retry-After.
 type plainDialect struct{ hookhall.Dialect }
 
-func (plainDialect) Read(http.Header) (hookhall.Marks, error) { return hookhall.Marks{ID: "1"}, nil }
+func (plainDialect) Read(http.Header) (hookhall.CallInfo, error) {
+	return hookhall.CallInfo{ID: "1"}, nil
+}
 func (plainDialect) Refusal(h http.Header, after time.Duration) {
 	h.Set("Retry-After", after.String())
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -86,7 +86,7 @@
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", err)
 	}
 	return &hookhall.Call{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header), Body: body, Marks: marks,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header), Body: body, CallInfo: marks,
 	}, nil
 }
 
