balance: engines keep the prompts that they hold

Cause: when engines are replaced or added, rendezvous names a new one as the first for a part that an old one still holds, and the part was read anew. Now a known holder counts before the first by hashing, which is for parts that nobody is known to hold.

--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -83,38 +83,74 @@
 // Choose picks the target with the earliest expected answer among targets, and
 // tells the estimate. ok is false when none is left.
 func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
-	first := ""
-	if w.Engine && w.Shared != "" {
-		first = First(w.Shared, targets)
+	open, resting := b.candidates(targets, w, now)
+	if len(open) == 0 {
+		return soonest(resting)
 	}
+	holder := holders(open, w, targets)
 	best := math.Inf(1)
-	var soonest time.Time
-	var fallback hookhall.Target
-	found := false
-	for _, c := range targets {
-		if c.Leaving || w.Exclude[c.ID] {
-			continue
+	for _, c := range open {
+		if s := score(c.target, c.figures, w, holder(c)); s < best {
+			t, best = c.target, s
 		}
-		f := b.record(c.ID).figures(w.Shared, now)
-		if f.until.After(now) {
-			if !found || f.until.Before(soonest) {
-				fallback, soonest, found = c, f.until, true
-			}
+	}
+	return t, true
+}
+
+// candidate is a target that may be chosen, with what is known of it.
+type candidate struct {
+	target hookhall.Target
+	figures
+}
+
+// candidates are the targets that may be chosen: those that are open, and those
+// that are left out for a pause.
+func (b *Tracker) candidates(targets []hookhall.Target, w Wish, now time.Time) (open, resting []candidate) {
+	for _, t := range targets {
+		if t.Leaving || w.Exclude[t.ID] {
 			continue
 		}
-		if s := score(c, f, w, c.ID == first); s < best {
-			t, best, ok = c, s, true
+		c := candidate{t, b.record(t.ID).figures(w.Shared, now)}
+		if c.until.After(now) {
+			resting = append(resting, c)
+			continue
 		}
+		open = append(open, c)
 	}
-	if !ok && found {
-		return fallback, true
+	return open, resting
+}
+
+// soonest is the candidate whose pause ends first.
+func soonest(resting []candidate) (t hookhall.Target, ok bool) {
+	var until time.Time
+	for _, c := range resting {
+		if !ok || c.until.Before(until) {
+			t, until, ok = c.target, c.until, true
+		}
 	}
 	return t, ok
 }
 
+// holders tells which candidates hold the wish's shared part: those that were
+// sent it lately, or, when there are none, the first by rendezvous hashing, so
+// that all processes send it to the same one. A target that is new and would be
+// the first is no reason to read the part anew.
+func holders(open []candidate, w Wish, targets []hookhall.Target) func(candidate) bool {
+	for _, c := range open {
+		if c.holds {
+			return func(c candidate) bool { return c.holds }
+		}
+	}
+	first := ""
+	if w.Engine && w.Shared != "" {
+		first = First(w.Shared, targets)
+	}
+	return func(c candidate) bool { return c.target.ID == first }
+}
+
 // score is the expected time to the answer in milliseconds, with a little
 // chance so that processes don't all choose alike.
-func score(t hookhall.Target, f figures, w Wish, first bool) float64 {
+func score(t hookhall.Target, f figures, w Wish, holds bool) float64 {
 	chance := rand.Float64()
 	if !w.Engine {
 		pace := f.pace
@@ -126,7 +162,7 @@
 	}
 	ms := float64(f.unread)/readRate + float64(f.inflight)*perCall
 	read := float64(w.OwnTokens) / readRate
-	if w.Shared != "" && !first && !f.holds {
+	if w.Shared != "" && !holds {
 		read += float64(w.SharedTokens) / readRate
 		ms += anewPenalty * float64(w.SharedTokens) / readRate
 	}
@@ -139,9 +175,6 @@
 			ms += perMegabyte * bytes / 1e6
 		}
 	}
-	if w.Shared != "" && !first {
-		ms += 2 // the first keeps what it holds warm
-	}
 	return ms*(1+failWeight*f.failRate) + chance
 }
 
