--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,12 @@
 slopes: build
 	bin/hookhall-load slopes
 
+# Bytes from outside: TIME each.
+TIME ?= 20s
+fuzz:
+	for f in FuzzRouting FuzzTarget FuzzHeaders FuzzAnswers; do $(GO) test -run XXX -fuzz "^$$f$$" -fuzztime $(TIME) ./platform/ || exit 1; done
+	$(GO) test -run XXX -fuzz FuzzEvents -fuzztime $(TIME) ./internal/coordination/forward/
+
 generate:
 	cd internal/protocol/fleetpb && protoc --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative fleet.proto
