balance: engines whose places or memory run out are avoided

The placer knew of prompts that wait, not of what running calls take up: on an engine with little memory, calls beyond it are put back and read anew. Test: TestEngines.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -87,9 +87,10 @@
 
 // makeWish reads what the call wants of its target.
 func (r *request) makeWish() balance.Wish {
-	w := balance.Wish{Careful: !r.route.Repeatable(), Exclude: r.tried}
+	w := balance.Wish{Exclude: r.tried, OutTokens: r.call.TokensOut}
 	if s := r.table.Service(r.service); s != nil && s.Engine != nil {
 		w.Engine = true
+		w.Spec = s.Engine
 	}
 	last := len(r.call.Prompt) - 1
 	for i, p := range r.call.Prompt {
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/routetable"
 )
 
 const (
@@ -37,8 +38,9 @@
 	Kind   Kind
 }
 
-// Directory lists targets.
+// Directory is what the placer reads of the catalog.
 type Directory interface {
+	Table() *routetable.Table
 	Targets(pool string) []hookhall.Target
 }
 
@@ -64,6 +66,11 @@
 // Place chooses an engine and counts the request there; "" when there is none.
 func (p *Placer) Place(ticket, service string, w balance.Wish) string {
 	now := time.Now()
+	if table := p.directory.Table(); table != nil {
+		if s := table.Service(service); s != nil {
+			w.Spec = s.Engine
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t, ok := p.tracker.Choose(p.directory.Targets(service), w, now)
--- a/internal/state/balance/record.go
+++ b/internal/state/balance/record.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	inflight int
 	unread   int // prompt tokens sent and not read yet
+	held     int // tokens of calls in progress that they share with none
 	pace     float64
 	failRate float64
 	failures int
@@ -33,11 +34,12 @@
 	used     time.Time
 }
 
-func (a *record) begin(unread int, parts []string, now time.Time) {
+func (a *record) begin(unread, held int, parts []string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inflight++
 	a.unread += unread
+	a.held += held
 	a.used = now
 	for _, p := range parts {
 		if a.parts == nil {
@@ -53,10 +55,11 @@
 	a.unread -= tokens
 }
 
-func (a *record) end() {
+func (a *record) end(held int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inflight--
+	a.held -= held
 }
 
 func (a *record) succeeded(took time.Duration) {
@@ -98,6 +101,7 @@
 type figures struct {
 	inflight int
 	unread   int
+	held     int
 	pace     float64
 	failRate float64
 	until    time.Time
@@ -108,7 +112,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used, ok := a.parts[part]
-	return figures{a.inflight, a.unread, a.pace, a.failRate, a.until, ok && now.Sub(used) < partKeep}
+	return figures{a.inflight, a.unread, a.held, a.pace, a.failRate, a.until, ok && now.Sub(used) < partKeep}
 }
 
 // sweep forgets parts that were not used for long.
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -29,6 +29,9 @@
 	perCall = 1.0
 	// failWeight is how many times its own time a failure costs.
 	failWeight = 6.0
+	// memoryShare is how much of an engine's memory running calls may take up, by
+	// what is known of them, before it is avoided; the rest is for shared parts.
+	memoryShare = 0.7
 	// unknownPace is the pace of a target that has not answered yet.
 	unknownPace = float64(20 * time.Millisecond)
 )
@@ -68,14 +71,16 @@
 	Shared       string
 	SharedTokens int
 	OwnTokens    int
+	// OutTokens is the most tokens that may come out.
+	OutTokens int
+	// Spec is what the operators tell of the engines, nil when they don't.
+	Spec *hookhall.EngineSpec
 	// Parts are all parts of the prompt, to be remembered.
 	Parts []string
 	// Slack is the time until the aim, 0 when it is past or not known.
 	Slack time.Duration
 	// Near has the bytes that the target reads, by hall.
 	Near map[string]float64
-	// Careful is set for calls that may run only once: they are no probes.
-	Careful bool
 	// Exclude are targets that were tried already.
 	Exclude map[string]bool
 }
@@ -166,7 +171,7 @@
 		read += float64(w.SharedTokens) / readRate
 		ms += anewPenalty * float64(w.SharedTokens) / readRate
 	}
-	ms += read
+	ms += read + crowd(f, w)
 	if w.Slack > 0 && float64(f.unread)/readRate+read > w.Slack.Seconds()*1e3 {
 		ms += missedAim
 	}
@@ -178,6 +183,23 @@
 	return ms*(1+failWeight*f.failRate) + chance
 }
 
+// crowd is what it costs, in milliseconds, to go where places or memory run out:
+// the engine would hold the call back, or put another one back and read it anew.
+func crowd(f figures, w Wish) float64 {
+	if w.Spec == nil {
+		return 0
+	}
+	ms := 0.0
+	if w.Spec.Slots > 0 && f.inflight >= w.Spec.Slots {
+		ms += missedAim
+	}
+	over := float64(f.held+w.OwnTokens+w.OutTokens) - memoryShare*float64(w.Spec.Memory)
+	if w.Spec.Memory > 0 && over > 0 {
+		ms += missedAim + over/readRate
+	}
+	return ms
+}
+
 // First is the first of targets by rendezvous hashing of a key, leaving ones
 // left out.
 func First(key string, targets []hookhall.Target) string {
@@ -198,6 +220,7 @@
 type Use struct {
 	record *record
 	unread int
+	held   int
 	began  time.Time
 	read   bool
 	over   bool
@@ -209,11 +232,12 @@
 	u := &Use{record: a, began: now}
 	if w.Engine {
 		u.unread = w.OwnTokens
+		u.held = w.OwnTokens + w.OutTokens
 		if !a.figures(w.Shared, now).holds {
 			u.unread += w.SharedTokens
 		}
 	}
-	a.begin(u.unread, w.Parts, now)
+	a.begin(u.unread, u.held, w.Parts, now)
 	return u
 }
 
@@ -230,7 +254,7 @@
 	u.Read()
 	if !u.over {
 		u.over = true
-		u.record.end()
+		u.record.end(u.held)
 	}
 }
 
--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -66,6 +66,25 @@
 			}
 			So(choose(prompt("p", 10000, 100)), ShouldEqual, first)
 		})
+		Convey("one whose places or memory run out is avoided", func() {
+			first := First("p", list)
+			small := prompt("p", 10000, 100)
+			for _, spec := range []hookhall.EngineSpec{{Slots: 2, Memory: 1 << 30}, {Slots: 64, Memory: 1000}} {
+				b := NewTracker()
+				for _, c := range list {
+					if c.ID == first {
+						for range 2 {
+							full := prompt("p", 10000, 100)
+							full.OutTokens = 300
+							b.Begin(c, full, now).Read()
+						}
+					}
+				}
+				small.Spec = &spec
+				c, _ := b.Choose(list, small, now)
+				So(c.ID, ShouldNotEqual, first)
+			}
+		})
 		Convey("prompts that share nothing go where the results lie", func() {
 			w := prompt("", 0, 500)
 			w.Near = map[string]float64{"h1": 6e6}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -79,7 +79,7 @@
 func (s *Server) Place(_ context.Context, r *pb.PlaceRequest) (*pb.PlaceReply, error) {
 	w := balance.Wish{
 		Engine: true, Shared: r.GetShared(), SharedTokens: int(r.GetSharedTokens()), OwnTokens: int(r.GetOwnTokens()),
-		Parts: r.GetParts(), Near: r.GetNear(), Slack: milliseconds(r.GetSlackMs()), Exclude: map[string]bool{},
+		Parts: r.GetParts(), Near: r.GetNear(), Slack: milliseconds(r.GetSlackMs()), OutTokens: int(r.GetOutTokens()), Exclude: map[string]bool{},
 	}
 	for _, id := range r.GetExclude() {
 		w.Exclude[id] = true
@@ -236,6 +236,7 @@
 	ask := &pb.PlaceRequest{
 		Ticket: ticket, Service: service, Shared: w.Shared, SharedTokens: int64(w.SharedTokens), OwnTokens: int64(w.OwnTokens),
 		Parts: w.Parts, Near: w.Near, SlackMs: w.Slack.Milliseconds(),
+		OutTokens: int64(w.OutTokens),
 	}
 	for id := range w.Exclude {
 		ask.Exclude = append(ask.Exclude, id)
