fleet: a gateway that starts while the store is away learns from peers

Now the gateways answer on the control address, the settings name up to three of them, and a start that has no table after 0.4 s asks them for table, targets and members, with their ages; the store's word takes their place.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,7 +222,7 @@
 		"metrics", g.metricsAt.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady} {
+	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady, g.askSeeds} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -264,6 +265,13 @@
 	}
 }
 
+// askSeeds helps a start while the store is away.
+func (g *Gateway) askSeeds(ctx context.Context) {
+	s := &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Log: g.logger(logging.Catalog)}
+	own := g.peersAt.Addr().String()
+	s.Run(ctx, slices.DeleteFunc(slices.Clone(g.settings.Gateway.Seeds), func(a string) bool { return a == own }))
+}
+
 // tellReady writes one line when the gateway can serve.
 func (g *Gateway) tellReady(ctx context.Context) {
 	began := time.Now()
--- a/internal/app/gateway/reload.go
+++ b/internal/app/gateway/reload.go
@@ -29,7 +29,7 @@
 	for i := range av.NumField() {
 		section := av.Type().Field(i).Tag.Get("toml")
 		for j := range av.Field(i).NumField() {
-			if av.Field(i).Field(j).Interface() != bv.Field(i).Field(j).Interface() {
+			if !reflect.DeepEqual(av.Field(i).Field(j).Interface(), bv.Field(i).Field(j).Interface()) {
 				list = append(list, section+"."+av.Field(i).Type().Field(j).Tag.Get("toml"))
 			}
 		}
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -13,15 +13,16 @@
 
 // GatewayPart tells a gateway who and where it is.
 type GatewayPart struct {
-	Instance string  `toml:"instance"`  // the platform's name of this instance
-	Hall     string  `toml:"hall"`      // the hall it stands in
-	Clients  string  `toml:"clients"`   // IP:port that clients use
-	Ready    string  `toml:"ready"`     // IP:port at which the balancer asks
-	Peers    string  `toml:"peers"`     // IP:port that other gateways use
-	Metrics  string  `toml:"metrics"`   // IP:port for metrics and state dumps
-	Cores    float64 `toml:"cores"`     // of a processor, for the process
-	LinkMbps float64 `toml:"link_mbps"` // of the instance's link
-	MemoryMB int     `toml:"memory_mb"` // what the process may use
+	Instance string   `toml:"instance"`  // the platform's name of this instance
+	Hall     string   `toml:"hall"`      // the hall it stands in
+	Clients  string   `toml:"clients"`   // IP:port that clients use
+	Ready    string   `toml:"ready"`     // IP:port at which the balancer asks
+	Peers    string   `toml:"peers"`     // IP:port that other gateways use
+	Seeds    []string `toml:"seeds"`     // IP:port of a few gateways, asked at a start while the store is away
+	Metrics  string   `toml:"metrics"`   // IP:port for metrics and state dumps
+	Cores    float64  `toml:"cores"`     // of a processor, for the process
+	LinkMbps float64  `toml:"link_mbps"` // of the instance's link
+	MemoryMB int      `toml:"memory_mb"` // what the process may use
 }
 
 // StorePart tells where the platform's store is.
@@ -57,6 +58,9 @@
 	c.address("gateway.clients", s.Gateway.Clients)
 	c.address("gateway.ready", s.Gateway.Ready)
 	c.address("gateway.peers", s.Gateway.Peers)
+	for _, a := range s.Gateway.Seeds {
+		c.address("gateway.seeds", a)
+	}
 	c.address("gateway.metrics", s.Gateway.Metrics)
 	c.positive("gateway.cores", s.Gateway.Cores)
 	c.positive("gateway.link_mbps", s.Gateway.LinkMbps)
--- a/internal/coordination/catalog/news.go
+++ b/internal/coordination/catalog/news.go
@@ -47,6 +47,23 @@
 	return n
 }
 
+// Reading is all that this process believes to be listed, as of its last reading.
+func (c *Catalog) Reading() Reading {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.picture.Load()
+	if p == nil {
+		return Reading{}
+	}
+	r := Reading{Revision: p.Revision, Began: p.Began}
+	for id, e := range c.known {
+		if e.missing.IsZero() {
+			r.Items = append(r.Items, hookhall.Item{Key: c.platform.TargetPrefix() + id, Value: e.value})
+		}
+	}
+	return r
+}
+
 // LearnNews takes in what a peer has learned. It tells whether that was newer.
 // If this process lacks earlier changes, its digest differs; then the changes
 // count, but its picture stays as old as it was, so that it reads for itself.
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -67,7 +67,9 @@
 	suspects sync.Map                          // address to time.Time
 	stopping atomic.Bool
 	lease    atomic.Uint64
+	mu       sync.Mutex // for byKey and wasRead
 	byKey    map[string]hookhall.Member
+	wasRead  bool     // the store's own list was read
 	since    sync.Map // address to when it was first listed; self: registered
 }
 
@@ -239,6 +241,20 @@
 	return nil
 }
 
+// Meet takes in members that a peer listed. The store's own list, once it can be
+// read, takes their place.
+func (m *Members) Meet(list []hookhall.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.wasRead {
+		return
+	}
+	for _, o := range list {
+		m.byKey[prefix+o.Instance] = o
+	}
+	m.publish()
+}
+
 func (m *Members) follow(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
 	at := uint64(0)
@@ -265,6 +281,9 @@
 	if err != nil {
 		return 0, err
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wasRead = true
 	m.byKey = map[string]hookhall.Member{}
 	for _, i := range items {
 		m.take(i)
@@ -278,16 +297,24 @@
 	if err != nil {
 		return since, err
 	}
+	if len(events) == 0 {
+		return at, nil
+	}
+	m.change(events)
+	retry.Sleep(ctx, m.settles())
+	return at, nil
+}
+
+func (m *Members) change(events []hookhall.Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, i := range events {
 		m.take(i)
 	}
-	if len(events) > 0 {
-		m.publish()
-		retry.Sleep(ctx, m.settles())
-	}
-	return at, nil
+	m.publish()
 }
 
+// take takes in one key. The caller holds m.mu.
 func (m *Members) take(i hookhall.Item) {
 	if !strings.HasPrefix(i.Key, prefix) {
 		return
--- /dev/null
+++ b/internal/transport/fleet/beliefs.go
@@ -0,0 +1,113 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/catalog"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+)
+
+const (
+	// patience is how long a start waits for the store before it asks peers.
+	patience = 400 * time.Millisecond
+	// askEvery is how often it asks the next one.
+	askEvery = 200 * time.Millisecond
+	askTime  = 2 * time.Second
+)
+
+// Meeter takes in members that a peer listed.
+type Meeter interface {
+	Meet(list []hookhall.Member)
+}
+
+// Starter lets a process start while the store is away: it asks the peers that
+// its settings name for what they believe. Whatever they say counts with its age,
+// and the store's word, once it can be had, takes its place.
+type Starter struct {
+	Clients *Clients
+	Catalog *catalog.Catalog
+	Members Meeter
+	Log     *log.Logger
+}
+
+// Run asks until the catalog is ready or ctx ends.
+func (s *Starter) Run(ctx context.Context, seeds []string) {
+	retry.Sleep(ctx, patience)
+	for i := 0; len(seeds) > 0 && ctx.Err() == nil && !s.Catalog.Ready(); i++ {
+		seed := seeds[i%len(seeds)]
+		if err := s.ask(ctx, seed); err != nil {
+			s.Log.Info("A peer could not help with the start.", "peer", seed, "error", err.Error())
+		} else {
+			s.Log.Info("A peer told what it believes.", "peer", seed)
+		}
+		retry.Sleep(ctx, askEvery)
+	}
+}
+
+func (s *Starter) ask(ctx context.Context, seed string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	began := time.Now()
+	b, err := s.Clients.Client(seed).Beliefs(ctx)
+	if err != nil {
+		return err
+	}
+	s.Catalog.LearnPacked(b.GetTable().GetPacked(), b.GetTable().GetRevision(), instance(seed), began)
+	r := catalog.Reading{Revision: b.GetTargetsRevision(), Began: began.Add(-milliseconds(b.GetAgeMs()))}
+	for _, t := range b.GetTargets() {
+		r.Items = append(r.Items, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
+	}
+	s.Catalog.Learn(r, instance(seed))
+	s.Members.Meet(members(b.GetMembers()))
+	return nil
+}
+
+func members(values [][]byte) []hookhall.Member {
+	var list []hookhall.Member
+	for _, v := range values {
+		var m hookhall.Member
+		if json.Unmarshal(v, &m) == nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// GetBeliefs implements the service.
+func (s *Server) GetBeliefs(context.Context, *pb.BeliefsRequest) (*pb.Beliefs, error) {
+	b := s.Broadcaster
+	packed, revision := b.Catalog.PackedTable()
+	r := b.Catalog.Reading()
+	if revision == 0 || r.Revision == 0 {
+		return nil, errNothingYet
+	}
+	out := &pb.Beliefs{
+		Table:           &pb.Table{Packed: packed, Revision: revision},
+		TargetsRevision: r.Revision, AgeMs: ageMS(time.Since(r.Began)),
+	}
+	for _, i := range r.Items {
+		out.Targets = append(out.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value})
+	}
+	for _, m := range b.Peers.All() {
+		if v, err := json.Marshal(m); err == nil {
+			out.Members = append(out.Members, v)
+		}
+	}
+	return out, nil
+}
+
+// Beliefs reads what the peer believes.
+func (c *Client) Beliefs(ctx context.Context) (*pb.Beliefs, error) {
+	if c.err != nil {
+		return nil, c.err
+	}
+	return c.rpc.GetBeliefs(ctx, &pb.BeliefsRequest{}, largeReply)
+}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -40,6 +40,12 @@
 	mostTable = 8 << 20
 )
 
+// errNothingYet answers a peer that asks one that has only just started.
+var errNothingYet = status.Error(codes.Unavailable, "nothing is known yet")
+
+// largeReply lets a table through.
+var largeReply = grpc.MaxCallRecvMsgSize(mostTable)
+
 var reconnect = grpc.ConnectParams{
 	Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 400 * time.Millisecond},
 	MinConnectTimeout: 300 * time.Millisecond,
@@ -116,7 +122,7 @@
 func (s *Server) GetTable(context.Context, *pb.TableRequest) (*pb.Table, error) {
 	packed, revision := s.Broadcaster.Catalog.PackedTable()
 	if revision == 0 {
-		return nil, status.Error(codes.Unavailable, "no table is known yet")
+		return nil, errNothingYet
 	}
 	return &pb.Table{Packed: packed, Revision: revision}, nil
 }
@@ -281,5 +287,5 @@
 	if c.err != nil {
 		return nil, c.err
 	}
-	return c.rpc.GetTable(ctx, &pb.TableRequest{}, grpc.MaxCallRecvMsgSize(mostTable))
+	return c.rpc.GetTable(ctx, &pb.TableRequest{}, largeReply)
 }
