--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -43,11 +43,13 @@
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/tables"
 	"github.com/hookhall/hookhall/internal/coordination/targets"
+	"github.com/hookhall/hookhall/internal/protocol/wire"
 	"github.com/hookhall/hookhall/internal/state/admission"
 	"github.com/hookhall/hookhall/internal/state/claim"
 	"github.com/hookhall/hookhall/internal/state/routing"
 	"github.com/hookhall/hookhall/internal/transport/backend"
 	"github.com/hookhall/hookhall/internal/transport/callers"
+	"github.com/hookhall/hookhall/internal/transport/front"
 	"github.com/hookhall/hookhall/internal/transport/instances"
 	"github.com/hookhall/hookhall/internal/transport/keyvalue"
 	"github.com/hookhall/hookhall/internal/transport/operators"
@@ -91,6 +93,7 @@
 	callersAt net.Listener
 	peersAt   net.Listener
 	app       *kratos.App
+	drain     *front.Drain
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -168,7 +171,10 @@
 func (e *Entry) newApp() *kratos.App {
 	hs := khttp.NewServer(khttp.Listener(e.callersAt), khttp.Timeout(0))
 	h := callers.New(service{e})
-	hs.HandleFunc(callers.PathRun, h.Run)
+	e.drain = front.NewDrain(http.HandlerFunc(h.Run), func(w http.ResponseWriter, err *hookhall.Error) {
+		wire.WriteProblem(w, wire.NewProblem("", err))
+	})
+	hs.HandleFunc(callers.PathRun, e.drain.ServeHTTP)
 	hs.HandleFunc(callers.PathReady, h.Ready)
 	hs.HandleFunc(callers.PathHealth, callers.Health)
 	token := e.settings.Entry.OperatorToken
@@ -323,8 +329,13 @@
 	}()
 	retry.Sleep(ctx, notice)
 	e.closed.Store(true)
+	e.drain.Close()
 	for e.runner.Active() > 0 && retry.Sleep(ctx, readyPoll) {
 	}
+	// A request that has been read, and is not active yet, must not be in progress
+	// when its connection is closed: its caller would send it again, and meet
+	// itself.
+	e.drain.Finish(ctx)
 	if n := e.runner.Active(); n > 0 {
 		e.log.Error("Requests were cut off.", "active", n)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -183,7 +183,8 @@
 // newApp makes the servers. Their default timeouts would cut streams off, and
 // their router would change paths.
 func (g *Gateway) newApp() *kratos.App {
-	g.drain = front.NewDrain(front.NewHandler(g.forward, g.adapters.Dialect))
+	h := front.NewHandler(g.forward, g.adapters.Dialect)
+	g.drain = front.NewDrain(h, h.Refuse)
 	clients := server(g.clientsAt, g.drain)
 	ready := server(g.readyAt, http.HandlerFunc(g.ready))
 	mux := http.NewServeMux()
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -77,9 +77,14 @@
 // send offers the request to t. A refusal by the target is an error.
 func (r *request) send(ctx context.Context, t hookhall.Target, after string) *attempt {
 	now := time.Now()
+	a := &attempt{use: r.Tracker.Begin(t, r.wish, now), placed: r.placed, began: now}
+	if ctx.Err() != nil {
+		a.err = hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "not sent: %v", ctx.Err())
+		a.end()
+		return a
+	}
 	r.sends++
 	r.target = t
-	a := &attempt{use: r.Tracker.Begin(t, r.wish, now), placed: r.placed, began: now}
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
 		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
 		Once: !r.route.Repeatable(), After: after,
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -284,3 +284,33 @@
 	}
 	freed(t, b, 0)
 }
+
+// lineWriter sees each line of a log.
+type lineWriter struct{ see func(line string) }
+
+func (w *lineWriter) Write(line []byte) (int, error) {
+	w.see(string(line))
+	return len(line), nil
+}
+
+// TestClientLeavesBetweenStages: on trouble-2 of pcian-auth a client left just as
+// an inner stage was made; the next one was not begun, and the request went to its
+// engine with the inner results for inputs.
+func TestClientLeavesBetweenStages(t *testing.T) {
+	for stage := range chain {
+		b := newBench(2, 1, 3, 4)
+		ctx, cancel := context.WithCancel(t.Context())
+		b.runner.Log = log.NewWithOptions(&lineWriter{func(line string) {
+			if strings.Contains(line, fmt.Sprintf("stage=%d ", stage)) {
+				cancel() // it is made, and the next one has not begun
+			}
+		}}, log.Options{Level: log.DebugLevel})
+		results, err := b.runner.Run(ctx, b.graph)
+		if err == nil && len(results.Handles()) != 6 {
+			t.Errorf("stage %d: %d results for a request that reads 6", stage, len(results.Handles()))
+		}
+		results.Release()
+		cancel()
+		freed(t, b, 0)
+	}
+}
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -199,7 +199,12 @@
 		<-w.done[j]
 	}
 	n := w.pieces(i)
-	if n == 0 || ctx.Err() != nil || w.failed() {
+	if n == 0 || w.failed() {
+		return
+	}
+	if ctx.Err() != nil {
+		// Without this the request would be sent with the results so far.
+		w.fail(hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "stage %d was not begun", i))
 		return
 	}
 	for _, j := range spec.After {
@@ -224,17 +229,24 @@
 	return w.err != nil
 }
 
-// finish takes in a stage's results and gives up those that it has read.
-func (w *walk) finish(i int, handles []string, err error, took time.Duration) {
+// fail ends the walk; the first cause counts.
+func (w *walk) fail(err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = err
+	}
+	w.cancel()
+}
+
+// finish takes in a stage's results and gives up those that it has read.
+func (w *walk) finish(i int, handles []string, err error, took time.Duration) {
 	if err != nil {
-		if w.err == nil {
-			w.err = err
-		}
-		w.cancel()
+		w.fail(err)
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.runner.Log.Debug("A stage is made.", "request", w.graph.Call.ID, "stage", i, "pieces", len(handles), "took", took)
 	w.handles[i] = handles
 	for _, j := range w.graph.Route.Stages[i].After {
--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -37,8 +37,10 @@
 	refusing atomic.Bool // nothing is passed on any more
 }
 
-// NewDrain puts a Drain before h.
-func NewDrain(h *Handler) *Drain { return &Drain{next: h, refuse: h.refuse} }
+// NewDrain puts a Drain before next. refuse answers what comes in the end.
+func NewDrain(next http.Handler, refuse func(w http.ResponseWriter, e *hookhall.Error)) *Drain {
+	return &Drain{next: next, refuse: refuse}
+}
 
 // InFlight is how many requests are in progress.
 func (d *Drain) InFlight() int64 { return d.inflight.Load() }
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -76,7 +76,7 @@
 		a.Begin(http.StatusOK, http.Header{})
 		return a.Chunk([]byte("whole"))
 	}), plainDialect{})
-	d := NewDrain(h)
+	d := NewDrain(h, h.Refuse)
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +122,7 @@
 		t.Error("served after the drain")
 		return nil
 	}), plainDialect{})
-	d := NewDrain(h)
+	d := NewDrain(h, h.Refuse)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	d.Finish(ctx)
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -52,7 +52,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, e := h.read(w, r)
 	if e != nil {
-		h.refuse(w, e)
+		h.Refuse(w, e)
 		return
 	}
 	err := h.service.Serve(r.Context(), c, &answer{w: w})
@@ -61,7 +61,7 @@
 	}
 	var refusal *hookhall.Error
 	if errors.As(err, &refusal) {
-		h.refuse(w, refusal)
+		h.Refuse(w, refusal)
 		return
 	}
 	// Tells net/http to close the connection without an end.
@@ -90,8 +90,8 @@
 	}, nil
 }
 
-// refuse writes the final answer of a request that gets no target's.
-func (h *Handler) refuse(w http.ResponseWriter, e *hookhall.Error) {
+// Refuse writes the final answer of a request that gets no target's.
+func (h *Handler) Refuse(w http.ResponseWriter, e *hookhall.Error) {
 	if e.RetryAfter > 0 {
 		h.dialect.Refusal(w.Header(), e.RetryAfter)
 	}
