stages: a long prompt has its stages made earlier

The time now follows the prompt's own tokens (shared parts are held to be read).

Ruled out: shared tokens in the estimate; nearly all are found kept.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -123,7 +123,8 @@
 		return nil
 	}
 	g := stages.Graph{
-		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.firstBy(), Urgency: r.urgency(), Hall: r.readingHall(),
+		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.firstBy(), Urgency: r.urgency(),
+		Answer: r.answerTime(), Hall: r.readingHall(),
 	}
 	for {
 		results, err := r.Stages.Run(ctx, g)
@@ -142,6 +143,23 @@
 	}
 }
 
+const (
+	// answerLeast is what an answer takes to begin at a target with no prompt to
+	// read: results are fetched, and others are before it.
+	answerLeast = 70 * time.Millisecond
+	// answerCrowd is how much longer a prompt is read beside others.
+	answerCrowd = 1.3
+)
+
+// answerTime is how long the answer should take to begin after the stages: a long
+// prompt has its stages made earlier. Shared parts are held to be read already.
+func (r *request) answerTime() time.Duration {
+	if !r.wish.Engine {
+		return answerLeast
+	}
+	return answerLeast + time.Duration(answerCrowd*float64(balance.ReadTime(r.wish.OwnTokens)))
+}
+
 // firstBy is when the client gives up without a first byte.
 func (r *request) firstBy() time.Time {
 	if p := r.route.Patience; p > 0 && p < r.end.Sub(r.arrived) {
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -24,8 +24,6 @@
 	mostBrokers = 4
 	// waitGuess is what a stage waits on top of its own call, as a share of it.
 	waitGuess = 0.4
-	// engineGuess is what the request takes after its stages.
-	engineGuess = 150 * time.Millisecond
 )
 
 // Remote is a broker in another process.
@@ -60,6 +58,8 @@
 	Aim     time.Time // when the answer should have begun
 	End     time.Time
 	Urgency int
+	// Answer is how long the answer should take to begin once all stages are made.
+	Answer time.Duration
 	// Hall is that of the target that should run the request, "" when any will do.
 	Hall string
 }
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -68,7 +68,7 @@
 	stages := w.graph.Route.Stages
 	depth := make([]int, len(stages)) // stages from here to the answer
 	for i := len(stages) - 1; i >= 0; i-- {
-		after, deepest := engineGuess, 0
+		after, deepest := w.graph.Answer, 0
 		for j := i + 1; j < len(stages); j++ {
 			if w.pieces(j) > 0 && slices.Contains(stages[j].After, i) {
 				after, deepest = max(after, w.rest[j]), max(deepest, depth[j])
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -36,6 +36,11 @@
 	unknownPace = float64(20 * time.Millisecond)
 )
 
+// ReadTime is how long an engine that does nothing else takes to read tokens.
+func ReadTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
+}
+
 // Tracker has the records of all targets.
 type Tracker struct{ records sync.Map }
 
