members: one that registers anew is no longer suspected

The store's news that the peer has registered now ends the suspicion.

Ruled out: old keys under leases that still run (the same addresses, the same owner); newcomers (all are, so none counts as one).

The test failed first.

--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -310,6 +310,9 @@
 	defer m.mu.Unlock()
 	for _, i := range events {
 		m.take(i)
+		if o, ok := m.byKey[i.Key]; ok && !i.Gone {
+			m.suspects.Delete(o.Address) // it has just started: it was silent before that
+		}
 	}
 	m.publish()
 }
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -32,6 +32,15 @@
 	return m
 }
 
+// registered is the news that a member wrote its key.
+func registered(o hookhall.Member) hookhall.Item {
+	value, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	return hookhall.Item{Key: prefix + o.Instance, Value: value}
+}
+
 func TestOwner(t *testing.T) {
 	now := time.Now()
 	Convey("Given nine members", t, func() {
@@ -63,6 +72,17 @@
 			}
 			So(m.Owner("k", nil, now.Add(2*suspectFor)).Address, ShouldEqual, first.Address)
 		})
+		Convey("a silent one that registers anew is no longer left out", func() {
+			first := m.Owner("k", map[string]bool{m.self.Address: true}, now)
+			m.Suspect(first.Address, now)
+			m.change([]hookhall.Item{registered(first)})
+			So(m.Suspected(first.Address, now), ShouldBeFalse)
+		})
+		Convey("one of a reading of the whole list is left out all the same", func() {
+			m.Suspect(member(2).Address, now)
+			m.take(registered(member(2)))
+			So(m.Suspected(member(2).Address, now), ShouldBeTrue)
+		})
 		Convey("a newcomer owns nothing at first", func() {
 			m.byKey[prefix+"10"] = member(10)
 			m.publish()
