fleet: processes that the store can't tell are told by those who list them

Cause: a gateway that is started again while the store is away knew nobody (seeds would need a role that the deployment doesn't have), so a rolling restart in an outage left the fleet without a table. But it comes back where it was, and the others still list it: each process now looks twice a second for one that may miss the others (all while its store is silent, else those that left the list within a minute) and tells it what it last learned; one that has nothing to add that to asks the teller for all that it believes.

TestReturnInAnOutage failed first (never ready).

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -99,6 +99,7 @@
 	members     *members.Members
 	clients     *fleet.Clients
 	broadcaster *fleet.Broadcaster
+	starter     *fleet.Starter
 	tracker     *balance.Tracker
 	broker      *stages.Broker
 	placer      *placement.Placer
@@ -155,6 +156,8 @@
 	g.members = members.New(self, g.adapters.Store, g.logger(logging.Members))
 	g.clients = fleet.NewClients()
 	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
+	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Log: g.logger(logging.Catalog), Began: time.Now()}
+	g.broadcaster.Start = g.starter
 	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = func() int { return g.members.Rank(readerKey, time.Now()) }
 	g.tracker = balance.NewTracker()
@@ -223,7 +226,7 @@
 		"metrics", g.metricsAt.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady, g.askSeeds} {
+	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady, g.askSeeds, (&fleet.Inviter{Broadcaster: g.broadcaster}).Run} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -268,9 +271,8 @@
 
 // askSeeds helps a start while the store is away.
 func (g *Gateway) askSeeds(ctx context.Context) {
-	s := &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Log: g.logger(logging.Catalog)}
 	own := g.peersAt.Addr().String()
-	s.Run(ctx, slices.DeleteFunc(slices.Clone(g.settings.Gateway.Seeds), func(a string) bool { return a == own }))
+	g.starter.Run(ctx, slices.DeleteFunc(slices.Clone(g.settings.Gateway.Seeds), func(a string) bool { return a == own }))
 }
 
 // tellReady writes one line when the gateway can serve.
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -336,6 +336,9 @@
 	}
 }
 
+// Failing tells whether the store did not answer this process's last call.
+func (c *Catalog) Failing() bool { return c.failing.Load() }
+
 // noteCall takes in how a call of the store ended.
 func (c *Catalog) noteCall(ctx context.Context, err error) {
 	if ctx.Err() != nil || c.failing.Swap(err != nil) == (err != nil) {
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -36,22 +36,31 @@
 	Catalog *catalog.Catalog
 	Members Meeter
 	Log     *log.Logger
+	// Began is when the process started.
+	Began time.Time
 }
 
 // Run asks until the catalog is ready or ctx ends.
 func (s *Starter) Run(ctx context.Context, seeds []string) {
 	retry.Sleep(ctx, patience)
 	for i := 0; len(seeds) > 0 && ctx.Err() == nil && !s.Catalog.Ready(); i++ {
-		seed := seeds[i%len(seeds)]
-		if err := s.ask(ctx, seed); err != nil {
-			s.Log.Info("A peer could not help with the start.", "peer", seed, "error", err.Error())
-		} else {
-			s.Log.Info("A peer told what it believes.", "peer", seed)
-		}
+		s.Ask(ctx, seeds[i%len(seeds)])
 		retry.Sleep(ctx, askEvery)
 	}
 }
 
+// Ask asks one peer, unless the store may still be expected to answer.
+func (s *Starter) Ask(ctx context.Context, peer string) {
+	if time.Since(s.Began) < patience || s.Catalog.Ready() {
+		return
+	}
+	if err := s.ask(ctx, peer); err != nil {
+		s.Log.Info("A peer could not help with the start.", "peer", peer, "error", err.Error())
+		return
+	}
+	s.Log.Info("A peer told what it believes.", "peer", peer)
+}
+
 func (s *Starter) ask(ctx context.Context, seed string) error {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -43,7 +43,10 @@
 	Peers   Peers
 	Clients *Clients
 	Catalog *catalog.Catalog
+	// Start asks a peer while this process knows nothing; nil never does.
+	Start *Starter
 
+	starting atomic.Bool // a peer is being asked for all that it believes
 	fetching atomic.Bool // a table is being fetched
 	silent   sync.Map    // address to when the peer did not answer
 }
@@ -62,6 +65,11 @@
 // them.
 func (s *Broadcaster) Broadcast() {
 	now := time.Now()
+	s.relay(s.news(now), now)
+}
+
+// news is what this process last learned.
+func (s *Broadcaster) news(now time.Time) *pb.News {
 	n := s.Catalog.News(now)
 	revision, age := s.Catalog.TableAge(now)
 	m := &pb.News{
@@ -71,7 +79,7 @@
 	for _, i := range n.Changed {
 		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
 	}
-	s.relay(m, now)
+	return m
 }
 
 // ageMS rounds an age up.
@@ -132,6 +140,10 @@
 // Take takes news in and passes on what was new.
 func (s *Broadcaster) Take(m *pb.News) {
 	came := time.Now()
+	if s.Catalog.Picture() == nil {
+		s.start(m)
+		return
+	}
 	n := catalog.News{
 		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(), Gone: m.GetGone(),
 	}
