--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,8 +98,12 @@
 	known map[string]*entry
 
 	failing atomic.Bool // the last call of the store failed
+	empty   atomic.Bool // the store answered that it has no table
 }
 
+// errNoTable: the store answers, but operators have not written a table.
+var errNoTable = errors.New("the store has no table yet")
+
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, t Timing, l *log.Logger) *Catalog {
 	return &Catalog{store: s, platform: p, timing: t, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Read: func() {}}
@@ -191,6 +195,12 @@
 			c.log.Info("The store has forgotten its history; the table is read anew.", "since", since)
 			continue
 		}
+		if errors.Is(err, errNoTable) {
+			c.noteCall(ctx, nil)
+			c.noteNoTable()
+			pause.Wait(ctx)
+			continue
+		}
 		c.noteCall(ctx, err)
 		if err != nil {
 			pause.Wait(ctx)
@@ -200,6 +210,13 @@
 	}
 }
 
+// noteNoTable writes one line while operators have not written a table.
+func (c *Catalog) noteNoTable() {
+	if !c.empty.Swap(true) {
+		c.log.Info("The store answers, but has no table yet.")
+	}
+}
+
 // readTable reads the table and returns the revision to watch from.
 func (c *Catalog) readTable(ctx context.Context) (uint64, error) {
 	began := time.Now()
@@ -208,7 +225,7 @@
 		return 0, err
 	}
 	if i.Revision == 0 {
-		return 0, errors.Wrap(hookhall.ErrUnavailable, "no table yet")
+		return 0, errNoTable
 	}
 	c.learnStored(i, began)
 	// Not from the key's own revision: its history may be gone since.
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -296,3 +297,31 @@
 		}
 	})
 }
+
+// TestNoTableYet: a store that has no table yet answers all the same.
+func TestNoTableYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		c := newCatalog(s)
+		var failed atomic.Bool
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { c.Run(ctx); close(done) }()
+		for range 400 {
+			if c.Failing() {
+				failed.Store(true)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if failed.Load() {
+			t.Error("an empty store was taken for an outage")
+		}
+		s.setTable(1)
+		time.Sleep(time.Second)
+		if c.Table() == nil {
+			t.Error("the table was not taken in")
+		}
+		cancel()
+		<-done
+	})
+}
