members: two processes follow the list and tell the others

The two processes that read the targets now follow the members, too, and tell what changed with the same news; a digest over the keys' revisions proves that a list is whole.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -160,6 +160,7 @@
 	g.broadcaster.Start = g.starter
 	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = func() int { return g.members.Rank(readerKey, time.Now()) }
+	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
 	g.placer = placement.NewPlacer(g.catalog)
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -5,9 +5,11 @@
 //
 // # Model
 //
-// Each process keeps a key under a lease in the platform's store and follows the
-// keys of the others by waiting watches. A peer that does not answer is left out
-// for a while, whatever the store says.
+// Each process keeps a key under a lease in the platform's store. Two of them
+// follow the keys of all by waiting watches and tell the others what changed, as
+// they tell what changed of the targets; who is told nothing for some seconds, or
+// finds by the digest that it has missed something, reads for itself. A peer that
+// does not answer is left out for a while, whatever the store says.
 //
 // # Invariants
 //
@@ -41,14 +43,16 @@
 	renewEvery = 2 * time.Second
 	// watchTime is how long a watch waits.
 	watchTime = 8 * time.Second
-	// settle gathers changes, since many processes start or stop at once: it is
-	// this long for each member, settleMost at most.
-	settle     = 12 * time.Millisecond
-	settleMost = 1500 * time.Millisecond
+	// gather is how long changes are gathered, since many processes start or stop
+	// at once.
+	gather = 100 * time.Millisecond
 	// newcomer is how long a member has to be listed before it owns work: by then
 	// all others list it, too, and work changes hands at about the same moment
-	// everywhere. It is longer when changes are gathered for longer.
-	newcomer = time.Second
+	// everywhere. It is longer in a large fleet, which learns of it over a longer
+	// way: newcomerStep for each member, newcomerMost at most.
+	newcomer     = time.Second
+	newcomerStep = 24 * time.Millisecond
+	newcomerMost = 3 * time.Second
 	// suspectFor is how long a peer that did not answer is left out.
 	suspectFor = 1500 * time.Millisecond
 	// leastPower stands for members that don't tell theirs.
@@ -67,15 +71,26 @@
 	suspects sync.Map                          // address to time.Time
 	stopping atomic.Bool
 	lease    atomic.Uint64
-	mu       sync.Mutex // for byKey and wasRead
-	byKey    map[string]hookhall.Member
-	wasRead  bool     // the store's own list was read
 	since    sync.Map // address to when it was first listed; self: registered
+
+	// Leads tells whether this process follows the store for others. Set before
+	// Run.
+	Leads func() bool
+
+	mu       sync.Mutex // for what follows
+	byKey    map[string]listing
+	gone     map[string]time.Time // keys that went, and when
+	revision uint64               // the store's, as of the list; 0 before it was read
+	heard    time.Time            // when the list was last read, or confirmed by news
+	gap      bool                 // news did not fit: the list is to be read
 }
 
 // New makes a Members that knows only this process.
 func New(self hookhall.Member, s hookhall.Store, l *log.Logger) *Members {
-	m := &Members{self: self, store: s, log: l, byKey: map[string]hookhall.Member{}}
+	m := &Members{
+		self: self, store: s, log: l, Leads: func() bool { return true },
+		byKey: map[string]listing{}, gone: map[string]time.Time{},
+	}
 	m.publish()
 	return m
 }
@@ -162,13 +177,11 @@
 	return best, found
 }
 
-// settles is for how long changes are gathered.
-func (m *Members) settles() time.Duration { return min(time.Duration(m.Count())*settle, settleMost) }
-
 // fresh tells whether a member was listed only a moment ago.
 func (m *Members) fresh(address string, now time.Time) bool {
 	since, ok := m.since.Load(address)
-	return !ok || now.Sub(since.(time.Time)) < max(newcomer, 2*m.settles())
+	young := max(newcomer, min(time.Duration(m.Count())*newcomerStep, newcomerMost))
+	return !ok || now.Sub(since.(time.Time)) < young
 }
 
 // weighed is the rank of a member for a key: the greatest of all is the owner.
@@ -246,19 +259,25 @@
 func (m *Members) Meet(list []hookhall.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.wasRead {
+	if m.revision > 0 {
 		return
 	}
 	for _, o := range list {
-		m.byKey[prefix+o.Instance] = o
+		m.byKey[prefix+o.Instance] = listing{member: o}
 	}
 	m.publish()
 }
 
+// follow keeps the list: by watches, or by what others tell.
 func (m *Members) follow(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
 	at := uint64(0)
 	for ctx.Err() == nil {
+		if m.told(time.Now()) {
+			at = 0 // news may be ahead of an old watch
+			retry.Sleep(ctx, look)
+			continue
+		}
 		var err error
 		if at == 0 {
 			at, err = m.read(ctx)
@@ -281,15 +300,27 @@
 	if err != nil {
 		return 0, err
 	}
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.wasRead = true
-	m.byKey = map[string]hookhall.Member{}
+	learned := now
+	if m.revision == 0 {
+		learned = time.Time{} // what is news to a newcomer is none to the others
+	}
+	listed := map[string]bool{}
 	for _, i := range items {
-		m.take(i)
+		m.take(i, learned)
+		listed[i.Key] = true
+	}
+	for key := range m.byKey {
+		if !listed[key] {
+			m.remove(key, now)
+		}
 	}
+	at = max(at, 1)
+	m.revision, m.heard, m.gap = at, now, false
 	m.publish()
-	return max(at, 1), nil
+	return at, nil
 }
 
 func (m *Members) watch(ctx context.Context, since uint64) (uint64, error) {
@@ -297,48 +328,67 @@
 	if err != nil {
 		return since, err
 	}
-	if len(events) == 0 {
-		return at, nil
+	m.change(events, at)
+	if len(events) > 0 {
+		retry.Sleep(ctx, gather)
 	}
-	m.change(events)
-	retry.Sleep(ctx, m.settles())
 	return at, nil
 }
 
-func (m *Members) change(events []hookhall.Item) {
+// change takes in what a watch told, as of a revision of the store.
+func (m *Members) change(events []hookhall.Item, at uint64) {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.revision = max(m.revision, at)
+	m.heard = now
 	for _, i := range events {
-		m.take(i)
-		if o, ok := m.byKey[i.Key]; ok && !i.Gone {
-			m.suspects.Delete(o.Address) // it has just started: it was silent before that
-		}
+		m.take(i, now)
+	}
+	if len(events) > 0 {
+		m.publish()
 	}
-	m.publish()
 }
 
-// take takes in one key. The caller holds m.mu.
-func (m *Members) take(i hookhall.Item) {
+// take takes in one key, unless it is known to be so. The caller holds m.mu.
+func (m *Members) take(i hookhall.Item, now time.Time) {
 	if !strings.HasPrefix(i.Key, prefix) {
 		return
 	}
-	if i.Gone {
-		delete(m.byKey, i.Key)
-		return
+	was, listed := m.byKey[i.Key]
+	switch {
+	case i.Gone && listed:
+		m.remove(i.Key, now)
+	case !i.Gone && (!listed || was.item.Revision < i.Revision):
+		m.takeNew(i, now)
 	}
+}
+
+// takeNew takes in a member that has registered: if it was silent, that was
+// before it did. The caller holds m.mu.
+func (m *Members) takeNew(i hookhall.Item, now time.Time) {
 	var o hookhall.Member
 	if err := json.Unmarshal(i.Value, &o); err != nil {
 		m.log.Error("A member's key can't be read.", "key", i.Key, "error", err.Error())
 		return
 	}
-	m.byKey[i.Key] = o
+	m.byKey[i.Key] = listing{i, o, now}
+	delete(m.gone, i.Key)
+	m.suspects.Delete(o.Address)
+}
+
+// remove takes a key off the list. The caller holds m.mu.
+func (m *Members) remove(key string, now time.Time) {
+	delete(m.byKey, key)
+	m.gone[key] = now
 }
 
 func (m *Members) publish() {
 	now := time.Now()
 	list := []hookhall.Member{m.self}
 	listed := map[string]bool{m.self.Address: true}
-	for _, o := range m.byKey {
+	for _, l := range m.byKey {
+		o := l.member
 		if !listed[o.Address] {
 			listed[o.Address] = true
 			list = append(list, o)
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -23,7 +23,7 @@
 func listed(n int) *Members {
 	m := New(member(1), nil, log.New(io.Discard))
 	for i := range n {
-		m.byKey[fmt.Sprint(prefix, i+1)] = member(i + 1)
+		m.byKey[fmt.Sprint(prefix, i+1)] = listing{member: member(i + 1)}
 	}
 	m.publish()
 	for i := range n {
@@ -32,13 +32,13 @@
 	return m
 }
 
-// registered is the news that a member wrote its key.
-func registered(o hookhall.Member) hookhall.Item {
+// registered is the key that a member wrote, as of a revision.
+func registered(o hookhall.Member, revision uint64) hookhall.Item {
 	value, err := json.Marshal(o)
 	if err != nil {
 		panic(err)
 	}
-	return hookhall.Item{Key: prefix + o.Instance, Value: value}
+	return hookhall.Item{Key: prefix + o.Instance, Value: value, Revision: revision}
 }
 
 func TestOwner(t *testing.T) {
@@ -75,16 +75,17 @@
 		Convey("a silent one that registers anew is no longer left out", func() {
 			first := m.Owner("k", map[string]bool{m.self.Address: true}, now)
 			m.Suspect(first.Address, now)
-			m.change([]hookhall.Item{registered(first)})
+			m.change([]hookhall.Item{registered(first, 7)}, 7)
 			So(m.Suspected(first.Address, now), ShouldBeFalse)
 		})
 		Convey("one of a reading of the whole list is left out all the same", func() {
+			m.take(registered(member(2), 7), now)
 			m.Suspect(member(2).Address, now)
-			m.take(registered(member(2)))
+			m.take(registered(member(2), 7), now)
 			So(m.Suspected(member(2).Address, now), ShouldBeTrue)
 		})
 		Convey("a newcomer owns nothing at first", func() {
-			m.byKey[prefix+"10"] = member(10)
+			m.byKey[prefix+"10"] = listing{member: member(10)}
 			m.publish()
 			for i := range 300 {
 				So(m.Owner(fmt.Sprint("k", i), nil, time.Now()).Address, ShouldNotEqual, member(10).Address)
@@ -119,7 +120,7 @@
 	})
 	Convey("When all are newcomers, they own at once", t, func() {
 		m := New(member(1), nil, log.New(io.Discard))
-		m.byKey[prefix+"2"] = member(2)
+		m.byKey[prefix+"2"] = listing{member: member(2)}
 		m.publish()
 		owners := map[string]bool{}
 		for i := range 100 {
@@ -131,7 +132,7 @@
 		m := New(member(1), nil, log.New(io.Discard))
 		weak := member(2)
 		weak.Power = 0.2
-		m.byKey[prefix+"2"] = weak
+		m.byKey[prefix+"2"] = listing{member: weak}
 		m.publish()
 		n := 0
 		for i := range 1000 {
@@ -149,14 +150,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.take(hookhall.Item{Key: prefix + "m5", Value: b})
-	m.take(hookhall.Item{Key: prefix + "bad", Value: []byte("{")})
-	m.take(hookhall.Item{Key: "other/m6", Value: b})
+	now := time.Now()
+	m.take(hookhall.Item{Key: prefix + "m5", Value: b, Revision: 1}, now)
+	m.take(hookhall.Item{Key: prefix + "bad", Value: []byte("{"), Revision: 1}, now)
+	m.take(hookhall.Item{Key: "other/m6", Value: b, Revision: 1}, now)
 	m.publish()
 	if m.Count() != 2 {
 		t.Fatalf("%d members", m.Count())
 	}
-	m.take(hookhall.Item{Key: prefix + "m5", Gone: true})
+	m.take(hookhall.Item{Key: prefix + "m5", Gone: true}, now)
 	m.publish()
 	if m.Count() != 1 {
 		t.Fatalf("%d members", m.Count())
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -75,11 +75,12 @@
 		r.Items = append(r.Items, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
 	}
 	s.Catalog.Learn(r, instance(seed))
-	s.Members.Meet(members(b.GetMembers()))
+	s.Members.Meet(listed(b.GetMembers()))
 	return nil
 }
 
-func members(values [][]byte) []hookhall.Member {
+// listed reads members as they stand in the store.
+func listed(values [][]byte) []hookhall.Member {
 	var list []hookhall.Member
 	for _, v := range values {
 		var m hookhall.Member
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -13,6 +13,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
+	"github.com/hookhall/hookhall/internal/coordination/members"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -32,6 +33,8 @@
 type Peers interface {
 	Self() hookhall.Member
 	All() []hookhall.Member
+	News(now time.Time) members.News
+	LearnNews(n members.News, now time.Time)
 }
 
 // Broadcaster passes on what this process, or a peer, has read of the store, so
@@ -79,6 +82,11 @@
 	for _, i := range n.Changed {
 		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
 	}
+	p := s.Peers.News(now)
+	m.MembersRevision, m.MembersDigest, m.MembersGone = p.Revision, p.Digest, p.Gone
+	for _, i := range p.Changed {
+		m.MembersChanged = append(m.MembersChanged, &pb.MemberNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
+	}
 	return m
 }
 
@@ -127,6 +135,8 @@
 		ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
 		TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
 		Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
+		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(),
+		MembersChanged: m.GetMembersChanged(), MembersGone: m.GetMembersGone(),
 	}
 }
 
@@ -144,6 +154,7 @@
 		s.start(m)
 		return
 	}
+	s.Peers.LearnNews(membersNews(m), came)
 	n := catalog.News{
 		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(), Gone: m.GetGone(),
 	}
@@ -166,6 +177,15 @@
 	}
 }
 
+// membersNews reads what news tells of the members.
+func membersNews(m *pb.News) members.News {
+	n := members.News{Revision: m.GetMembersRevision(), Digest: m.GetMembersDigest(), Gone: m.GetMembersGone()}
+	for _, c := range m.GetMembersChanged() {
+		n.Changed = append(n.Changed, hookhall.Item{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()})
+	}
+	return n
+}
+
 // instance shortens an address for the log.
 func instance(address string) string {
 	host, _, _ := strings.Cut(address, ":")
