members: a file for each thing it does

No declaration changed: a listing of all of them, parsed and printed without comments, is the same before and after.

--- /dev/null
+++ b/internal/coordination/members/follow.go
@@ -0,0 +1,130 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/pkg/errors"
+)
+
+// follow keeps the list: by watches, or by what others tell.
+func (m *Members) follow(ctx context.Context) {
+	pause := retry.Between(pauseFirst, pauseMost)
+	at := uint64(0)
+	for ctx.Err() == nil {
+		if m.told(time.Now()) {
+			at = 0 // news may be ahead of an old watch
+			retry.Sleep(ctx, look)
+			continue
+		}
+		var err error
+		if at == 0 {
+			at, err = m.read(ctx)
+		} else {
+			at, err = m.watch(ctx, at)
+		}
+		if err != nil {
+			if errors.Is(err, hookhall.ErrHistoryGone) {
+				at = 0
+			}
+			pause.Wait(ctx)
+			continue
+		}
+		pause.Reset()
+	}
+}
+
+func (m *Members) read(ctx context.Context) (uint64, error) {
+	items, at, err := m.store.Range(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	learned := now
+	if m.revision == 0 {
+		learned = time.Time{} // what is news to a newcomer is none to the others
+	}
+	listed := map[string]bool{}
+	for _, i := range items {
+		m.take(i, learned)
+		listed[i.Key] = true
+	}
+	for key := range m.byKey {
+		if !listed[key] {
+			m.remove(key, now)
+		}
+	}
+	at = max(at, 1)
+	m.revision, m.heard, m.gap = at, now, false
+	m.publish()
+	return at, nil
+}
+
+func (m *Members) watch(ctx context.Context, since uint64) (uint64, error) {
+	events, at, err := m.store.Watch(ctx, prefix, since, watchTime)
+	if err != nil {
+		return since, err
+	}
+	m.change(events, at)
+	if len(events) > 0 {
+		retry.Sleep(ctx, gather)
+	}
+	return at, nil
+}
+
+// change takes in what a watch told, as of a revision of the store.
+func (m *Members) change(events []hookhall.Item, at uint64) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision = max(m.revision, at)
+	m.heard = now
+	for _, i := range events {
+		m.take(i, now)
+	}
+	if len(events) > 0 {
+		m.publish()
+	}
+}
+
+// take takes in one key, unless it is known to be so. The caller holds m.mu.
+func (m *Members) take(i hookhall.Item, now time.Time) {
+	if !strings.HasPrefix(i.Key, prefix) {
+		return
+	}
+	was, listed := m.byKey[i.Key]
+	switch {
+	case i.Gone && listed:
+		m.remove(i.Key, now)
+	case !i.Gone && (!listed || was.item.Revision < i.Revision):
+		m.takeNew(i, now)
+	}
+}
+
+// takeNew takes in a member that has registered: if it was silent, that was
+// before it did. The caller holds m.mu.
+func (m *Members) takeNew(i hookhall.Item, now time.Time) {
+	var o hookhall.Member
+	if err := json.Unmarshal(i.Value, &o); err != nil {
+		m.log.Error("A member's key can't be read.", "key", i.Key, "error", err.Error())
+		return
+	}
+	m.byKey[i.Key] = listing{i, o, now}
+	delete(m.gone, i.Key)
+	m.suspects.Delete(o.Address)
+}
+
+// remove takes a key off the list. The caller holds m.mu.
+func (m *Members) remove(key string, now time.Time) {
+	delete(m.byKey, key)
+	m.gone[key] = now
+}
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -1,29 +1,12 @@
 // Copyright 2026 The hookhall authors.
 // SPDX-License-Identifier: Apache-2.0
 
-// Package members tells which gateways there are.
-//
-// # Model
-//
-// Each process keeps a key under a lease in the platform's store. Two of them
-// follow the keys of all by waiting watches and tell the others what changed, as
-// they tell what changed of the targets; who is told nothing for some seconds, or
-// finds by the digest that it has missed something, reads for itself. A peer that
-// does not answer is left out for a while, whatever the store says.
-//
-// # Invariants
-//
-//   - Membership only divides work. A wrong list costs time, never a promise:
-//     nothing may rest on two processes having the same one.
-//   - This process is always in its own list, unless it stops.
 package members
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"sort"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +14,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
-	"github.com/hookhall/hookhall/internal/coordination/retry"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -203,57 +184,6 @@
 	wg.Wait()
 }
 
-// Leave takes this process off the list: it stops.
-func (m *Members) Leave(ctx context.Context) {
-	m.stopping.Store(true)
-	if lease := m.lease.Swap(0); lease != 0 {
-		if err := m.store.Revoke(ctx, lease); err != nil {
-			m.log.Warn("Can't give the lease up; it runs out.", "error", err.Error())
-		}
-	}
-}
-
-func (m *Members) register(ctx context.Context) {
-	value, err := json.Marshal(m.self)
-	if err != nil {
-		m.log.Error("Can't encode this member.", "error", err.Error())
-		return
-	}
-	pause := retry.Between(pauseFirst, pauseMost)
-	for ctx.Err() == nil && !m.stopping.Load() {
-		if err := m.renew(ctx, value); err != nil {
-			pause.Wait(ctx)
-			continue
-		}
-		pause.Reset()
-		retry.Sleep(ctx, retry.Jitter(renewEvery))
-	}
-}
-
-// renew keeps the lease, or begins a new one with this process's key.
-func (m *Members) renew(ctx context.Context, value []byte) error {
-	if lease := m.lease.Load(); lease != 0 {
-		err := m.store.Renew(ctx, lease)
-		if !errors.Is(err, hookhall.ErrLeaseGone) {
-			return err
-		}
-		m.lease.CompareAndSwap(lease, 0)
-	}
-	lease, err := m.store.Grant(ctx, ttl)
-	if err != nil {
-		return err
-	}
-	if err := m.store.Put(ctx, prefix+m.self.Instance, value, lease); err != nil {
-		return err
-	}
-	if !m.stopping.Load() {
-		m.lease.Store(lease)
-		m.since.LoadOrStore(m.self.Address, time.Now())
-		m.log.Info("Registered.", "lease", lease)
-	}
-	return nil
-}
-
 // Meet takes in members that a peer listed. The store's own list, once it can be
 // read, takes their place.
 func (m *Members) Meet(list []hookhall.Member) {
@@ -268,121 +198,8 @@
 	m.publish()
 }
 
-// follow keeps the list: by watches, or by what others tell.
-func (m *Members) follow(ctx context.Context) {
-	pause := retry.Between(pauseFirst, pauseMost)
-	at := uint64(0)
-	for ctx.Err() == nil {
-		if m.told(time.Now()) {
-			at = 0 // news may be ahead of an old watch
-			retry.Sleep(ctx, look)
-			continue
-		}
-		var err error
-		if at == 0 {
-			at, err = m.read(ctx)
-		} else {
-			at, err = m.watch(ctx, at)
-		}
-		if err != nil {
-			if errors.Is(err, hookhall.ErrHistoryGone) {
-				at = 0
-			}
-			pause.Wait(ctx)
-			continue
-		}
-		pause.Reset()
-	}
-}
-
-func (m *Members) read(ctx context.Context) (uint64, error) {
-	items, at, err := m.store.Range(ctx, prefix)
-	if err != nil {
-		return 0, err
-	}
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	learned := now
-	if m.revision == 0 {
-		learned = time.Time{} // what is news to a newcomer is none to the others
-	}
-	listed := map[string]bool{}
-	for _, i := range items {
-		m.take(i, learned)
-		listed[i.Key] = true
-	}
-	for key := range m.byKey {
-		if !listed[key] {
-			m.remove(key, now)
-		}
-	}
-	at = max(at, 1)
-	m.revision, m.heard, m.gap = at, now, false
-	m.publish()
-	return at, nil
-}
-
-func (m *Members) watch(ctx context.Context, since uint64) (uint64, error) {
-	events, at, err := m.store.Watch(ctx, prefix, since, watchTime)
-	if err != nil {
-		return since, err
-	}
-	m.change(events, at)
-	if len(events) > 0 {
-		retry.Sleep(ctx, gather)
-	}
-	return at, nil
-}
-
-// change takes in what a watch told, as of a revision of the store.
-func (m *Members) change(events []hookhall.Item, at uint64) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.revision = max(m.revision, at)
-	m.heard = now
-	for _, i := range events {
-		m.take(i, now)
-	}
-	if len(events) > 0 {
-		m.publish()
-	}
-}
-
-// take takes in one key, unless it is known to be so. The caller holds m.mu.
-func (m *Members) take(i hookhall.Item, now time.Time) {
-	if !strings.HasPrefix(i.Key, prefix) {
-		return
-	}
-	was, listed := m.byKey[i.Key]
-	switch {
-	case i.Gone && listed:
-		m.remove(i.Key, now)
-	case !i.Gone && (!listed || was.item.Revision < i.Revision):
-		m.takeNew(i, now)
-	}
-}
-
-// takeNew takes in a member that has registered: if it was silent, that was
-// before it did. The caller holds m.mu.
-func (m *Members) takeNew(i hookhall.Item, now time.Time) {
-	var o hookhall.Member
-	if err := json.Unmarshal(i.Value, &o); err != nil {
-		m.log.Error("A member's key can't be read.", "key", i.Key, "error", err.Error())
-		return
-	}
-	m.byKey[i.Key] = listing{i, o, now}
-	delete(m.gone, i.Key)
-	m.suspects.Delete(o.Address)
-}
-
-// remove takes a key off the list. The caller holds m.mu.
-func (m *Members) remove(key string, now time.Time) {
-	delete(m.byKey, key)
-	m.gone[key] = now
-}
-
+// publish makes the list of what is known. The caller holds m.mu, or has the only
+// reference.
 func (m *Members) publish() {
 	now := time.Now()
 	list := []hookhall.Member{m.self}
--- /dev/null
+++ b/internal/coordination/members/register.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/pkg/errors"
+)
+
+// Leave takes this process off the list: it stops.
+func (m *Members) Leave(ctx context.Context) {
+	m.stopping.Store(true)
+	if lease := m.lease.Swap(0); lease != 0 {
+		if err := m.store.Revoke(ctx, lease); err != nil {
+			m.log.Warn("Can't give the lease up; it runs out.", "error", err.Error())
+		}
+	}
+}
+
+func (m *Members) register(ctx context.Context) {
+	value, err := json.Marshal(m.self)
+	if err != nil {
+		m.log.Error("Can't encode this member.", "error", err.Error())
+		return
+	}
+	pause := retry.Between(pauseFirst, pauseMost)
+	for ctx.Err() == nil && !m.stopping.Load() {
+		if err := m.renew(ctx, value); err != nil {
+			pause.Wait(ctx)
+			continue
+		}
+		pause.Reset()
+		retry.Sleep(ctx, retry.Jitter(renewEvery))
+	}
+}
+
+// renew keeps the lease, or begins a new one with this process's key.
+func (m *Members) renew(ctx context.Context, value []byte) error {
+	if lease := m.lease.Load(); lease != 0 {
+		err := m.store.Renew(ctx, lease)
+		if !errors.Is(err, hookhall.ErrLeaseGone) {
+			return err
+		}
+		m.lease.CompareAndSwap(lease, 0)
+	}
+	lease, err := m.store.Grant(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	if err := m.store.Put(ctx, prefix+m.self.Instance, value, lease); err != nil {
+		return err
+	}
+	if !m.stopping.Load() {
+		m.lease.Store(lease)
+		m.since.LoadOrStore(m.self.Address, time.Now())
+		m.log.Info("Registered.", "lease", lease)
+	}
+	return nil
+}
