upstream: the tests name calls by a field of their own

Cause: conn_test.go took the platform's field for a call's id, a name that nothing outside platform/ should know. The stand-in now reads and writes a field of the test's. No check changed; a pool that takes any answer (tried) still fails it.

--- a/internal/transport/upstream/conn_test.go
+++ b/internal/transport/upstream/conn_test.go
@@ -19,7 +19,11 @@
 	"pgregory.net/rapid"
 )
 
-const address = "target:1"
+const (
+	address = "target:1"
+	// callField names a call to the stand-in, and in its answers.
+	callField = "Call"
+)
 
 // reply is how a stand-in target answers one request.
 type reply struct {
@@ -33,18 +37,18 @@
 }
 
 func plain(id, more string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\nfor %s", id, more, len("for "+id), id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\n%sContent-Length: %d\r\n\r\nfor %s", id, more, len("for "+id), id)
 }
 
 var replies = []reply{
 	{name: "whole", whole: true, kept: true, raw: func(id string) string { return plain(id, "") }},
 	{name: "chunked", whole: true, kept: true, raw: func(id string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\nfor %s\r\n0\r\n\r\n", id, len("for "+id), id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\nfor %s\r\n0\r\n\r\n", id, len("for "+id), id)
 	}},
 	{name: "keeps three seconds", whole: true, kept: true, keep: 3 * time.Second, raw: func(id string) string { return plain(id, "Keep-Alive: timeout=3\r\n") }},
 	{name: "asks to close", whole: true, raw: func(id string) string { return plain(id, "Connection: close\r\n") }},
 	{name: "ends with its connection", whole: true, close: true, raw: func(id string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\nfor %s", id, id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall: %s\r\n\r\nfor %s", id, id)
 	}},
 	{name: "surplus bytes", whole: true, raw: func(id string) string { return plain(id, "") + plain("other", "") }},
 	{name: "another's answer first", whole: true, kept: true, raw: func(id string) string { return plain("late", "") + plain(id, "") }},
@@ -71,7 +75,7 @@
 			if !ok {
 				return
 			}
-			_, _ = io.WriteString(theirs, a.raw(r.Header.Get("Request-Id")))
+			_, _ = io.WriteString(theirs, a.raw(r.Header.Get(callField)))
 			if a.close {
 				return
 			}
@@ -82,8 +86,8 @@
 
 func request(id string) Request {
 	return Request{
-		Address: address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{"Request-Id": {id}},
-		Belongs: func(_ int, h http.Header) bool { return h.Get("Request-Id") == id },
+		Address: address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{callField: {id}},
+		Belongs: func(_ int, h http.Header) bool { return h.Get(callField) == id },
 	}
 }
 
