--- a/forward.go
+++ b/forward.go
@@ -98,6 +98,10 @@
 type Dialect interface {
 	// Read reads a client's marks.
 	Read(h http.Header) (CallInfo, error)
+	// EndToEnd tells whether a field belongs to the platform's protocol. Such a
+	// field is passed on even when Connection names it, so that no client can have
+	// one taken off its request on the way.
+	EndToEnd(name string) bool
 	// Outgoing returns the header of one attempt; the call's own is not changed.
 	Outgoing(c *Call, a Attempt) http.Header
 	// ReadReply reads the marks of a target's answer.
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -22,6 +22,8 @@
 func (plainDialect) Read(http.Header) (hookhall.CallInfo, error) {
 	return hookhall.CallInfo{ID: "1"}, nil
 }
+func (plainDialect) EndToEnd(string) bool { return false }
+
 func (plainDialect) Refusal(h http.Header, after time.Duration) {
 	h.Set("Retry-After", after.String())
 }
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -55,7 +55,7 @@
 		h.Refuse(w, e)
 		return
 	}
-	err := h.service.Serve(r.Context(), c, &answer{w: w})
+	err := h.service.Serve(r.Context(), c, &answer{w, h.dialect})
 	if err == nil {
 		return
 	}
@@ -86,7 +86,7 @@
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", err)
 	}
 	return &hookhall.Call{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header), Body: body, CallInfo: marks,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body, CallInfo: marks,
 	}, nil
 }
 
@@ -127,13 +127,15 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// EndToEnd returns a copy of h without the fields of one connection, those that
-// Connection names included.
-func EndToEnd(h http.Header) http.Header {
+// EndToEnd returns a copy of h without the fields of one connection: the usual
+// ones, and those that Connection names unless keep holds them back.
+func EndToEnd(h http.Header, keep func(name string) bool) http.Header {
 	c := h.Clone()
 	for _, list := range h.Values("Connection") {
 		for _, name := range strings.Split(list, ",") {
-			c.Del(strings.TrimSpace(name))
+			if name = strings.TrimSpace(name); !keep(name) {
+				c.Del(name)
+			}
 		}
 	}
 	for _, name := range hopByHop {
@@ -143,12 +145,15 @@
 }
 
 // answer is an AnswerWriter over HTTP.
-type answer struct{ w http.ResponseWriter }
+type answer struct {
+	w       http.ResponseWriter
+	dialect hookhall.Dialect
+}
 
 // Begin implements hookhall.AnswerWriter.
 func (a *answer) Begin(status int, h http.Header) {
 	to := a.w.Header()
-	for k, v := range EndToEnd(h) {
+	for k, v := range EndToEnd(h, a.dialect.EndToEnd) {
 		to[k] = v
 	}
 	if len(to["Content-Type"]) == 0 {
