balance: a target that goes on refusing is left out for longer

Cause: a target that refused a call was left out for 30 ms, however often it had refused.

Change: the pause doubles with each refusal in a row, 30 ms to 1 s, until a call is taken; when all refuse, the pauses are passed over.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -119,7 +119,7 @@
 		r.lost = true
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "a result is gone")
 	}
-	a.use.Full(fullRest, now)
+	a.use.Refused(now)
 	a.placed.Tell(placement.Full)
 	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseRefused, "the target refused with status %d", a.reply.Status)
 }
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -19,8 +19,6 @@
 	mostRemade = 2
 	// mostSends bounds how often one request is offered to targets.
 	mostSends = 6
-	// fullRest is how long a target that was full is left out.
-	fullRest = 30 * time.Millisecond
 	// fullPause is the pause before all targets are offered a request again.
 	fullPause = 25 * time.Millisecond
 	// mostAnswer bounds an answer that is read whole.
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -17,8 +17,6 @@
 	readMost = 4 * time.Second
 	// runMost is after how long a request is held to have ended without one.
 	runMost = 20 * time.Second
-	// fullRest is how long an engine that was full is left out.
-	fullRest = 30 * time.Millisecond
 )
 
 // Kind says what became of a placed request.
@@ -99,7 +97,7 @@
 		case Failed:
 			o.use.Failed(true, now)
 		case Full:
-			o.use.Full(fullRest, now)
+			o.use.Refused(now)
 		}
 		o.use.End()
 		delete(p.open, n.Ticket)
--- a/internal/state/balance/record.go
+++ b/internal/state/balance/record.go
@@ -14,6 +14,12 @@
 	ejectMost  = 4 * time.Second
 	// weakAfter failures in a row eject when each may have been the call's fault.
 	weakAfter = 4
+	// fullFirst is how long a target that refused a call is left out: about as long
+	// as a place takes to come free. It doubles with each refusal in a row, up to
+	// fullMost, since a target that goes on refusing while others take calls is not
+	// merely full; fullMost bounds how late its recovery is noticed.
+	fullFirst = 30 * time.Millisecond
+	fullMost  = time.Second
 	// smoothing of averages: the weight of a new sample is 1/smoothing.
 	smoothing = 8
 	// partKeep is how long a prompt part is believed to be held after its last use.
@@ -29,7 +35,9 @@
 	pace     float64
 	failRate float64
 	failures int
+	refusals int       // in a row
 	until    time.Time // ejected until then
+	full     time.Time // refused a call, and is left out until then
 	parts    map[string]time.Time
 	used     time.Time
 }
@@ -66,7 +74,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.failures = 0
-	a.until = time.Time{}
+	a.refusals = 0
+	a.until, a.full = time.Time{}, time.Time{}
 	a.failRate -= a.failRate / smoothing
 	sample := float64(took)
 	if a.pace == 0 {
@@ -88,13 +97,13 @@
 	a.until = now.Add(pause)
 }
 
-// rest leaves a target out for a moment: it was full.
-func (a *record) rest(d time.Duration, now time.Time) {
+// refused leaves a target out for a moment: it said that it has no place.
+func (a *record) refused(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if until := now.Add(d); until.After(a.until) {
-		a.until = until
-	}
+	pause := min(fullFirst<<min(a.refusals, 8), fullMost)
+	a.refusals++
+	a.full = now.Add(pause)
 }
 
 // figures is a copy of what a choice needs.
@@ -105,6 +114,7 @@
 	pace     float64
 	failRate float64
 	until    time.Time
+	full     time.Time
 	holds    bool
 }
 
@@ -112,7 +122,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	used, ok := a.parts[part]
-	return figures{a.inflight, a.unread, a.held, a.pace, a.failRate, a.until, ok && now.Sub(used) < partKeep}
+	return figures{a.inflight, a.unread, a.held, a.pace, a.failRate, a.until, a.full, ok && now.Sub(used) < partKeep}
 }
 
 // sweep forgets parts that were not used for long.
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -93,9 +93,12 @@
 // Choose picks the target with the earliest expected answer among targets, and
 // tells the estimate. ok is false when none is left.
 func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
-	open, resting := b.candidates(targets, w, now)
+	open, full, ejected := b.candidates(targets, w, now)
 	if len(open) == 0 {
-		return soonest(resting)
+		open = full // all that work refuse: their pauses say nothing any more
+	}
+	if len(open) == 0 {
+		return soonest(ejected)
 	}
 	holder := holders(open, w, targets)
 	best := math.Inf(1)
@@ -113,27 +116,30 @@
 	figures
 }
 
-// candidates are the targets that may be chosen: those that are open, and those
-// that are left out for a pause.
-func (b *Tracker) candidates(targets []hookhall.Target, w Wish, now time.Time) (open, resting []candidate) {
+// candidates are the targets that may be chosen: those that are open, those that
+// refused a call a moment ago, and those that failed and are ejected for a pause.
+func (b *Tracker) candidates(targets []hookhall.Target, w Wish, now time.Time) (open, full, ejected []candidate) {
 	for _, t := range targets {
 		if t.Leaving || w.Exclude[t.ID] {
 			continue
 		}
 		c := candidate{t, b.record(t.ID).figures(w.Shared, now)}
-		if c.until.After(now) {
-			resting = append(resting, c)
-			continue
+		switch {
+		case c.until.After(now):
+			ejected = append(ejected, c)
+		case c.full.After(now):
+			full = append(full, c)
+		default:
+			open = append(open, c)
 		}
-		open = append(open, c)
 	}
-	return open, resting
+	return open, full, ejected
 }
 
 // soonest is the candidate whose pause ends first.
-func soonest(resting []candidate) (t hookhall.Target, ok bool) {
+func soonest(ejected []candidate) (t hookhall.Target, ok bool) {
 	var until time.Time
-	for _, c := range resting {
+	for _, c := range ejected {
 		if !ok || c.until.Before(until) {
 			t, until, ok = c.target, c.until, true
 		}
@@ -270,8 +276,8 @@
 // was silent, which no call can be to blame for.
 func (u *Use) Failed(hard bool, now time.Time) { u.record.failed(hard, now) }
 
-// Full leaves the target out for a moment.
-func (u *Use) Full(d time.Duration, now time.Time) { u.record.rest(d, now) }
+// Refused counts the target's word that it had no place for the call.
+func (u *Use) Refused(now time.Time) { u.record.refused(now) }
 
 // Status is a target's part of a state dump.
 type Status struct {
@@ -280,10 +286,11 @@
 	PaceMS   float64
 	FailRate float64
 	Ejected  bool
+	Full     bool
 }
 
 // Status reads a target's record.
 func (b *Tracker) Status(id string, now time.Time) Status {
 	f := b.record(id).figures("", now)
-	return Status{f.inflight, f.unread, f.pace / 1e6, f.failRate, f.until.After(now)}
+	return Status{f.inflight, f.unread, f.pace / 1e6, f.failRate, f.until.After(now), f.full.After(now)}
 }
--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,3 +145,47 @@
 		})
 	})
 }
+
+// TestRefusals: a target that goes on refusing while others take calls gets few of
+// them, and when all refuse, none is left out.
+func TestRefusals(t *testing.T) {
+	now := time.Now()
+	list := targets(3)
+	refusing := func(b *Tracker, ids ...string) (offers int) {
+		for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(20 * time.Millisecond) {
+			c, ok := b.Choose(list, Wish{}, at)
+			if !ok {
+				t.Fatal("no target was chosen")
+			}
+			u := b.Begin(c, Wish{}, at)
+			if slices.Contains(ids, c.ID) {
+				offers++
+				u.Refused(at)
+			} else {
+				u.Succeeded(time.Millisecond)
+			}
+			u.End()
+		}
+		return offers
+	}
+	t.Run("one", func(t *testing.T) {
+		if n := refusing(NewTracker(), "t1"); n == 0 || n > 12 {
+			t.Errorf("%d of 250 calls were offered to it", n)
+		}
+	})
+	t.Run("all", func(t *testing.T) {
+		if n := refusing(NewTracker(), "t0", "t1", "t2"); n != 250 {
+			t.Errorf("%d of 250 calls were offered", n)
+		}
+	})
+	t.Run("a call that is taken ends the pause", func(t *testing.T) {
+		b := NewTracker()
+		refusing(b, "t0", "t1", "t2")
+		u := b.Begin(list[0], Wish{}, now)
+		u.Succeeded(time.Millisecond)
+		u.End()
+		if b.Status("t0", now).Full || !b.Status("t1", now).Full {
+			t.Error("t0 should be open, t1 not")
+		}
+	})
+}
