budget: a part of the slack is kept back for restarts, and none spent unseen

Cause: each process spent its whole part of the fleet's slack, and a process that starts again begins with an empty account; one that knew no other member (the store away, or its first moments) took the whole slack for itself.

Change: a process spends 0.7 of its part, 0.15 in its first window; without a list of members none; members that left the list within a minute still count, since leases also run out while their holders are well.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -178,8 +178,8 @@
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
-		}),
-		Members: g.members.Count, Meter: g.metrics, Log: g.logger(logging.Forward),
+		}, time.Now()),
+		Sharers: g.members.Sharers, Meter: g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.app = g.newApp()
 }
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -151,7 +151,7 @@
 		why = "its results were lost too often"
 	case r.sends >= mostSends:
 		why = "offered too often"
-	case !r.Budget.Spend(r.service, r.Members(), time.Now()):
+	case !r.Budget.Spend(r.service, r.Sharers(time.Now()), time.Now()):
 		why = "the retry budget is spent"
 	}
 	if why != "" {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -63,9 +63,10 @@
 	Placement Placement
 	Tracker   *balance.Tracker
 	Budget    *budget.Budget
-	Members   func() int
-	Meter     Meter
-	Log       *log.Logger
+	// Sharers is how many processes share the retry budget, 0 when not known.
+	Sharers func(now time.Time) int
+	Meter   Meter
+	Log     *log.Logger
 }
 
 // MaxBody is the operators' bound on bodies, 0 for none.
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -77,7 +77,7 @@
 	if a.reply.Status < http.StatusInternalServerError || !r.route.Repeatable() || ctx.Err() != nil {
 		return false
 	}
-	if r.runs+1 >= r.route.MaxAttempts || !r.Budget.Spend(r.service, r.Members(), time.Now()) {
+	if r.runs+1 >= r.route.MaxAttempts || !r.Budget.Spend(r.service, r.Sharers(time.Now()), time.Now()) {
 		return false
 	}
 	r.runs++
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -61,6 +61,8 @@
 	mu       sync.Mutex // for what follows
 	byKey    map[string]listing
 	gone     map[string]time.Time // keys that went, and when
+	left     map[string]time.Time // addresses that left the list, and when
+	met      bool                 // a list is known, from the store or a peer
 	revision uint64               // the store's, as of the list; 0 before it was read
 	heard    time.Time            // when the list was last read, or confirmed by news
 	gap      bool                 // news did not fit: the list is to be read
@@ -70,7 +72,7 @@
 func New(self hookhall.Member, s hookhall.Store, l *log.Logger) *Members {
 	m := &Members{
 		self: self, store: s, log: l, Leads: func() bool { return true },
-		byKey: map[string]listing{}, gone: map[string]time.Time{},
+		byKey: map[string]listing{}, gone: map[string]time.Time{}, left: map[string]time.Time{},
 	}
 	m.publish()
 	return m
@@ -195,6 +197,7 @@
 	for _, o := range list {
 		m.byKey[prefix+o.Instance] = listing{member: o}
 	}
+	m.met = true
 	m.publish()
 }
 
@@ -212,9 +215,13 @@
 			m.since.LoadOrStore(o.Address, now)
 		}
 	}
+	for address := range listed {
+		delete(m.left, address)
+	}
 	m.since.Range(func(address, _ any) bool {
 		if !listed[address.(string)] {
 			m.since.Delete(address)
+			m.left[address.(string)] = now
 		}
 		return true
 	})
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -164,3 +164,27 @@
 		t.Fatalf("%d members", m.Count())
 	}
 }
+
+// TestSharers: limits of the fleet are shared with members that left the list a
+// short while ago, and nothing is shared before a list is known.
+func TestSharers(t *testing.T) {
+	now := time.Now()
+	m := New(member(1), nil, log.New(io.Discard))
+	if n := m.Sharers(now); n != 0 {
+		t.Fatalf("%d sharers before a list is known", n)
+	}
+	m.Meet([]hookhall.Member{member(2), member(3)})
+	if n := m.Sharers(now); n != 3 {
+		t.Fatalf("%d sharers, not 3", n)
+	}
+	m.mu.Lock()
+	m.remove(prefix+member(2).Instance, now)
+	m.publish()
+	m.mu.Unlock()
+	if n := m.Sharers(now); n != 3 || m.Count() != 2 {
+		t.Fatalf("%d sharers of %d members, not 3 of 2", n, m.Count())
+	}
+	if n := m.Sharers(now.Add(2 * shareFor)); n != 2 {
+		t.Fatalf("%d sharers later, not 2", n)
+	}
+}
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -12,10 +12,17 @@
 // part of the constant. The sum over processes then keeps the fleet's bound
 // without a word between them.
 //
+// A process that has just started may be the successor of one that spent its
+// part a moment ago, and nobody remembers. So a part of the constant is kept
+// back for restarts: an old process spends steadyShare of its part, a young one
+// youngShare. A process that doesn't know how many others there are has no part.
+//
 // # Invariants
 //
 //   - Over any window, the repeats of one process are at most ratio times the
 //     requests that it counted in the window, plus its part of the slack.
+//   - Over any window in which each process is restarted twice at most, the same
+//     holds of all of them together.
 package budget
 
 import (
@@ -23,8 +30,16 @@
 	"time"
 )
 
+// parts of a window are counted apart, so that old ones can be forgotten.
 const parts = 10
 
+// What a process spends of its part of the slack: with two restarts of each
+// process in one window the shares add up to one.
+const (
+	steadyShare = 0.7  // of one that has run for a window
+	youngShare  = 0.15 // of one that has not
+)
+
 // Limits are the operators' bounds.
 type Limits struct {
 	Ratio  float64
@@ -35,6 +50,7 @@
 // Budget counts for all services.
 type Budget struct {
 	limits Limits
+	began  time.Time // the process's start
 	mu     sync.Mutex
 	byName map[string]*ring
 }
@@ -47,8 +63,10 @@
 	repeats  [parts + 1]float64
 }
 
-// New makes an empty Budget.
-func New(l Limits) *Budget { return &Budget{limits: l, byName: map[string]*ring{}} }
+// New makes the empty Budget of a process that began at a time.
+func New(l Limits, began time.Time) *Budget {
+	return &Budget{limits: l, began: began, byName: map[string]*ring{}}
+}
 
 func (b *Budget) ring(service string, now time.Time) *ring {
 	r := b.byName[service]
@@ -93,8 +111,20 @@
 	r.requests[r.at%(parts+1)]++
 }
 
+// slack is this process's part of the constant.
+func (b *Budget) slack(members int, now time.Time) float64 {
+	if members < 1 {
+		return 0
+	}
+	share := steadyShare
+	if now.Sub(b.began) < b.limits.Window {
+		share = youngShare
+	}
+	return share * b.limits.Slack / float64(members)
+}
+
 // Spend takes one repeat out of the budget, or tells that there is none left.
-// members is how many processes share the slack.
+// members is how many processes share the slack, 0 when that is not known.
 func (b *Budget) Spend(service string, members int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -102,7 +132,7 @@
 	// The oldest part may lie outside of the window: its requests don't count,
 	// its repeats do.
 	oldest := r.requests[(r.at+1)%(parts+1)]
-	allowed := b.limits.Ratio*(sum(r.requests)-oldest) + b.limits.Slack/float64(max(members, 1))
+	allowed := b.limits.Ratio*(sum(r.requests)-oldest) + b.slack(members, now)
 	if sum(r.repeats)+1 > allowed {
 		return false
 	}
--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -13,8 +13,8 @@
 
 func TestBudget(t *testing.T) {
 	start := time.Unix(1000, 0)
-	Convey("Given a budget of a fifth and a slack of 9 for 3 processes", t, func() {
-		b := New(Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 9})
+	Convey("Given a budget of a fifth and a slack of 13 for 3 processes, of which this one has 3", t, func() {
+		b := New(Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 13}, start.Add(-time.Minute))
 		spend := func(n int, now time.Time) int {
 			got := 0
 			for range n {
@@ -33,6 +33,15 @@
 			}
 			So(spend(100, start), ShouldEqual, 13)
 		})
+		Convey("a process that does not know the others has no part of the slack", func() {
+			So(b.Spend("s", 0, start), ShouldBeFalse)
+			for range 10 {
+				b.Request("s", start)
+			}
+			So(b.Spend("s", 0, start), ShouldBeTrue)
+			So(b.Spend("s", 0, start), ShouldBeTrue)
+			So(b.Spend("s", 0, start), ShouldBeFalse)
+		})
 		Convey("another service has its own", func() {
 			So(spend(10, start), ShouldEqual, 3)
 			So(b.Spend("other", 3, start), ShouldBeTrue)
@@ -49,7 +58,7 @@
 func TestSlidingWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * time.Second
-		b := New(Limits{Ratio: 0.2, Window: window, Slack: 4})
+		b := New(Limits{Ratio: 0.2, Window: window, Slack: 4}, time.Unix(0, 0))
 		now := time.Unix(1000, 0)
 		var spent, asked []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
@@ -75,3 +84,53 @@
 		}
 	})
 }
+
+// TestFleetWithRestarts: processes that spend all they may, and are killed and
+// started again, keep the fleet's bound in every window.
+func TestFleetWithRestarts(t *testing.T) {
+	const (
+		window = 10 * time.Second
+		fleet  = 6
+		slack  = 60.0
+		ratio  = 0.2
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		list := make([]*Budget, fleet)
+		restarts := make([][]time.Time, fleet)
+		for i := range list {
+			list[i] = New(Limits{Ratio: ratio, Window: window, Slack: slack}, start.Add(-time.Hour))
+		}
+		var spent, asked []time.Time
+		for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(200 * time.Millisecond) {
+			for i := range list {
+				if rapid.IntRange(0, 30).Draw(t, "restart") == 0 && within(restarts[i], now, window) < 2 {
+					list[i] = New(Limits{Ratio: ratio, Window: window, Slack: slack}, now)
+					restarts[i] = append(restarts[i], now)
+				}
+				if rapid.Bool().Draw(t, "request") {
+					list[i].Request("s", now)
+					asked = append(asked, now)
+				}
+				for list[i].Spend("s", fleet, now) {
+					spent = append(spent, now)
+				}
+			}
+			// A sum of whole parts may hold the requests of one part more.
+			allowed := ratio*float64(within(asked, now, window+window/parts)) + slack
+			if n := within(spent, now, window); float64(n) > allowed {
+				t.Fatalf("%d repeats, %.1f allowed", n, allowed)
+			}
+		}
+	})
+}
+
+// within counts the times in the window that ends now.
+func within(list []time.Time, now time.Time, window time.Duration) (n int) {
+	for _, at := range list {
+		if now.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
