batch: no job is begun with what little room is left

Room binds, not calls, and part of it is held by jobs of which a target made only what fitted.

Change: a job that a target's room does not hold whole is not begun there, unless no target's room ever could.

--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -178,13 +178,14 @@
 
 // fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
 // whole go first: the results of a part of a job take up room until the rest is
-// made, too.
+// made, too. For the same reason no job is begun with what little room is left.
 func (q *Queue) fill(s *worker, halls map[string]bool, now time.Time) *Batch {
 	b := &Batch{Target: s.Target, began: now}
 	most := max(q.spec.Batch, 1)
 	for _, whole := range []bool{true, false} {
 		for _, j := range q.jobs {
-			if whole && len(j.waiting) > most-len(b.Pieces) || !q.suits(s, j, halls, now) {
+			places := most - len(b.Pieces)
+			if whole && len(j.waiting) > places || !q.roomy(s, j, places) || !q.suits(s, j, halls, now) {
 				continue
 			}
 			q.takePieces(s, j, b, most, now)
@@ -199,6 +200,17 @@
 	return b
 }
 
+// roomy tells whether the target has room for all pieces of a job that go into a
+// call with so many free places. Jobs that have begun, or that no target's room
+// holds whole, take what there is.
+func (q *Queue) roomy(s *worker, j *Job, places int) bool {
+	whole := float64(len(j.waiting)) * j.Bytes
+	if q.spec.Room <= 0 || j.started() || whole > q.spec.Room {
+		return true
+	}
+	return s.bytes+float64(min(len(j.waiting), places))*j.Bytes <= q.spec.Room
+}
+
 // suits tells whether a job may go to a target: one that can still make its aim
 // does not go where the target's pace would cost it, and one whose data lies in
 // another hall waits for a target there while it has the time.
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -296,3 +296,49 @@
 		}
 	})
 }
+
+// TestRoomForWholeJobs: on scale-1 of a deployment whose pool holds 51 results a
+// target, jobs were begun with the room that was left and held it, half made,
+// while 700 pieces waited.
+func TestRoomForWholeJobs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQueue()
+	q.Configure(hookhall.PoolSpec{Slots: 1, Batch: 8, CallTime: 100 * time.Millisecond, Room: 10}, []hookhall.Target{{ID: "a", Hall: "h"}})
+	add := func(call string, count int) *Job {
+		j := &Job{Call: call, Count: count, Bytes: 1, Due: now.Add(time.Second), End: now.Add(5 * time.Second), Finish: func(Outcome) {}}
+		q.Add(j)
+		return j
+	}
+	add("first", 7)
+	first := q.Next(now)
+	q.Done(first[0], handles("first", 7), now)
+	t.Run("a job that does not fit whole is not begun", func(t *testing.T) {
+		j := add("second", 4)
+		if b := q.Next(now); len(b) != 0 {
+			t.Errorf("%d pieces were taken, with room for 3", len(b[0].Pieces))
+		}
+		q.Drop(j)
+	})
+	t.Run("one that fits is", func(t *testing.T) {
+		add("third", 3)
+		if b := q.Next(now); len(b) != 1 || len(b[0].Pieces) != 3 {
+			t.Errorf("%v", b)
+		}
+	})
+	t.Run("one that no target holds whole is begun", func(t *testing.T) {
+		q := NewQueue()
+		q.Configure(hookhall.PoolSpec{Slots: 1, Batch: 8, Room: 3}, []hookhall.Target{{ID: "a", Hall: "h"}})
+		q.Add(&Job{Call: "large", Count: 5, Bytes: 1, Due: now.Add(time.Second), End: now.Add(5 * time.Second), Finish: func(Outcome) {}})
+		if b := q.Next(now); len(b) != 1 || len(b[0].Pieces) != 3 {
+			t.Errorf("%v", b)
+		}
+	})
+}
+
+// handles are the results of n pieces that were all made.
+func handles(call string, n int) (list []hookhall.PieceResult) {
+	for i := range n {
+		list = append(list, hookhall.PieceResult{Handle: fmt.Sprint(call, "-", i)})
+	}
+	return list
+}
