stages: inputs that were read make room while work waits for it

Little's law: 206 results held for 0.85 s are 242 a second, and the burst asks for 265.

Change: half of a call's fixed time after its start, a stage tells its request that the inputs were read; the broker of their pool releases them if at least a call's worth of work waits there and some found no room. If a piece fails after that, the request's stages are made again. A second call that finds inputs gone no longer ends a job that another call is still making.

--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -84,6 +84,9 @@
 	// many bytes go between halls when it is made in another one.
 	Hall  string
 	Cross float64
+	// InputsRead is called once when all inputs were read, and are needed only if a
+	// piece fails; nil when nobody asks.
+	InputsRead func()
 }
 
 // Run makes the pieces of w. Ending ctx gives up what has not begun.
@@ -95,6 +98,9 @@
 		Due: w.Due, End: w.End, Urgency: w.Urgency, Hall: w.Hall, Cross: w.Cross,
 		Finish: func(o batch.Outcome) { done <- o },
 	}
+	if w.InputsRead != nil && len(w.Inputs) > 0 {
+		job.InputsRead = func() { go w.InputsRead() }
+	}
 	q.add(job)
 	select {
 	case o := <-done:
@@ -113,6 +119,18 @@
 	}
 }
 
+// FreeIfCrowded gives results up that are probably not needed any more, if work
+// waits for the room that they take up.
+func (b *Broker) FreeIfCrowded(service string, handles []string) {
+	q := b.queue(service)
+	q.mu.Lock()
+	crowded := q.queue.Crowded(time.Now())
+	q.mu.Unlock()
+	if crowded {
+		b.Free(service, handles)
+	}
+}
+
 // Free gives results up, at their makers and in the queue's account of room.
 func (b *Broker) Free(service string, handles []string) {
 	if len(handles) == 0 {
@@ -188,7 +206,9 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience*b.Expected+callSlack)
 	patience := time.AfterFunc(b.Patience, func() { q.overdue(b) })
+	read := time.AfterFunc(b.ReadBy, func() { q.inputsRead(b) })
 	results, err := q.broker.pool.Make(ctx, b.Target, b.Pieces)
+	read.Stop()
 	patience.Stop()
 	cancel()
 	if err != nil {
@@ -207,6 +227,13 @@
 	q.kick()
 }
 
+// inputsRead tells of the jobs that have read all their inputs.
+func (q *serviceQueue) inputsRead(b *batch.Batch) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.InputsRead(b)
+}
+
 // overdue has the pieces of a call that takes too long made elsewhere, too.
 func (q *serviceQueue) overdue(b *batch.Batch) {
 	q.mu.Lock()
--- a/internal/coordination/stages/doc.go
+++ b/internal/coordination/stages/doc.go
@@ -15,7 +15,9 @@
 //
 // Results lie at the targets that made them, in little room, and are given up
 // the moment that nothing needs them: those of inner stages after their
-// readers, the last ones by the request's owner. A stage that no chain waits
+// readers, the last ones by the request's owner. While work waits for their room,
+// inner results go as soon as the calls that read them have had the time to: a
+// piece that fails after that has the request's stages made from the start. A stage that no chain waits
 // for begins as late as its siblings allow, so that its results don't take up
 // room while the others are made.
 //
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -29,7 +29,7 @@
 // Remote is a broker in another process.
 type Remote interface {
 	Run(ctx context.Context, w Work) ([]string, error)
-	Free(ctx context.Context, service string, handles []string) error
+	Free(ctx context.Context, service string, handles []string, ifCrowded bool) error
 	Ping(ctx context.Context) error
 }
 
@@ -209,10 +209,28 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTime)
-		defer cancel()
-		if err := r.Remote(address).Free(ctx, service, handles); err != nil {
+		if err := r.freeAt(address, service, handles, false); err != nil {
 			r.Local.Free(service, handles)
 		}
 	}()
 }
+
+// freeIfCrowded asks the broker to give results up if work waits for their room.
+func (r *Runner) freeIfCrowded(service string, handles []string) {
+	address, local := r.owner(service, nil)
+	if local {
+		r.Local.FreeIfCrowded(service, handles)
+		return
+	}
+	go func() {
+		if err := r.freeAt(address, service, handles, true); err != nil {
+			r.Log.Debug("A broker can't be asked about its room.", "service", service, "broker", address, "error", err.Error())
+		}
+	}()
+}
+
+func (r *Runner) freeAt(address, service string, handles []string, ifCrowded bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
+	defer cancel()
+	return r.Remote(address).Free(ctx, service, handles, ifCrowded)
+}
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/batch"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 	"github.com/pkg/errors"
 )
@@ -124,8 +125,8 @@
 	<-ctx.Done()
 	return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "%v", ctx.Err())
 }
-func (silentRemote) Free(context.Context, string, []string) error { return errors.New("silent") }
-func (silentRemote) Ping(ctx context.Context) error               { <-ctx.Done(); return ctx.Err() }
+func (silentRemote) Free(context.Context, string, []string, bool) error { return errors.New("silent") }
+func (silentRemote) Ping(ctx context.Context) error                     { <-ctx.Done(); return ctx.Err() }
 
 // chain is a graph of three stages one after the other and a large one beside
 // them, whose results the request reads with the chain's last.
@@ -273,6 +274,63 @@
 	return b
 }
 
+// TestInputsMakeRoom: what a stage has read is released while it is still at work
+// if others wait for the room, and a request one of whose pieces fails after that
+// is made from the start.
+func TestInputsMakeRoom(t *testing.T) {
+	for name, crowded := range map[string]bool{"crowded": true, "with room to spare": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(0, 1, 1, 1)
+			w, err := newWalk(b.runner, b.graph)
+			if err != nil {
+				t.Fatal(err)
+			}
+			handles, err := b.runner.Local.Run(t.Context(), Work{Service: "encode", Call: "call", Stage: 1, Pieces: 1, Key: "key", Due: b.graph.Aim, End: b.graph.End})
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.handles[1] = handles
+			if crowded {
+				b.crowd(t, "encode")
+			}
+			w.inputsRead(2)
+			if crowded {
+				freed(t, b, 0)
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			freed(t, b, 1)
+		})
+	}
+}
+
+// crowd fills the room of a service, and has a call's worth of work wait for it.
+func (b *bench) crowd(t *testing.T, service string) {
+	t.Helper()
+	q := b.runner.Local.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	spec := *b.graph.Table.Service(service).Pool
+	q.queue.Configure(spec, b.runner.Local.directory.Targets(service))
+	for i := range 2 * len(b.runner.Local.directory.Targets(service)) {
+		q.queue.Add(&batch.Job{
+			Call: fmt.Sprint("other-", i), Count: spec.Batch, Bytes: spec.Room / float64(spec.Batch+1),
+			Due: b.graph.Aim, End: b.graph.End, Finish: func(batch.Outcome) {},
+		})
+	}
+	for _, call := range q.queue.Next(time.Now()) {
+		made := make([]hookhall.PieceResult, len(call.Pieces))
+		for i := range made {
+			made[i].Handle = fmt.Sprintf("other/%s-%d", call.Target.ID, i)
+		}
+		q.queue.Done(call, made, time.Now())
+	}
+	q.queue.Next(time.Now())
+	if !q.queue.Crowded(time.Now()) {
+		t.Fatal("the service is not crowded")
+	}
+}
+
 // TestClientLeft: what was made is given up, and nothing more is made.
 func TestClientLeft(t *testing.T) {
 	b := newBench(2, 1, 3, 4)
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -215,6 +215,7 @@
 		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End.Add(-w.least[i]), Urgency: w.graph.Urgency,
 	}
 	work.Hall, work.Cross = w.place(i, inputs)
+	work.InputsRead = func() { w.inputsRead(i) }
 	if len(spec.After) == 0 {
 		work.Key = w.graph.Call.PieceKey
 	}
@@ -257,6 +258,19 @@
 	}
 }
 
+// inputsRead takes in that a stage in progress has read all its inputs. Those that
+// only it reads may make room for others already: it needs them again only if one
+// of its pieces fails, and then the stages before it are made again.
+func (w *walk) inputsRead(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.graph.Route.Stages[i].After {
+		if w.readers[j] == 1 && len(w.handles[j]) > 0 {
+			w.runner.freeIfCrowded(w.graph.Route.Stages[j].Service, w.handles[j])
+		}
+	}
+}
+
 // release gives a stage's results up. The caller holds w.mu.
 func (w *walk) release(i int) {
 	if len(w.handles[i]) > 0 {
--- a/internal/state/batch/job.go
+++ b/internal/state/batch/job.go
@@ -41,12 +41,20 @@
 	// Finish is called once, by whoever holds the queue's lock: it must not
 	// block nor call the queue.
 	Finish func(Outcome)
+	// InputsRead is called once, when calls that have read the inputs are at work
+	// on all pieces: from then on the inputs are needed only if a piece fails. It
+	// is nil when nobody asks, and must not block nor call the queue.
+	InputsRead func()
 
 	handles  []string
 	waiting  []int // indexes of pieces that are in no call
 	left     int   // pieces without a handle
 	failures int
 	ended    bool
+	read     []bool // pieces that a call has read the inputs of
+	unread   int    // pieces that none has
+	told     bool   // InputsRead was called
+	calls    []int  // calls in progress by piece
 }
 
 // crossLeast is from how many bytes on it is worth waiting for the right hall.
@@ -58,6 +66,9 @@
 func (j *Job) prepare() {
 	j.handles = make([]string, j.Count)
 	j.left = j.Count
+	j.read = make([]bool, j.Count)
+	j.unread = j.Count
+	j.calls = make([]int, j.Count)
 	for i := range j.Count {
 		j.waiting = append(j.waiting, i)
 	}
@@ -90,6 +101,19 @@
 	return js.Before(os)
 }
 
+// inputsRead takes in that a call has read a piece's inputs.
+func (j *Job) inputsRead(index int) {
+	if !j.read[index] {
+		j.read[index] = true
+		j.unread--
+	}
+	if j.InputsRead == nil || j.told || j.ended || j.unread > 0 {
+		return
+	}
+	j.told = true
+	j.InputsRead()
+}
+
 // drop takes a piece off those that wait.
 func (j *Job) drop(index int) {
 	for k, i := range j.waiting {
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -18,9 +18,13 @@
 	Expected time.Duration
 	// Patience is how long the call may take before Overdue should be called.
 	Patience time.Duration
-	jobs     []*Job
-	began    time.Time
-	overdue  bool
+	// ReadBy is how long after its start the target has read all inputs.
+	ReadBy  time.Duration
+	jobs    []*Job
+	began   time.Time
+	done    bool
+	overdue bool
+	read    bool // InputsRead was called
 }
 
 // Queue is the work that waits for one pool. It is not safe for concurrent use.
@@ -28,6 +32,7 @@
 	spec    hookhall.PoolSpec
 	jobs    []*Job
 	workers map[string]*worker // by target's id
+	short   time.Time          // when work last found no room at a target with a free place
 }
 
 // NewQueue makes an empty queue.
@@ -185,7 +190,11 @@
 	for _, whole := range []bool{true, false} {
 		for _, j := range q.jobs {
 			places := most - len(b.Pieces)
-			if whole && len(j.waiting) > places || !q.roomy(s, j, places) || !q.suits(s, j, halls, now) {
+			if whole && len(j.waiting) > places || !q.suits(s, j, halls, now) {
+				continue
+			}
+			if !q.roomy(s, j, places) {
+				q.short = now
 				continue
 			}
 			q.takePieces(s, j, b, most, now)
@@ -196,6 +205,7 @@
 	}
 	b.Expected = q.spec.CallTime + time.Duration(len(b.Pieces))*q.spec.ItemTime
 	b.Patience = s.patience(b.Expected)
+	b.ReadBy = time.Duration(readShare * float64(q.spec.CallTime))
 	s.busy++
 	return b
 }
@@ -229,6 +239,7 @@
 func (q *Queue) takePieces(s *worker, j *Job, b *Batch, most int, now time.Time) {
 	for len(j.waiting) > 0 && len(b.Pieces) < most {
 		if q.spec.Room > 0 && s.bytes+j.Bytes > q.spec.Room {
+			q.short = now
 			return
 		}
 		i := j.waiting[0]
@@ -239,6 +250,24 @@
 		s.bytes += j.Bytes
 		b.Pieces = append(b.Pieces, j.piece(i, now))
 		b.jobs = append(b.jobs, j)
+		j.calls[i]++
+	}
+}
+
+// Crowded tells whether room holds work back: some found none a moment ago, at a
+// target with a free place, and what waits would fill a call.
+func (q *Queue) Crowded(now time.Time) bool {
+	return !q.short.IsZero() && now.Sub(q.short) < q.spec.CallTime && q.Waiting() >= q.spec.Batch
+}
+
+// InputsRead takes in that a call which is still at work has read its inputs.
+func (q *Queue) InputsRead(b *Batch) {
+	if b.read || b.done {
+		return
+	}
+	b.read = true
+	for i, j := range b.jobs {
+		j.inputsRead(b.Pieces[i].Index)
 	}
 }
 
@@ -266,8 +295,10 @@
 		s = newWorker(b.Target)
 	}
 	s.busy--
-	for _, j := range b.jobs {
+	b.done = true
+	for i, j := range b.jobs {
 		s.bytes -= j.Bytes
+		j.calls[b.Pieces[i].Index]--
 	}
 	if len(results) != len(b.Pieces) {
 		s.failed(now)
@@ -299,6 +330,7 @@
 		return r.Handle
 	}
 	j.drop(index)
+	j.inputsRead(index)
 	s.held[r.Handle] = held{j.Bytes, now.Add(q.spec.Keep)}
 	s.bytes += j.Bytes
 	j.handles[index] = r.Handle
@@ -313,6 +345,9 @@
 func (q *Queue) fail(s *worker, j *Job, index int, f hookhall.PieceFailure, now time.Time) {
 	switch f {
 	case hookhall.PieceGone, hookhall.PieceLate:
+		if j.calls[index] > 0 {
+			return // another call began earlier, and has read the inputs
+		}
 		q.remove(j)
 		j.end(Outcome{Reason: f})
 	case hookhall.PieceNoRoom:
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -342,3 +342,80 @@
 	}
 	return list
 }
+
+// crowd has a queue whose only target holds ten results, with a call of seven
+// pieces of the job "first" at work.
+func crowd(t *testing.T, inputsRead func()) (q *Queue, first *Job, b *Batch) {
+	t.Helper()
+	q = NewQueue()
+	q.Configure(hookhall.PoolSpec{Slots: 2, Batch: 8, CallTime: 100 * time.Millisecond, Room: 10}, []hookhall.Target{{ID: "a", Hall: "h"}})
+	first = &Job{Call: "first", Count: 7, Bytes: 1, Inputs: []string{"x"}, Due: at(1000), End: at(5000), Finish: func(Outcome) {}, InputsRead: inputsRead}
+	q.Add(first)
+	calls := q.Next(start)
+	if len(calls) != 1 || len(calls[0].Pieces) != 7 {
+		t.Fatalf("%v", calls)
+	}
+	return q, first, calls[0]
+}
+
+func TestInputsRead(t *testing.T) {
+	t.Run("told once, when all pieces are in calls that have read them", func(t *testing.T) {
+		told := 0
+		q, _, b := crowd(t, func() { told++ })
+		if b.ReadBy != 50*time.Millisecond || told != 0 {
+			t.Fatalf("read after %v, told %d times", b.ReadBy, told)
+		}
+		q.InputsRead(b)
+		q.InputsRead(b)
+		q.Done(b, handles("first", 7), at(100))
+		if told != 1 {
+			t.Errorf("told %d times", told)
+		}
+	})
+	t.Run("not told of a call that has ended before", func(t *testing.T) {
+		told := 0
+		q, _, b := crowd(t, func() { told++ })
+		q.Done(b, nil, at(10))
+		q.InputsRead(b)
+		if told != 0 {
+			t.Errorf("told %d times", told)
+		}
+	})
+	t.Run("a second call that finds them gone leaves the first one's work alone", func(t *testing.T) {
+		q, first, b := crowd(t, nil)
+		q.Overdue(b)
+		q.Configure(hookhall.PoolSpec{Slots: 2, Batch: 8, Room: 10}, []hookhall.Target{{ID: "a", Hall: "h"}, {ID: "b", Hall: "h"}})
+		again := q.Next(at(300))
+		if len(again) != 1 || again[0].Target.ID != "b" {
+			t.Fatalf("%v", again)
+		}
+		gone := make([]hookhall.PieceResult, 7)
+		for i := range gone {
+			gone[i].Failure = hookhall.PieceGone
+		}
+		again[0].overdue = false
+		q.Done(again[0], gone, at(350))
+		if first.ended {
+			t.Fatal("the job has ended")
+		}
+		q.Done(b, handles("first", 7), at(400))
+		if first.left != 0 {
+			t.Errorf("%d pieces are not made", first.left)
+		}
+	})
+}
+
+func TestCrowded(t *testing.T) {
+	q, _, _ := crowd(t, nil)
+	if q.Crowded(start) {
+		t.Error("nothing waits")
+	}
+	q.Add(&Job{Call: "second", Count: 8, Bytes: 1, Due: at(1000), End: at(5000), Finish: func(Outcome) {}})
+	q.Next(at(10))
+	if !q.Crowded(at(20)) {
+		t.Error("a call's worth of work found no room")
+	}
+	if q.Crowded(at(500)) {
+		t.Error("that was long ago")
+	}
+}
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -22,6 +22,10 @@
 	// overdueAfter is how many times the expected time, at the target's pace, a
 	// call may take before its pieces are offered to others as well.
 	overdueAfter = 1.8
+	// readShare is the part of a call's fixed time after which its inputs have been
+	// read. A target reads them when the call's turn comes, which takes some
+	// milliseconds, and then spends the fixed time: half of it is well past that.
+	readShare = 0.5
 	// paceMost bounds the pace that is believed of a call in progress.
 	paceMost = 2.0
 )
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -60,24 +60,44 @@
 }
 
 // RunStage implements the service.
-func (s *Server) RunStage(ctx context.Context, r *pb.StageRequest) (*pb.StageReply, error) {
+func (s *Server) RunStage(r *pb.StageRequest, stream pb.Fleet_RunStageServer) error {
+	read := make(chan struct{}, 1)
+	last := make(chan *pb.StageReply, 1)
+	go func() { last <- s.runStage(stream.Context(), r, func() { read <- struct{}{} }) }()
+	for {
+		select {
+		case <-read:
+			if err := stream.Send(&pb.StageReply{InputsRead: true}); err != nil {
+				return err
+			}
+		case reply := <-last:
+			return stream.Send(reply)
+		}
+	}
+}
+
+func (s *Server) runStage(ctx context.Context, r *pb.StageRequest, inputsRead func()) *pb.StageReply {
 	now := time.Now()
 	handles, err := s.Broker.Run(ctx, stages.Work{
 		Service: r.GetService(), Call: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()),
 		Key: r.GetKey(), Inputs: r.GetInputs(), Bytes: r.GetPieceBytes(),
 		Due: now.Add(milliseconds(r.GetDueMs())), End: now.Add(milliseconds(r.GetRemainingMs())),
-		Urgency: int(r.GetUrgency()), Hall: r.GetHall(), Cross: r.GetCrossBytes(),
+		Urgency: int(r.GetUrgency()), Hall: r.GetHall(), Cross: r.GetCrossBytes(), InputsRead: inputsRead,
 	})
 	if err != nil {
 		e := hookhall.AsError(err)
-		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage}, nil
+		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage}
 	}
-	return &pb.StageReply{Handles: handles}, nil
+	return &pb.StageReply{Handles: handles}
 }
 
 // Free implements the service.
 func (s *Server) Free(_ context.Context, r *pb.FreeRequest) (*pb.FreeReply, error) {
-	s.Broker.Free(r.GetService(), r.GetHandles())
+	if r.GetIfCrowded() {
+		s.Broker.FreeIfCrowded(r.GetService(), r.GetHandles())
+	} else {
+		s.Broker.Free(r.GetService(), r.GetHandles())
+	}
 	return &pb.FreeReply{}, nil
 }
 
@@ -191,7 +211,9 @@
 		return nil, stages.ErrSilent(c.err)
 	}
 	now := time.Now()
-	reply, err := c.rpc.RunStage(ctx, &pb.StageRequest{
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies, err := c.rpc.RunStage(ctx, &pb.StageRequest{
 		Request: w.Call, Stage: int32(w.Stage), Pieces: int32(w.Pieces), Service: w.Service, Key: w.Key, Inputs: w.Inputs,
 		PieceBytes: w.Bytes, DueMs: w.Due.Sub(now).Milliseconds(), RemainingMs: w.End.Sub(now).Milliseconds(),
 		Urgency: int32(w.Urgency), Hall: w.Hall, CrossBytes: w.Cross,
@@ -199,6 +221,14 @@
 	if err != nil {
 		return nil, wayError(ctx, err)
 	}
+	reply, err := replies.Recv()
+	for err == nil && reply.GetInputsRead() {
+		w.InputsRead()
+		reply, err = replies.Recv()
+	}
+	if err != nil {
+		return nil, wayError(ctx, err)
+	}
 	if reply.GetReason() != "" || len(reply.GetHandles()) != w.Pieces {
 		cause := hookhall.CauseDeadline
 		if reply.GetMayRetry() {
@@ -217,11 +247,11 @@
 }
 
 // Free implements stages.Remote.
-func (c *Client) Free(ctx context.Context, service string, handles []string) error {
+func (c *Client) Free(ctx context.Context, service string, handles []string, ifCrowded bool) error {
 	if c.err != nil {
 		return c.err
 	}
-	_, err := c.rpc.Free(ctx, &pb.FreeRequest{Service: service, Handles: handles})
+	_, err := c.rpc.Free(ctx, &pb.FreeRequest{Service: service, Handles: handles, IfCrowded: ifCrowded})
 	return err
 }
 
