forward: results are released once the engine has had the time to read them

Cause: results of last stages, 1.5 MB a piece in 18 MB of room, were held until the answer's first event, though an engine reads them before the prompt.

Change: they are released a while after the send, 80 ms at first; the time is learned between 40 ms and 2 s, doubled when a target finds results gone (it says that the request has not run, and the stages are made again), a thousandth less each time it was enough.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -85,6 +85,7 @@
 	}
 	r.sends++
 	r.target = t
+	defer r.releaseEarly()()
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
 		Target: t, Account: r.accountName(), Left: time.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
 		Once: !r.route.Repeatable(), After: after,
@@ -107,6 +108,17 @@
 	return a
 }
 
+// releaseEarly releases the results of stages once the target should have read
+// them, which is long before a long prompt is answered: others wait for their
+// room. The function that it returns ends that.
+func (r *request) releaseEarly() (stop func()) {
+	if len(r.results.Handles()) == 0 {
+		return func() {}
+	}
+	t := time.AfterFunc(r.reading.time(), r.results.Release)
+	return func() { t.Stop() }
+}
+
 // refused reads a target's word that it did not run the request.
 func (r *request) refused(a *attempt) *hookhall.Error {
 	m := a.reply.Info
@@ -117,6 +129,9 @@
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseMisdirected, "another target has the address")
 	case m.InputGone:
 		r.lost = true
+		if r.results.Released() {
+			r.reading.tooSoon()
+		}
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "a result is gone")
 	}
 	a.use.Refused(now)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -67,6 +67,8 @@
 	Sharers func(now time.Time) int
 	Meter   Meter
 	Log     *log.Logger
+
+	reading reading
 }
 
 // MaxBody is the operators' bound on bodies, 0 for none.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -67,6 +67,9 @@
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
 	a.read()
+	if s.r.results.Released() {
+		s.r.reading.inTime()
+	}
 	s.r.results.Release()
 	if !s.begun {
 		s.begun = true
