forward: a client refused for want of a table comes back when the store may be back

Cause: Retry-After was 0.3 s always.

Change: come back after twice as long as the store has been silent, 1 to 10 s.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -90,8 +90,9 @@
 	mu    sync.Mutex // held while pictures and tables change
 	known map[string]*entry
 
-	failing atomic.Bool // the last call of the store failed
-	empty   atomic.Bool // the store answered that it has no table
+	failing  atomic.Bool               // the last call of the store failed
+	answered atomic.Pointer[time.Time] // when the store last answered, or the start
+	empty    atomic.Bool               // the store answered that it has no table
 }
 
 // errNoTable: the store answers, but operators have not written a table.
@@ -99,7 +100,9 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	return &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Read: func() {}}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Read: func() {}}
+	c.noteAnswer(time.Now())
+	return c
 }
 
 // Table is the table in force, nil before the first.
@@ -349,8 +352,17 @@
 // Failing tells whether the store did not answer this process's last call.
 func (c *Catalog) Failing() bool { return c.failing.Load() }
 
+// Silence is how long the store has not answered this process, which may not have
+// asked all the while.
+func (c *Catalog) Silence(now time.Time) time.Duration { return now.Sub(*c.answered.Load()) }
+
+func (c *Catalog) noteAnswer(now time.Time) { c.answered.Store(&now) }
+
 // noteCall takes in how a call of the store ended.
 func (c *Catalog) noteCall(ctx context.Context, err error) {
+	if err == nil {
+		c.noteAnswer(time.Now())
+	}
 	if ctx.Err() != nil || c.failing.Swap(err != nil) == (err != nil) {
 		return
 	}
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -24,6 +24,14 @@
 	defaultWait = 30 * time.Second
 	// comeBack is when a refused client should come back, unless more is known.
 	comeBack = 300 * time.Millisecond
+	// outageLeast and outageMost bound when a client should come back that was
+	// refused for want of a table: the store is away, since a gateway reads it in a
+	// few milliseconds otherwise, and outages that short are rare.
+	outageLeast = time.Second
+	outageMost  = 10 * time.Second
+	// outageShare is how long an outage is expected to go on, as a share of how
+	// long it has lasted.
+	outageShare = 2
 	// endMargin is taken off the deadline, for the final answer's way.
 	endMargin = 15 * time.Millisecond
 	// accountStep is how many ranks of urgency an account's priority is worth.
@@ -35,6 +43,7 @@
 	Table() *routetable.Table
 	Targets(pool string) []hookhall.Target
 	TargetsAge(now time.Time) time.Duration
+	Silence(now time.Time) time.Duration
 }
 
 // Stages makes the work before a request.
@@ -100,7 +109,8 @@
 	r := &request{Forwarder: f, call: c, arrived: now, end: now, tried: map[string]bool{}}
 	r.table = f.Catalog.Table()
 	if r.table == nil {
-		return r, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNotReady, "no table is known yet").After(comeBack)
+		silence := f.Catalog.Silence(now)
+		return r, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNotReady, "no table is known yet").After(afterOutage(silence))
 	}
 	path, _, _ := strings.Cut(c.URI, "?")
 	if r.route = r.table.Route(c.Host, path); r.route == nil {
@@ -124,6 +134,12 @@
 	return r, nil
 }
 
+// afterOutage is when a client should come back, by how long the store has been
+// silent.
+func afterOutage(silence time.Duration) time.Duration {
+	return min(max(outageShare*silence, outageLeast), outageMost)
+}
+
 // pickService draws one of the services by weight.
 func pickService(list []hookhall.WeightedService) string {
 	total := 0
--- a/internal/coordination/forward/request_test.go
+++ b/internal/coordination/forward/request_test.go
@@ -24,3 +24,13 @@
 		t.Errorf("30,000 tokens take %v and 60,000 %v", long.answerTime(), longer.answerTime())
 	}
 }
+
+func TestAfterOutage(t *testing.T) {
+	for silence, want := range map[time.Duration]time.Duration{
+		0: time.Second, 400 * time.Millisecond: time.Second, 1500 * time.Millisecond: 3 * time.Second, time.Minute: 10 * time.Second,
+	} {
+		if got := afterOutage(silence); got != want {
+			t.Errorf("after %v of silence: come back in %v, not %v", silence, got, want)
+		}
+	}
+}
