docs of the request path in plain English; a lease that can't be renewed is logged

Comments and essays of stages, batch, placement, members and forward say what happens and why, with the usual terms (release, expire, assume); constants get the reason for their figures; batch's invariant on a piece's calls was wrong since calls are made elsewhere when overdue. Behaviour is unchanged but for two log lines of the registration.

--- a/forward.go
+++ b/forward.go
@@ -160,7 +160,7 @@
 type StagePool interface {
 	// Make runs one call. The results are in the order of the pieces.
 	Make(ctx context.Context, t Target, pieces []Piece) ([]PieceResult, error)
-	// Free gives up results of the target at address.
+	// Free releases results of the target at address.
 	Free(ctx context.Context, address string, handles []string) error
 	// Maker is the address of the target that holds a result.
 	Maker(handle string) string
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -127,7 +127,8 @@
 	return g, nil
 }
 
-// listen opens all addresses, so that a taken one is told before anything runs.
+// listen opens all addresses first, so that one that is taken is reported before
+// anything runs.
 func (g *Gateway) listen() error {
 	s := g.settings.Gateway
 	var err error
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -16,8 +16,9 @@
 	// the platform promises that those which live and reach the store are listed
 	// again about two seconds after its return.
 	lapseFor = 2 * time.Second
-	// massLoss is the share of all targets whose loss in one reading is held to
-	// be the store's doing, and massLeast their least number.
+	// massLoss is the share of all targets that must go missing in one reading, and
+	// massLeast their least number, to be put down to leases that expired while the
+	// store was away rather than to targets that left.
 	massLoss  = 0.4
 	massLeast = 3
 	// forget is for how long a target that is gone is remembered, so that an
--- a/internal/coordination/forward/doc.go
+++ b/internal/coordination/forward/doc.go
@@ -14,6 +14,10 @@
 // be repeated is tried elsewhere after any failure, within the route's attempts
 // and the retry budget.
 //
+// The results of stages are released as soon as the target should have read them,
+// which is learned, and made again if it had not or if the request goes on
+// elsewhere.
+//
 // Answers of plain requests are read whole before a byte goes to the client, so
 // that a cut one can be tried again. Streams go on event by event; on a
 // resumable route a stream that broke goes on at another target after the last
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -149,8 +149,9 @@
 	answerCrowd = 1.3
 )
 
-// answerTime is how long the answer should take to begin after the stages: a long
-// prompt has its stages made earlier. Shared parts are held to be read already.
+// answerTime is how long the answer should take to begin after the stages, so that
+// a long prompt has its stages made earlier. It assumes that the engine has read
+// the shared parts of the prompt before.
 func (r *request) answerTime() time.Duration {
 	if !r.wish.Engine {
 		return answerLeast
--- a/internal/coordination/members/register.go
+++ b/internal/coordination/members/register.go
@@ -18,7 +18,7 @@
 	m.stopping.Store(true)
 	if lease := m.lease.Swap(0); lease != 0 {
 		if err := m.store.Revoke(ctx, lease); err != nil {
-			m.log.Warn("Can't give the lease up; it runs out.", "error", err.Error())
+			m.log.Warn("The lease could not be ended; it expires.", "error", err.Error())
 		}
 	}
 }
@@ -30,11 +30,20 @@
 		return
 	}
 	pause := retry.Between(pauseFirst, pauseMost)
+	failing := false
 	for ctx.Err() == nil && !m.stopping.Load() {
 		if err := m.renew(ctx, value); err != nil {
+			if !failing && ctx.Err() == nil {
+				m.log.Warn("The lease can't be renewed; others drop this gateway when it expires.", "lease", m.lease.Load(), "error", err.Error())
+			}
+			failing = true
 			pause.Wait(ctx)
 			continue
 		}
+		if failing {
+			m.log.Info("The lease is renewed again.", "lease", m.lease.Load())
+		}
+		failing = false
 		pause.Reset()
 		retry.Sleep(ctx, retry.Jitter(renewEvery))
 	}
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// readMost is after how long a prompt is held to be read without a note.
+	// readMost is when the placer assumes that a prompt was read, because the note
+	// that says so must have been lost: longer than engines take for the longest.
 	readMost = 4 * time.Second
-	// runMost is after how long a request is held to have ended without one.
+	// runMost is when the placer assumes that a request has ended, for the same
+	// reason: the longest deadline that clients use today.
 	runMost = 20 * time.Second
 )
 
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -19,7 +19,7 @@
 	callSlack = 500 * time.Millisecond
 	// callPatience is how many times the expected time a call may take.
 	callPatience = 5
-	// freeTime bounds giving results up.
+	// freeTime bounds a call that releases results.
 	freeTime = time.Second
 	// rekick is how often a queue with work and no free target is looked at.
 	rekick = 15 * time.Millisecond
@@ -31,8 +31,8 @@
 	Targets(pool string) []hookhall.Target
 }
 
-// Broker holds the queues of the services whose broker this process is, or is
-// held to be by others.
+// Broker holds the queues of the services that this process brokers, by its own
+// list of members or by another process's.
 type Broker struct {
 	directory Directory
 	pool      hookhall.StagePool
@@ -89,7 +89,8 @@
 	InputsRead func()
 }
 
-// Run makes the pieces of w. Ending ctx gives up what has not begun.
+// Run makes the pieces of w and returns their handles. When ctx ends, pieces that
+// are in no call yet are cancelled.
 func (b *Broker) Run(ctx context.Context, w Work) ([]string, error) {
 	q := b.queue(w.Service)
 	done := make(chan batch.Outcome, 1)
@@ -115,12 +116,12 @@
 		return nil, hookhall.Errorf(hookhall.NotRun, cause, "stage %d of %s: %s", w.Stage, w.Service, o.Reason)
 	case <-ctx.Done():
 		b.Free(w.Service, q.drop(job))
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "stage %d of %s was given up", w.Stage, w.Service)
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "stage %d of %s was cancelled", w.Stage, w.Service)
 	}
 }
 
-// FreeIfCrowded gives results up that are probably not needed any more, if work
-// waits for the room that they take up.
+// FreeIfCrowded releases results that are probably not needed any more, but only
+// while other work waits for the room that they take up.
 func (b *Broker) FreeIfCrowded(service string, handles []string) {
 	q := b.queue(service)
 	q.mu.Lock()
@@ -131,7 +132,8 @@
 	}
 }
 
-// Free gives results up, at their makers and in the queue's account of room.
+// Free releases results at the targets that hold them, and in the queue's account
+// of their room.
 func (b *Broker) Free(service string, handles []string) {
 	if len(handles) == 0 {
 		return
@@ -150,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
 	defer cancel()
 	if err := b.pool.Free(ctx, maker, handles); err != nil {
-		b.log.Debug("Results could not be given up; the pool drops them later.", "service", service, "maker", maker, "results", len(handles), "error", err.Error())
+		b.log.Debug("Results could not be released; the pool drops them when they expire.", "service", service, "maker", maker, "results", len(handles), "error", err.Error())
 	}
 	q := b.queue(service)
 	q.mu.Lock()
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -74,7 +74,7 @@
 	gone    atomic.Bool
 }
 
-// Released tells whether the results were given up.
+// Released reports whether the results were released.
 func (r *Results) Released() bool { return r != nil && r.gone.Load() }
 
 // Bytes is how much the target reads from each hall.
@@ -93,7 +93,7 @@
 	return r.handles
 }
 
-// Release gives the results up. It may be called again without effect.
+// Release releases the results; further calls have no effect.
 func (r *Results) Release() {
 	if r == nil {
 		return
@@ -200,8 +200,8 @@
 	}
 }
 
-// free gives results up through the broker, whose account of room it ends, or
-// at their makers when it can't be reached.
+// free releases results through the broker, which also keeps the account of room,
+// or directly at the targets when the broker can't be reached.
 func (r *Runner) free(service string, handles []string) {
 	address, local := r.owner(service, nil)
 	if local {
@@ -215,7 +215,7 @@
 	}()
 }
 
-// freeIfCrowded asks the broker to give results up if work waits for their room.
+// freeIfCrowded asks the broker to release results if work waits for their room.
 func (r *Runner) freeIfCrowded(service string, handles []string) {
 	address, local := r.owner(service, nil)
 	if local {
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -240,7 +240,7 @@
 	w.cancel()
 }
 
-// finish takes in a stage's results and gives up those that it has read.
+// finish stores a stage's results and releases those that it has read.
 func (w *walk) finish(i int, handles []string, err error, took time.Duration) {
 	if err != nil {
 		w.fail(err)
@@ -271,7 +271,7 @@
 	}
 }
 
-// release gives a stage's results up. The caller holds w.mu.
+// release releases a stage's results. The caller holds w.mu.
 func (w *walk) release(i int) {
 	if len(w.handles[i]) > 0 {
 		w.runner.free(w.graph.Route.Stages[i].Service, w.handles[i])
--- a/internal/state/balance/doc.go
+++ b/internal/state/balance/doc.go
@@ -20,5 +20,5 @@
 //   - A target that is leaving, or that the caller has excluded, is not chosen.
 //   - A target that fails is left out for a pause that grows; the pause ends by
 //     itself, and the next call is its probe. If all targets are left out, the
-//     one whose pause ends first is chosen: the last ones are never given up.
+//     one whose pause ends first is chosen, so that a service always has one.
 package balance
--- a/internal/state/batch/doc.go
+++ b/internal/state/batch/doc.go
@@ -21,8 +21,9 @@
 //
 // # Invariants
 //
-//   - A piece is in at most one call at a time.
+//   - A piece is in at most one call at a time, unless a call takes much longer
+//     than it should: then others are asked as well, and the first result counts.
 //   - The bytes counted at a worker are those of calls at work there and of
-//     results that nobody has given up, until the pool drops them itself.
+//     results that nobody has released, until the pool drops them itself.
 //   - A job is finished once: with all its handles, or with one reason.
 package batch
--- a/internal/state/batch/job.go
+++ b/internal/state/batch/job.go
@@ -9,7 +9,8 @@
 	"github.com/hookhall/hookhall"
 )
 
-// urgencyStep is how far one rank of urgency moves a job's latest start.
+// urgencyStep is how much earlier one rank of urgency puts a job's latest start:
+// about half a call. 400 ms measured no better.
 const urgencyStep = 150 * time.Millisecond
 
 // Outcome is how a job ended.
@@ -57,10 +58,12 @@
 	calls    []int  // calls in progress by piece
 }
 
-// crossLeast is from how many bytes on it is worth waiting for the right hall.
+// crossLeast is the number of bytes between halls from which it is worth waiting
+// for the right hall: half a result of the largest kind that operators described.
 const crossLeast = 500e3
 
-// mostFailures is after how many failed tries of its pieces a job is given up.
+// mostFailures is how many pieces of a job may fail, repeats included, before the
+// job fails: more than chance brings at targets that fail one piece in a hundred.
 const mostFailures = 24
 
 func (j *Job) prepare() {
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -67,7 +67,7 @@
 	q.jobs = append(q.jobs, j)
 }
 
-// Drop gives a job up; what is in a call already is freed as it comes.
+// Drop cancels a job; pieces that are in a call already are released as they come.
 func (q *Queue) Drop(j *Job) {
 	j.ended = true
 	q.remove(j)
@@ -288,7 +288,7 @@
 }
 
 // Done takes in a call's answers; a nil list means that the call failed. It
-// returns handles that nobody needs, to be given up.
+// returns handles that nobody needs, for the caller to release.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
 	s := q.workers[b.Target.ID]
 	if s == nil {
@@ -370,7 +370,7 @@
 	}
 }
 
-// Free forgets results that were given up.
+// Free takes released results off the account of room.
 func (q *Queue) Free(handles []string) {
 	for _, h := range handles {
 		for _, s := range q.workers {
@@ -382,7 +382,7 @@
 	}
 }
 
-// Handles are the results of j so far; after Drop they should be given up.
+// Handles are the results of j so far; after Drop the caller should release them.
 func (j *Job) Handles() []string {
 	var list []string
 	for _, h := range j.handles {
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	// roomPause is how long a target that had no room is left alone, unless
-	// something is given up there.
+	// roomPause is how long a target that reported no room gets no calls, unless a
+	// result there is released before: a tenth of a short call.
 	roomPause = 40 * time.Millisecond
-	// failPause is the first pause after a failed call; it doubles.
+	// failPause is the first pause after a failed call; it doubles with each. A
+	// crashed target is noticed within a call, and one that restarts is back soon.
 	failPause = 100 * time.Millisecond
 	// failPauseMost bounds it.
 	failPauseMost = 2 * time.Second
-	// slowPace is from which pace on a target is held to be slow.
+	// slowPace is the pace from which a target counts as slow: it takes half as long
+	// again as its calls should.
 	slowPace = 1.5
 	// overdueAfter is how many times the expected time, at the target's pace, a
 	// call may take before its pieces are offered to others as well.
@@ -36,7 +38,7 @@
 	busy   int
 	held   map[string]held // results by handle
 	bytes  float64         // of held, and of calls at work
-	noRoom time.Time       // left alone until then, or until a result is given up
+	noRoom time.Time       // gets no calls until then, or until a result is released
 	until  time.Time       // left alone until then: calls failed
 	fails  int
 	pace   float64 // its calls' time against what was expected, 1 being as expected
