--- /dev/null
+++ b/internal/state/batch/fill.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package batch
+
+import (
+	"sort"
+	"time"
+)
+
+// open lists the workers that may get a call, the best first: quick ones, those in
+// the hall of the most urgent job, those with more room.
+func (q *Queue) open(now time.Time) []*worker {
+	first := q.first()
+	if first == nil {
+		return nil
+	}
+	var list []*worker
+	for _, s := range q.workers {
+		if s.open(q.spec.Slots, now) {
+			s.expire(now)
+			list = append(list, s)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return better(list[i], list[j], first) })
+	return list
+}
+
+// first is the most urgent job with pieces that wait.
+func (q *Queue) first() *Job {
+	for _, j := range q.jobs {
+		if len(j.waiting) > 0 {
+			return j
+		}
+	}
+	return nil
+}
+
+func better(a, b *worker, j *Job) bool {
+	as, bs := a.pace > slowPace, b.pace > slowPace
+	if as != bs {
+		return bs
+	}
+	an, bn := a.Target.Hall == j.Hall, b.Target.Hall == j.Hall
+	if an != bn {
+		return an
+	}
+	if a.bytes != b.bytes {
+		return a.bytes < b.bytes
+	}
+	return a.Target.ID < b.Target.ID
+}
+
+// halls are those with a target that works.
+func (q *Queue) halls() map[string]bool {
+	halls := map[string]bool{}
+	for _, s := range q.workers {
+		if !s.Target.Leaving && s.fails == 0 && s.pace < slowPace {
+			halls[s.Target.Hall] = true
+		}
+	}
+	return halls
+}
+
+// fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
+// whole go first: the results of a part of a job take up room until the rest is
+// made, too. For the same reason no job is begun with what little room is left.
+func (q *Queue) fill(s *worker, halls map[string]bool, now time.Time) *Batch {
+	b := &Batch{Target: s.Target, began: now}
+	most := max(q.spec.Batch, 1)
+	for _, whole := range []bool{true, false} {
+		for _, j := range q.jobs {
+			places := most - len(b.Pieces)
+			if whole && len(j.waiting) > places || !q.suits(s, j, halls, now) {
+				continue
+			}
+			if !q.roomy(s, j, places) {
+				q.short = now
+				continue
+			}
+			q.takePieces(s, j, b, most, now)
+		}
+	}
+	if len(b.Pieces) == 0 {
+		return nil
+	}
+	b.Expected = q.spec.CallTime + time.Duration(len(b.Pieces))*q.spec.ItemTime
+	b.Patience = s.patience(b.Expected)
+	b.ReadBy = time.Duration(readShare * float64(q.spec.CallTime))
+	s.busy++
+	return b
+}
+
+// roomy tells whether the target has room for all pieces of a job that go into a
+// call with so many free places. Jobs that have begun, or that no target's room
+// holds whole, take what there is.
+func (q *Queue) roomy(s *worker, j *Job, places int) bool {
+	whole := float64(len(j.waiting)) * j.Bytes
+	if q.spec.Room <= 0 || j.started() || whole > q.spec.Room {
+		return true
+	}
+	return s.bytes+float64(min(len(j.waiting), places))*j.Bytes <= q.spec.Room
+}
+
+// suits tells whether a job may go to a target: one that can still make its aim
+// does not go where the target's pace would cost it, and one whose data lies in
+// another hall waits for a target there while it has the time.
+func (q *Queue) suits(s *worker, j *Job, halls map[string]bool, now time.Time) bool {
+	call := q.spec.CallTime + time.Duration(q.spec.Batch)*q.spec.ItemTime
+	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && halls[j.Hall] && !j.pressed(call, now) {
+		return false
+	}
+	if s.pace < slowPace || j.late(now) {
+		return true
+	}
+	return !now.Add(time.Duration((s.pace - 1) * float64(call))).After(j.Due)
+}
+
+// takePieces moves pieces of j into b while there is room.
+func (q *Queue) takePieces(s *worker, j *Job, b *Batch, most int, now time.Time) {
+	for len(j.waiting) > 0 && len(b.Pieces) < most {
+		if q.spec.Room > 0 && s.bytes+j.Bytes > q.spec.Room {
+			q.short = now
+			return
+		}
+		i := j.waiting[0]
+		j.waiting = j.waiting[1:]
+		if j.Hall == "" {
+			j.Hall = s.Target.Hall
+		}
+		s.bytes += j.Bytes
+		b.Pieces = append(b.Pieces, j.piece(i, now))
+		b.jobs = append(b.jobs, j)
+		j.calls[i]++
+	}
+}
+
+// Crowded tells whether room holds work back: some found none a moment ago, at a
+// target with a free place, and what waits would fill a call.
+func (q *Queue) Crowded(now time.Time) bool {
+	return !q.short.IsZero() && now.Sub(q.short) < q.spec.CallTime && q.Waiting() >= q.spec.Batch
+}
