--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -86,7 +86,7 @@
 	}
 	b.Expected = q.spec.CallTime + time.Duration(len(b.Pieces))*q.spec.ItemTime
 	b.Patience = s.patience(b.Expected)
-	b.ReadBy = time.Duration(readShare * float64(q.spec.CallTime))
+	b.ReadBy = max(time.Duration(readShare*float64(q.spec.CallTime)), readLeast)
 	s.busy++
 	return b
 }
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -27,7 +27,10 @@
 	// readShare is the part of a call's fixed time after which its inputs have been
 	// read. A target reads them when the call's turn comes, which takes some
 	// milliseconds, and then spends the fixed time: half of it is well past that.
+	// readLeast is for pools whose fixed time is short: some twenty round trips
+	// between halls.
 	readShare = 0.5
+	readLeast = 80 * time.Millisecond
 	// paceMost bounds the pace that is believed of a call in progress.
 	paceMost = 2.0
 )
