batch: inputs are kept while targets hold results that are not accounted for

Change: a queue that met "no room" tells nobody for as long as a pool keeps results that inputs were read.

--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -233,7 +233,7 @@
 func (q *serviceQueue) inputsRead(b *batch.Batch) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.queue.InputsRead(b)
+	q.queue.InputsRead(b, time.Now())
 }
 
 // overdue has the pieces of a call that takes too long made elsewhere, too.
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -33,6 +33,9 @@
 	jobs    []*Job
 	workers map[string]*worker // by target's id
 	short   time.Time          // when work last found no room at a target with a free place
+	// unsure is until when targets may hold results of another, lost queue: one
+	// reported no room where this queue's account has some.
+	unsure time.Time
 }
 
 // NewQueue makes an empty queue.
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -365,18 +365,27 @@
 		if b.ReadBy != readLeast || told != 0 {
 			t.Fatalf("read after %v, told %d times", b.ReadBy, told)
 		}
-		q.InputsRead(b)
-		q.InputsRead(b)
+		q.InputsRead(b, at(50))
+		q.InputsRead(b, at(50))
 		q.Done(b, handles("first", 7), at(100))
 		if told != 1 {
 			t.Errorf("told %d times", told)
 		}
 	})
+	t.Run("not told while targets hold results that are not accounted for", func(t *testing.T) {
+		told := 0
+		q, _, b := crowd(t, func() { told++ })
+		q.unsure = at(60)
+		q.InputsRead(b, at(50))
+		if told != 0 {
+			t.Errorf("told %d times", told)
+		}
+	})
 	t.Run("not told of a call that has ended before", func(t *testing.T) {
 		told := 0
 		q, _, b := crowd(t, func() { told++ })
 		q.Done(b, nil, at(10))
-		q.InputsRead(b)
+		q.InputsRead(b, at(50))
 		if told != 0 {
 			t.Errorf("told %d times", told)
 		}
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -9,9 +9,11 @@
 	"github.com/hookhall/hookhall"
 )
 
-// InputsRead takes in that a call which is still at work has read its inputs.
-func (q *Queue) InputsRead(b *Batch) {
-	if b.read || b.done {
+// InputsRead takes in that a call which is still at work has read its inputs. While
+// targets hold results that this queue does not know of, pieces may find no room
+// and need their inputs again, so that nobody is told.
+func (q *Queue) InputsRead(b *Batch, now time.Time) {
+	if b.read || b.done || now.Before(q.unsure) {
 		return
 	}
 	b.read = true
@@ -101,6 +103,7 @@
 		j.end(Outcome{Reason: f})
 	case hookhall.PieceNoRoom:
 		s.noRoom = now.Add(roomPause)
+		q.unsure = now.Add(q.spec.Keep)
 		q.again(j, index)
 	default:
 		q.again(j, index)
