balance: TestRefusals begins with targets that have answered

Targets that have never answered count as taking 20 ms, those that have answered as 1 ms, so that the refusing one got a call only if chance chose it first.

--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -152,6 +152,11 @@
 	now := time.Now()
 	list := targets(3)
 	refusing := func(b *Tracker, ids ...string) (offers int) {
+		// Without this a target that never answered is held to be slow, and may
+		// never get a call: the choice among equals has chance in it.
+		for _, c := range list {
+			b.Begin(c, Wish{}, now).Succeeded(time.Millisecond)
+		}
 		for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(20 * time.Millisecond) {
 			c, ok := b.Choose(list, Wish{}, at)
 			if !ok {
