members: strong instances own the fleet's work

Cause: owners were drawn by the square of their power. Of 295 instances 280 have 0.192 cores and 15 have 0.8, so that a weak one owned every second role. A broker of 450 streams a second needs 0.2 cores: on a weak instance it was full, calls went out emptier, and half of all requests were late twenty seconds after the last trouble.

Change: only members with at least half of the strongest one's power own work, with at least three of them, and all others when none of these is left. An owner is found by a look at 15 members in place of 295.

Ruled out: a steeper formula, which puts all on one instance when one is stronger than the rest.

--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -38,8 +38,17 @@
 	suspectFor = 1500 * time.Millisecond
 	// leastPower stands for members that don't tell theirs.
 	leastPower = 0.05
-	pauseFirst = 100 * time.Millisecond
-	pauseMost  = 2 * time.Second
+	// bearerShare is the part of the strongest member's power that a member needs
+	// to own work. On 295 instances of which 280 have a quarter of the others'
+	// processor, the square of power alone gave weak ones every second role: one
+	// that brokered a pool was full, half of all requests were late, and stayed so
+	// after the load had gone.
+	bearerShare = 0.5
+	// leastBearers is how many members own work at least, weaker ones included: a
+	// fleet's roles are not to hang on one or two instances.
+	leastBearers = 3
+	pauseFirst   = 100 * time.Millisecond
+	pauseMost    = 2 * time.Second
 )
 
 // Members follows the gateways.
@@ -48,8 +57,8 @@
 	store hookhall.Store
 	log   *log.Logger
 
-	list     atomic.Pointer[[]hookhall.Member] // sorted by address, self included
-	suspects sync.Map                          // address to time.Time
+	list     atomic.Pointer[roster]
+	suspects sync.Map // address to time.Time
 	stopping atomic.Bool
 	lease    atomic.Uint64
 	since    sync.Map // address to when it was first listed; self: registered
@@ -83,18 +92,23 @@
 
 // List has all members that are not suspected, sorted by address.
 func (m *Members) List(now time.Time) []hookhall.Member {
-	all := *m.list.Load()
+	all := m.All()
 	kept := make([]hookhall.Member, 0, len(all))
 	for _, o := range all {
-		if o.Address == m.self.Address || !m.Suspected(o.Address, now) {
+		if !m.silent(o.Address, now) {
 			kept = append(kept, o)
 		}
 	}
 	return kept
 }
 
+// silent tells whether another member did not answer a moment ago.
+func (m *Members) silent(address string, now time.Time) bool {
+	return address != m.self.Address && m.Suspected(address, now)
+}
+
 // All has all members, suspected ones included, sorted by address.
-func (m *Members) All() []hookhall.Member { return *m.list.Load() }
+func (m *Members) All() []hookhall.Member { return m.list.Load().all }
 
 // Rank is this process's place in the order of key's owners: 0 for the owner, 1
 // for the next one, 2 for all others.
@@ -111,7 +125,7 @@
 }
 
 // Count is how many members there are, suspected ones included.
-func (m *Members) Count() int { return len(*m.list.Load()) }
+func (m *Members) Count() int { return len(m.All()) }
 
 // Suspect leaves a peer out for a while.
 func (m *Members) Suspect(address string, now time.Time) {
@@ -133,18 +147,22 @@
 	return true
 }
 
-// Owner is the member that holds the work named by key, by rendezvous hashing.
-// skip leaves members out. Newcomers own nothing, unless all are.
+// Owner is the member that holds the work named by key, by rendezvous hashing over
+// the members that are strong enough; over all when none of those is left. skip
+// leaves members out. Newcomers own nothing, unless all are.
 func (m *Members) Owner(key string, skip map[string]bool, now time.Time) hookhall.Member {
-	list := m.List(now)
-	best, found := m.choose(key, list, func(o hookhall.Member) bool { return !skip[o.Address] && !m.fresh(o.Address, now) })
-	if !found {
-		best, found = m.choose(key, list, func(o hookhall.Member) bool { return !skip[o.Address] })
-	}
-	if !found {
-		return m.self
+	r := m.list.Load()
+	may := func(o hookhall.Member) bool { return !skip[o.Address] && !m.silent(o.Address, now) }
+	settled := func(o hookhall.Member) bool { return may(o) && !m.fresh(o.Address, now) }
+	for _, try := range []struct {
+		list []hookhall.Member
+		may  func(hookhall.Member) bool
+	}{{r.bearers, settled}, {r.all, settled}, {r.bearers, may}, {r.all, may}} {
+		if best, found := m.choose(key, try.list, try.may); found {
+			return best
+		}
 	}
-	return best
+	return m.self
 }
 
 func (m *Members) choose(key string, list []hookhall.Member, may func(hookhall.Member) bool) (best hookhall.Member, found bool) {
@@ -173,8 +191,7 @@
 func weighed(key string, o hookhall.Member) float64 {
 	h := xxhash.Sum64String(key + "\x00" + o.Address)
 	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	power := max(o.Power, leastPower)
-	return -power * power / math.Log(unit)
+	return -power(o) * power(o) / math.Log(unit)
 }
 
 // Run follows the store until ctx ends.
@@ -226,6 +243,7 @@
 		return true
 	})
 	sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
-	m.list.Store(&list)
-	m.log.Info("The gateways.", "count", len(list))
+	r := newRoster(list)
+	m.list.Store(r)
+	m.log.Info("The gateways.", "count", len(r.all), "bearers", len(r.bearers))
 }
