catalog: readers that stand in for the reader are spread by the fleet's size

Cause: processes that have not been told for 1.1 to 1.3 s read for themselves. The first of 295 tells all others, but that takes some tenths of a second to get around, in which most of them become due, too.

Change: their times are spread over 4 ms more for each gateway, 1.2 s at most, and each keeps its place among them. Beliefs stay within 2.5 s.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -182,6 +182,7 @@
 	g.broadcaster.Heard = g.gate.Heard
 	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = func() int { return g.members.Rank(readerKey, time.Now()) }
+	g.catalog.Fleet = g.members.Count
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -29,6 +29,12 @@
 	rankStep = 350 * time.Millisecond
 	// rankMost is the last rank that counts.
 	rankMost = 2
+	// fleetStep spreads them further in a large fleet, by this much for each
+	// gateway: a reading takes some tenths of a second to get around there, and the
+	// first that reads for itself tells all others. With fleetMost, beliefs stay
+	// well within the three seconds in which a change has to be in force.
+	fleetStep = 4 * time.Millisecond
+	fleetMost = 1200 * time.Millisecond
 	// look is how often it looks whether they are.
 	look = 40 * time.Millisecond
 	// pauseFirst and pauseMost bound the pauses after failures of the store.
@@ -83,10 +89,16 @@
 	// Rank tells which reader this process is: 0 reads for all, 1 stands by, and
 	// others read only what they have not been told. Set before Run.
 	Rank func() int
+	// Fleet is how many gateways there are. Set before Run.
+	Fleet func() int
 	// Read is called after this process has learned something from the store
 	// itself. Set before Run.
 	Read func()
 
+	// place is this process's among those that read for themselves, 0 for the first
+	// and 1 for the last.
+	place float64
+
 	mu    sync.Mutex // held while pictures and tables change
 	known map[string]*entry
 
@@ -100,7 +112,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Read: func() {}}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
 	c.noteAnswer(time.Now())
 	return c
 }
@@ -166,7 +178,8 @@
 	rank := min(c.Rank(), rankMost)
 	most := readEvery + time.Duration(rank)*rankStep
 	if rank == rankMost {
-		most += rand.N(rankStep / 2)
+		spread := rankStep/2 + min(time.Duration(c.Fleet())*fleetStep, fleetMost)
+		most += time.Duration(c.place * float64(spread))
 	}
 	return now.Sub(heard) >= most
 }
