members: a strong process that is late with its work asks to own none

Peers leave out only those that do not answer.

When more than half of those that may own work are late, all do: the load is too much for fewer.

--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -60,6 +60,8 @@
 	list     atomic.Pointer[roster]
 	suspects sync.Map // address to time.Time
 	stopping atomic.Bool
+	resting  atomic.Bool // this process asks to own no work
+	said     atomic.Bool // what its key says of that
 	lease    atomic.Uint64
 	since    sync.Map // address to when it was first listed; self: registered
 
@@ -197,9 +199,9 @@
 // Run follows the store until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Add(2)
-	go func() { defer wg.Done(); m.register(ctx) }()
-	go func() { defer wg.Done(); m.follow(ctx) }()
+	for _, f := range []func(context.Context){m.register, m.follow, m.watchLag} {
+		wg.Go(func() { f(ctx) })
+	}
 	wg.Wait()
 }
 
@@ -222,7 +224,7 @@
 // reference.
 func (m *Members) publish() {
 	now := time.Now()
-	list := []hookhall.Member{m.self}
+	list := []hookhall.Member{m.own()}
 	listed := map[string]bool{m.self.Address: true}
 	for _, l := range m.byKey {
 		o := l.member
--- a/internal/coordination/members/register.go
+++ b/internal/coordination/members/register.go
@@ -23,16 +23,32 @@
 	}
 }
 
-func (m *Members) register(ctx context.Context) {
-	value, err := json.Marshal(m.self)
+// own is this process as the others should see it.
+func (m *Members) own() hookhall.Member {
+	o := m.self
+	o.Resting = m.resting.Load()
+	return o
+}
+
+// write writes this process's key under a lease.
+func (m *Members) write(ctx context.Context, lease uint64) error {
+	o := m.own()
+	value, err := json.Marshal(o)
 	if err != nil {
-		m.log.Error("Can't encode this member.", "error", err.Error())
-		return
+		return errors.Wrap(err, "this member can't be encoded")
+	}
+	if err := m.store.Put(ctx, prefix+o.Instance, value, lease); err != nil {
+		return err
 	}
+	m.said.Store(o.Resting)
+	return nil
+}
+
+func (m *Members) register(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
 	failing := false
 	for ctx.Err() == nil && !m.stopping.Load() {
-		if err := m.renew(ctx, value); err != nil {
+		if err := m.renew(ctx); err != nil {
 			if !failing && ctx.Err() == nil {
 				m.log.Warn("The lease can't be renewed; others drop this gateway when it expires.", "lease", m.lease.Load(), "error", err.Error())
 			}
@@ -49,10 +65,13 @@
 	}
 }
 
-// renew keeps the lease, or begins a new one with this process's key.
-func (m *Members) renew(ctx context.Context, value []byte) error {
+// renew keeps the lease, or begins a new one, and has the key say what is true.
+func (m *Members) renew(ctx context.Context) error {
 	if lease := m.lease.Load(); lease != 0 {
 		err := m.store.Renew(ctx, lease)
+		if err == nil && m.said.Load() != m.resting.Load() {
+			err = m.write(ctx, lease)
+		}
 		if !errors.Is(err, hookhall.ErrLeaseGone) {
 			return err
 		}
@@ -62,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	if err := m.store.Put(ctx, prefix+m.self.Instance, value, lease); err != nil {
+	if err := m.write(ctx, lease); err != nil {
 		return err
 	}
 	if !m.stopping.Load() {
--- a/internal/coordination/members/roster.go
+++ b/internal/coordination/members/roster.go
@@ -11,21 +11,31 @@
 
 // roster is a list of members that never changes.
 type roster struct {
-	all []hookhall.Member // sorted by address, this process included
+	all   []hookhall.Member // sorted by address, this process included
+	least float64           // the power that a member needs to own work
 	// bearers are those of all that own work as long as one of them is there.
 	bearers []hookhall.Member // sorted by address
 }
 
 // newRoster finds the bearers of a sorted list.
 func newRoster(all []hookhall.Member) *roster {
-	r := &roster{all: all}
 	least := bearerPower(all)
+	var strong, awake []hookhall.Member
 	for _, o := range all {
-		if power(o) >= least {
-			r.bearers = append(r.bearers, o)
+		if power(o) < least {
+			continue
 		}
+		strong = append(strong, o)
+		if !o.Resting {
+			awake = append(awake, o)
+		}
+	}
+	if 2*len(awake) < len(strong) {
+		// More than a few are late: the load is too much for all of them, and would
+		// be more for those that are left.
+		return &roster{all: all, least: least, bearers: strong}
 	}
-	return r
+	return &roster{all: all, least: least, bearers: awake}
 }
 
 // bearerPower is the power from which on a member owns work: bearerShare of the
--- a/internal/coordination/members/roster_test.go
+++ b/internal/coordination/members/roster_test.go
@@ -16,13 +16,14 @@
 // fleetOf makes a Members of instances with these powers, listed long ago.
 func fleetOf(powers ...float64) *Members {
 	m := listed(len(powers))
+	clear(m.byKey)
 	for i, p := range powers {
 		o := member(i + 1)
 		o.Power = p
 		if i == 0 {
 			m.self = o
 		}
-		m.byKey[prefix+fmt.Sprint(i+1)] = listing{member: o}
+		m.byKey[prefix+o.Instance] = listing{member: o}
 	}
 	m.publish()
 	for _, o := range m.All() {
--- a/view.go
+++ b/view.go
@@ -15,6 +15,9 @@
 	// Power is how much of a processor and a link it has, against others; 0 when
 	// it doesn't say.
 	Power float64 `json:"power,omitempty"`
+	// Resting is set while the process is late with its work: it asks to be left
+	// out when shared work is given out.
+	Resting bool `json:"resting,omitempty"`
 }
 
 // Change is one membership change: what Epoch changed against Epoch-1.
