--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -170,9 +170,9 @@
 	})
 }
 
-// A table that was written long ago lies before the history that the store
-// keeps: the watch has to begin at the store's revision. It began at the key's
-// own, and read the table again without a pause (fresh-8fe0 on quetzal-hub).
+// TestForgottenHistoryIsNoTrouble: a table that was written long ago lies before the
+// history that the store keeps. A watch from the key's own revision in place of the
+// store's reads the table again without a pause.
 func TestForgottenHistoryIsNoTrouble(t *testing.T) {
 	s := newFakeStore()
 	follow(t, s, func(c *Catalog) {
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -351,9 +351,9 @@
 	return len(line), nil
 }
 
-// TestClientLeavesBetweenStages: on trouble-2 of pcian-auth a client left just as
-// an inner stage was made; the next one was not begun, and the request went to its
-// engine with the inner results for inputs.
+// TestClientLeavesBetweenStages: when a client leaves just as an inner stage is made,
+// the next one is not begun, and the request must not go to its engine with the inner
+// results for inputs.
 func TestClientLeavesBetweenStages(t *testing.T) {
 	for stage := range chain {
 		b := newBench(2, 1, 3, 4)
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -297,9 +297,8 @@
 	})
 }
 
-// TestRoomForWholeJobs: on scale-1 of a deployment whose pool holds 51 results a
-// target, jobs were begun with the room that was left and held it, half made,
-// while 700 pieces waited.
+// TestRoomForWholeJobs: jobs that are begun with the room that is left hold it, half
+// made, while others wait: 700 pieces, at targets that hold 51 results each.
 func TestRoomForWholeJobs(t *testing.T) {
 	now := time.Unix(1000, 0)
 	q := NewQueue()
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -67,10 +67,9 @@
 	return n, err
 }
 
-// TestStopBetweenReadAndServe is the race that lost a request on
-// scale-1 --seed 463657647875 of quetzal-hub: a kept connection's next request
-// has been read when the stop comes. With net/http's SetKeepAlivesEnabled and
-// Shutdown in place of the Drain, the service runs and the client gets nothing.
+// TestStopBetweenReadAndServe: a kept connection's next request has been read when
+// the stop comes. With net/http's SetKeepAlivesEnabled and Shutdown in place of the
+// Drain, the service runs and the client gets nothing.
 func TestStopBetweenReadAndServe(t *testing.T) {
 	var served atomic.Int64
 	h := NewHandler(serviceFunc(func(_ context.Context, _ *hookhall.Call, a hookhall.AnswerWriter) error {
@@ -116,9 +115,8 @@
 	}
 }
 
-// TestDrainRefusesInTheEnd: what comes in the end is refused, not served. On
-// mix --seed 706863293213 of quetzal-hub a stopping gateway took a request on a
-// kept connection 6.6 s after SIGTERM, and ended before its answer.
+// TestDrainRefusesInTheEnd: what comes in the end is refused, not served. A request
+// taken on a kept connection 6.6 s after the signal, of 8 s in all, is cut off.
 func TestDrainRefusesInTheEnd(t *testing.T) {
 	h := NewHandler(serviceFunc(func(context.Context, *hookhall.Call, hookhall.AnswerWriter) error {
 		t.Error("served after the drain")
