catalog, balance: evacuated halls, cold targets, homes of requests

Cause: no line read the operators' keys of halls that are to be emptied, what targets say of being cold, or regions of routes and accounts.

Evacuation: the operators' keys are read and watched together, in the calls that read the table alone before. The list of halls is short and travels whole with each piece of news and with what a newcomer is told; older news never takes a hall back. Its targets are left out of the pools from which placers, brokers and gateways choose. What only such halls could serve is refused at once, jobs that wait at a broker included.

Cold targets: a target is cold for as long as its newest heartbeat says, and its service's cold time after its hall was taken back.

Homes: a request runs in the halls of its route's and its account's regions only. Stages of such a request are not bound yet: the rule speaks of the request.

--- a/forward.go
+++ b/forward.go
@@ -148,6 +148,8 @@
 	PieceGone   PieceFailure = "gone" // an input is gone
 	PieceNoRoom PieceFailure = "room"
 	PieceError  PieceFailure = "error"
+	// PieceNoTarget is this product's own: no target may make the piece.
+	PieceNoTarget PieceFailure = "no target"
 )
 
 // PieceResult is a handle, or why there is none.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -166,7 +166,8 @@
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
-	g.placer = placement.NewPlacer(g.catalog)
+	cold := balance.ColdLimits{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack}
+	g.placer = placement.NewPlacer(g.catalog, cold)
 	runner := &stages.Runner{
 		Local: g.broker, Fleet: g.members, Log: g.logger(logging.Stages),
 		Remote: func(address string) stages.Remote { return g.clients.Client(address) },
@@ -182,7 +183,9 @@
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
 		}, time.Now()),
-		Sharers: g.members.Sharers, Meter: g.metrics, Log: g.logger(logging.Forward),
+		ColdShare: func(target string, s *hookhall.Service) int { return g.coldShare(target, cold.Owners(s)) },
+		HallsIn:   g.hallsIn,
+		Sharers:   g.members.Sharers, Meter: g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.app = g.newApp()
 }
@@ -318,6 +321,8 @@
 	TableRev uint64                    `json:"table_revision"`
 	Targets  uint64                    `json:"targets_revision"`
 	AgeMS    int64                     `json:"targets_age_ms"`
+	Halls    catalog.Halls             `json:"halls"`
+	Cold     []string                  `json:"cold_targets"`
 	Members  []hookhall.Member         `json:"members"`
 	Balance  map[string]balance.Status `json:"balance"`
 	Dropped  int64                     `json:"log_lines_dropped"`
@@ -328,7 +333,7 @@
 	now := time.Now()
 	s := State{
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
-		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(),
+		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
@@ -339,6 +344,7 @@
 		for id := range p.ByID {
 			s.Balance[id] = g.tracker.Status(id, now)
 		}
+		s.Cold = p.Cold(now)
 	}
 	return s
 }
--- a/internal/app/gateway/reload.go
+++ b/internal/app/gateway/reload.go
@@ -28,6 +28,12 @@
 	av, bv := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range av.NumField() {
 		section := av.Type().Field(i).Tag.Get("toml")
+		if av.Field(i).Kind() != reflect.Struct {
+			if !reflect.DeepEqual(av.Field(i).Interface(), bv.Field(i).Interface()) {
+				list = append(list, section)
+			}
+			continue
+		}
 		for j := range av.Field(i).NumField() {
 			if !reflect.DeepEqual(av.Field(i).Field(j).Interface(), bv.Field(i).Field(j).Interface()) {
 				list = append(list, section+"."+av.Field(i).Type().Field(j).Tag.Get("toml"))
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -8,7 +8,10 @@
 	Gateway GatewayPart `toml:"gateway"`
 	Store   StorePart   `toml:"store"`
 	Bounds  BoundsPart  `toml:"bounds"`
-	Log     LogPart     `toml:"log"`
+	// Regions has the region of each hall of the deployment, for requests that may
+	// run in some regions only.
+	Regions map[string]string `toml:"regions"`
+	Log     LogPart           `toml:"log"`
 }
 
 // GatewayPart tells a gateway who and where it is.
@@ -37,13 +40,15 @@
 	RetryRatio    float64 `toml:"retry_ratio"`     // repeats, as a share of requests
 	RetryWindowMS int     `toml:"retry_window_ms"` // the window they are counted in
 	RetrySlack    float64 `toml:"retry_slack"`     // repeats beyond it, of the whole fleet
+	ColdOver      float64 `toml:"cold_over"`       // what a cold target may get, as a multiple of what it bears
+	ColdSlack     float64 `toml:"cold_slack"`      // requests a second beyond it
 }
 
 // DefaultGateway has the defaults of all keys that have one.
 func DefaultGateway() Gateway {
 	return Gateway{
 		Gateway: GatewayPart{Cores: 1, LinkMbps: 1000, MemoryMB: 256},
-		Bounds:  BoundsPart{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10},
+		Bounds:  BoundsPart{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1},
 		Log:     LogPart{Level: "info"},
 	}
 }
@@ -71,6 +76,12 @@
 	if s.Bounds.RetrySlack < 0 {
 		c.add("bounds.retry_slack", "%v is not accepted; 0 or more is", s.Bounds.RetrySlack)
 	}
+	if s.Bounds.ColdOver < 1 {
+		c.add("bounds.cold_over", "%v is not accepted; 1 or more is", s.Bounds.ColdOver)
+	}
+	if s.Bounds.ColdSlack < 0 {
+		c.add("bounds.cold_slack", "%v is not accepted; 0 or more is", s.Bounds.ColdSlack)
+	}
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	return c.list
 }
--- a/internal/app/settings/gateway_test.go
+++ b/internal/app/settings/gateway_test.go
@@ -27,13 +27,14 @@
 		t.Fatal(err)
 	}
 	for name, c := range map[string]struct{ old, new, want string }{
-		"a missing key":    {`hall = "hall-1"`, ``, "f:2: gateway.hall: "},
-		"a host's name":    {"10.0.1.1:80", "store.example:80", "f:10: store.address: "},
-		"an unknown key":   {`hall = "hall-1"`, "hall = \"hall-1\"\nspeed = 3", "f:5: gateway.speed: unknown key"},
-		"a wrong type":     {`[store]`, "memory_mb = \"x\"\n[store]", "f:9: gateway.memory_mb: "},
-		"out of range":     {`[store]`, "memory_mb = 1\n[store]", "f:9: gateway.memory_mb: "},
-		"no power":         {`[store]`, "cores = 0.0\n[store]", "f:9: gateway.cores: "},
-		"a ratio over one": {`[store]`, "[bounds]\nretry_ratio = 2.0\n[store]", "f:10: bounds.retry_ratio: "},
+		"a missing key":     {`hall = "hall-1"`, ``, "f:2: gateway.hall: "},
+		"a host's name":     {"10.0.1.1:80", "store.example:80", "f:10: store.address: "},
+		"an unknown key":    {`hall = "hall-1"`, "hall = \"hall-1\"\nspeed = 3", "f:5: gateway.speed: unknown key"},
+		"a wrong type":      {`[store]`, "memory_mb = \"x\"\n[store]", "f:9: gateway.memory_mb: "},
+		"out of range":      {`[store]`, "memory_mb = 1\n[store]", "f:9: gateway.memory_mb: "},
+		"no power":          {`[store]`, "cores = 0.0\n[store]", "f:9: gateway.cores: "},
+		"a share under one": {`[store]`, "[bounds]\ncold_over = 0.5\n[store]", "f:10: bounds.cold_over: "},
+		"a ratio over one":  {`[store]`, "[bounds]\nretry_ratio = 2.0\n[store]", "f:10: bounds.retry_ratio: "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := DefaultGateway()
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -52,6 +52,7 @@
 
 	table   atomic.Pointer[tableState]
 	picture atomic.Pointer[Picture]
+	halls   atomic.Pointer[Halls]
 	// Rank tells which reader this process is: 0 reads for all, 1 stands by, and
 	// others read only what they have not been told. Set before Run.
 	Rank func() int
@@ -67,6 +68,8 @@
 
 	mu    sync.Mutex // held while pictures and tables change
 	known map[string]*entry
+	// returned is when halls that were evacuated were taken back.
+	returned map[string]time.Time
 
 	failing  atomic.Bool               // the last call of the store failed
 	answered atomic.Pointer[time.Time] // when the store last answered, or the start
@@ -75,7 +78,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
 	c.noteAnswer(time.Now())
 	return c
 }
@@ -99,6 +102,13 @@
 	return nil
 }
 
+// Evacuated tells whether a service has targets, and all that it could use stand in
+// halls that operators have evacuated.
+func (c *Catalog) Evacuated(pool string) bool {
+	p := c.picture.Load()
+	return p != nil && len(p.ByPool[pool]) == 0 && p.Evacuated[pool]
+}
+
 // HallAt is the hall of the target at an address, "" when none is known there.
 func (c *Catalog) HallAt(address string) string {
 	if p := c.picture.Load(); p != nil {
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,14 +24,25 @@
 // fakePlatform keeps a version and targets as JSON.
 type fakePlatform struct{}
 
-func (fakePlatform) RoutingKey() string   { return "table" }
-func (fakePlatform) TargetPrefix() string { return "t/" }
+func (fakePlatform) OperatorPrefix() string { return "op/" }
+func (fakePlatform) RoutingKey() string     { return "op/table" }
+func (fakePlatform) TargetPrefix() string   { return "t/" }
+func (fakePlatform) EvacuatedHall(key string) (string, bool) {
+	return strings.CutPrefix(key, "op/out/")
+}
 func (fakePlatform) ReadRouting(b []byte) (*hookhall.Routing, error) {
 	r := &hookhall.Routing{}
 	return r, json.Unmarshal(b, r)
 }
 func (fakePlatform) ReadTarget(key string, b []byte) (hookhall.Target, error) {
 	t := hookhall.Target{ID: key[2:], Pool: "pool"}
+	// "a@north" stands in the hall north; "cold 7 2000" is its 7th heartbeat, which
+	// says that it stays cold for two seconds.
+	_, t.Hall, _ = strings.Cut(t.ID, "@")
+	var left int
+	if n, _ := fmt.Sscanf(string(b), "cold %d %d", &t.Beat, &left); n == 2 {
+		t.ColdLeft = time.Duration(left) * time.Millisecond
+	}
 	t.Leaving = string(b) == "leaving"
 	if string(b) == "bad" {
 		return t, errors.New("bad")
@@ -43,6 +56,8 @@
 	mu      sync.Mutex
 	at      uint64
 	table   hookhall.Item
+	halls   map[string]uint64 // evacuated, with their keys' revisions
+	events  []hookhall.Item   // of the operators' keys
 	targets map[string]string
 	down    bool
 	horizon uint64 // history before it is gone
@@ -54,7 +69,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{targets: map[string]string{}, changed: make(chan struct{})}
+	return &fakeStore{targets: map[string]string{}, halls: map[string]uint64{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) change(f func()) {
@@ -69,25 +84,58 @@
 func (s *fakeStore) setTable(version int64) {
 	s.change(func() {
 		b, _ := json.Marshal(hookhall.Routing{Version: version})
-		s.table = hookhall.Item{Key: "table", Value: b, Revision: s.at}
+		s.table = hookhall.Item{Key: "op/table", Value: b, Revision: s.at}
+		s.events = append(s.events, s.table)
 	})
 }
 
-func (s *fakeStore) Get(context.Context, string) (hookhall.Item, uint64, error) {
+// evacuate writes or removes a hall's key.
+func (s *fakeStore) evacuate(hall string, on bool) {
+	s.change(func() {
+		s.events = append(s.events, hookhall.Item{Key: "op/out/" + hall, Revision: s.at, Gone: !on})
+		delete(s.halls, hall)
+		if on {
+			s.halls[hall] = s.at
+		}
+	})
+}
+
+func (s *fakeStore) Range(_ context.Context, prefix string) ([]hookhall.Item, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if prefix == "op/" {
+		return s.operators()
+	}
+	s.ranges++
+	return s.list(s.targets, s.at)
+}
+
+// operators lists their keys. The caller holds s.mu.
+func (s *fakeStore) operators() ([]hookhall.Item, uint64, error) {
 	s.gets++
 	if s.down {
-		return hookhall.Item{}, 0, hookhall.ErrUnavailable
+		return nil, 0, hookhall.ErrUnavailable
 	}
-	return s.table, s.at, nil
+	var list []hookhall.Item
+	if s.table.Revision > 0 {
+		list = append(list, s.table)
+	}
+	for hall, revision := range s.halls {
+		list = append(list, hookhall.Item{Key: "op/out/" + hall, Revision: revision})
+	}
+	return list, s.at, nil
 }
 
-func (s *fakeStore) Range(context.Context, string) ([]hookhall.Item, uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ranges++
-	return s.list(s.targets, s.at)
+// since lists the events of the operators' keys after a revision. The caller holds
+// s.mu.
+func (s *fakeStore) since(revision uint64) []hookhall.Item {
+	var list []hookhall.Item
+	for _, i := range s.events {
+		if i.Revision > revision {
+			list = append(list, i)
+		}
+	}
+	return list
 }
 
 // RangeStale brings what the store had before its last change.
@@ -113,7 +161,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		table, at, down, gone, changed := s.table, s.at, s.down, since < s.horizon, s.changed
+		events, at, down, gone, changed := s.since(since), s.at, s.down, since < s.horizon, s.changed
 		if gone {
 			s.forgot++
 		}
@@ -123,8 +171,8 @@
 			return nil, since, hookhall.ErrUnavailable
 		case gone:
 			return nil, since, hookhall.ErrHistoryGone
-		case table.Revision > since:
-			return []hookhall.Item{table}, at, nil
+		case len(events) > 0:
+			return events, at, nil
 		}
 		select {
 		case <-changed:
@@ -170,6 +218,29 @@
 	})
 }
 
+// TestTwoChangesAtOnce: of two changes in one answer of the store, the newer one is in
+// force.
+func TestTwoChangesAtOnce(t *testing.T) {
+	s := newFakeStore()
+	follow(t, s, func(c *Catalog) {
+		s.setTable(1)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		for version := 2; version <= 3; version++ {
+			s.at++
+			b, _ := json.Marshal(hookhall.Routing{Version: int64(version)})
+			s.table = hookhall.Item{Key: "op/table", Value: b, Revision: s.at}
+			s.events = append(s.events, s.table)
+		}
+		s.mu.Unlock()
+		s.change(func() {})
+		time.Sleep(time.Second)
+		if v := c.Table().Version(); v != 3 {
+			t.Errorf("version %d", v)
+		}
+	})
+}
+
 // TestForgottenHistoryIsNoTrouble: a table that was written long ago lies before the
 // history that the store keeps. A watch from the key's own revision in place of the
 // store's reads the table again without a pause.
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -24,10 +24,15 @@
 // nothing of one target: a process that was cut off for a while finds a target
 // gone that left in the meantime.
 //
+// Halls that operators have evacuated are read and watched with the table, one
+// call for both, and told whole with each piece of news: they are few. Their
+// targets are left out of what may get work, and are used as cold ones for a while
+// when their hall is taken back.
+//
 // # Invariants
 //
 //   - Revisions only rise: neither the store nor a peer brings an older table or
-//     an older list of targets back.
+//     an older list of targets back, nor does old news take a hall back.
 //   - An age is counted from before the call that confirmed it.
 //   - Readers take one immutable picture and need no lock.
 package catalog
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -39,6 +40,9 @@
 	changed time.Time
 	// left is set once it said that it leaves.
 	left bool
+	// coldUntil is until when it is cold by its own word, counted from when this
+	// process heard it, which is later than when it was said.
+	coldUntil time.Time
 }
 
 func (e *entry) usable(now time.Time) bool {
@@ -98,9 +102,11 @@
 	return t, err == nil
 }
 
-// digest sums up what matters of a target; its heartbeats don't.
+// digest sums up what matters of a target; its heartbeats don't, nor does a countdown
+// that each of them moves.
 func digest(t hookhall.Target) uint64 {
 	t.Beat = 0
+	t.ColdLeft = min(t.ColdLeft, 1)
 	return xxhash.Sum64String(fmt.Sprintf("%+v", t))
 }
 
@@ -126,9 +132,21 @@
 	if digest(t) != digest(e.target) {
 		e.changed = now
 	}
+	if !bytes.Equal(value, e.value) || e.value == nil {
+		// A key that was read before says nothing new of how long it is cold.
+		e.coldUntil = chill(t, now)
+	}
 	e.target, e.value = t, value
 }
 
+// chill is until when a target is cold that has just written its key.
+func chill(t hookhall.Target, now time.Time) time.Time {
+	if t.ColdLeft <= 0 {
+		return time.Time{}
+	}
+	return now.Add(t.ColdLeft)
+}
+
 // miss takes in targets that are not listed any more.
 func (c *Catalog) miss(lost []*entry, from string, now time.Time) {
 	listed := 0
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -81,30 +81,36 @@
 // readTable reads the table and returns the revision to watch from.
 func (c *Catalog) readTable(ctx context.Context) (uint64, error) {
 	began := time.Now()
-	i, at, err := c.store.Get(ctx, c.platform.RoutingKey())
+	items, at, err := c.store.Range(ctx, c.platform.OperatorPrefix())
 	if err != nil {
 		return 0, err
 	}
-	if i.Revision == 0 {
+	// The halls come first: a process is ready with its first table, and must not
+	// send anything into a hall that was evacuated before it started.
+	fresh := c.LearnHalls(Halls{at, c.readHalls(items)}, "store")
+	found := c.learnStored(items, began)
+	if fresh {
+		c.Read()
+	}
+	if !found {
 		return 0, errNoTable
 	}
-	c.learnStored(i, began)
-	// Not from the key's own revision: its history may be gone since.
-	return max(at, i.Revision), nil
+	// Not from the table's own revision: its history may be gone since.
+	return at, nil
 }
 
 func (c *Catalog) watchTable(ctx context.Context, since uint64) (uint64, error) {
 	began := time.Now()
-	events, at, err := c.store.Watch(ctx, c.platform.RoutingKey(), since, watchTime)
+	events, at, err := c.store.Watch(ctx, c.platform.OperatorPrefix(), since, watchTime)
 	if err != nil {
 		// Whatever was missed is read whole.
 		return 0, err
 	}
-	for _, i := range events {
-		if i.Key == c.platform.RoutingKey() && !i.Gone {
-			c.learnStored(i, began)
-			return at, nil
-		}
+	if c.followHalls(events, at) {
+		c.Read()
+	}
+	if c.learnStored(events, began) {
+		return at, nil
 	}
 	if time.Since(began) >= watchTime {
 		began = began.Add(watchTime) // the store waited before it said that there is nothing
@@ -115,12 +121,23 @@
 	return at, nil
 }
 
-// learnStored takes in a table that the store had when a call began, and passes
-// it on if it is new.
-func (c *Catalog) learnStored(i hookhall.Item, began time.Time) {
-	if c.LearnTable(i.Value, i.Revision, "store", began) {
+// learnStored takes in the newest table among keys that the store had when a call
+// began, and passes it on if it is new. It tells whether there was one. One answer of
+// a watch may hold several: the first alone would stay in force until the next change.
+func (c *Catalog) learnStored(items []hookhall.Item, began time.Time) bool {
+	var newest hookhall.Item
+	for _, i := range items {
+		if i.Key == c.platform.RoutingKey() && !i.Gone && i.Revision > newest.Revision {
+			newest = i
+		}
+	}
+	if newest.Revision == 0 {
+		return false
+	}
+	if c.LearnTable(newest.Value, newest.Revision, "store", began) {
 		c.Read()
 	}
+	return true
 }
 
 // ConfirmTable takes in that a revision was still the newest at a time. It tells
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -24,9 +24,12 @@
 type Picture struct {
 	Revision uint64
 	Began    time.Time
-	// ByPool has the usable targets by service, sorted by id; leaving ones are
-	// not in it.
+	// ByPool has the usable targets by service, sorted by id; leaving ones and those
+	// of evacuated halls are not in it.
 	ByPool map[string][]hookhall.Target
+	// Evacuated has the services with targets that only the evacuation of their hall
+	// keeps out of ByPool.
+	Evacuated map[string]bool
 	// ByID has all that are known, leaving and lapsed ones too.
 	ByID map[string]hookhall.Target
 	// Digest sums up all listed targets; equal digests mean equal lists.
@@ -35,6 +38,20 @@
 	HallAt map[string]string
 }
 
+// Cold lists the usable targets that are held to be cold, sorted.
+func (p *Picture) Cold(now time.Time) []string {
+	var ids []string
+	for _, list := range p.ByPool {
+		for _, t := range list {
+			if t.Cold(now) {
+				ids = append(ids, t.ID)
+			}
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 // Age is how old the picture is.
 func (p *Picture) Age(now time.Time) time.Duration { return now.Sub(p.Began) }
 
@@ -92,15 +109,22 @@
 func (c *Catalog) publish(revision uint64, began, now time.Time) {
 	p := &Picture{
 		Revision: revision, Began: began,
-		ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{},
+		ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{}, Evacuated: map[string]bool{},
 	}
+	halls := c.Halls()
 	for id, e := range c.known {
 		p.ByID[id] = e.target
 		if e.missing.IsZero() || p.HallAt[e.target.Address] == "" {
 			p.HallAt[e.target.Address] = e.target.Hall
 		}
-		if e.usable(now) {
-			p.ByPool[e.target.Pool] = append(p.ByPool[e.target.Pool], e.target)
+		switch {
+		case !e.usable(now):
+		case halls.has(e.target.Hall):
+			p.Evacuated[e.target.Pool] = true
+		default:
+			t := e.target
+			t.ColdUntil = c.coldUntil(e)
+			p.ByPool[t.Pool] = append(p.ByPool[t.Pool], t)
 		}
 		if e.missing.IsZero() {
 			p.Digest ^= digest(e.target)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -57,21 +58,31 @@
 func (r *request) choose(ctx context.Context) (hookhall.Target, *hookhall.Error) {
 	r.wish.Slack = max(time.Until(r.aim), 0)
 	r.placed = placement.Placement{}
-	if r.wish.Engine {
-		r.placed = r.Placement.Place(ctx, r.service, r.wish)
-		for _, t := range r.Catalog.Targets(r.service) {
-			if t.ID == r.placed.Target {
-				return t, nil
+	for {
+		targets := r.Catalog.Targets(r.service)
+		if r.wish.Engine || allCold(targets, time.Now()) {
+			r.placed = r.Placement.Place(ctx, r.service, r.wish)
+			for _, t := range targets {
+				if t.ID == r.placed.Target {
+					return t, nil
+				}
 			}
+			r.placed.Tell(placement.Ended) // this process does not know it
+			r.placed = placement.Placement{}
+		}
+		if t, ok := r.Tracker.Choose(targets, r.wish, time.Now()); ok {
+			return t, nil
+		}
+		// Cold targets have had their most for this second.
+		if !allCold(targets, time.Now()) || time.Now().After(r.aim) || !retry.Sleep(ctx, coldPause) {
+			return hookhall.Target{}, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
 		}
-		r.placed.Tell(placement.Ended) // this process does not know it
-		r.placed = placement.Placement{}
-	}
-	t, ok := r.Tracker.Choose(r.Catalog.Targets(r.service), r.wish, time.Now())
-	if !ok {
-		return t, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
 	}
-	return t, nil
+}
+
+// allCold tells whether there are targets, all of them cold.
+func allCold(targets []hookhall.Target, now time.Time) bool {
+	return len(targets) > 0 && !slices.ContainsFunc(targets, func(t hookhall.Target) bool { return !t.Cold(now) })
 }
 
 // send offers the request to t. A refusal by the target is an error.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -32,6 +33,9 @@
 	// outageShare is how long an outage is expected to go on, as a share of how
 	// long it has lasted.
 	outageShare = 2
+	// evacuatedBack is when a client should come back whose request only targets in
+	// evacuated halls could serve: operators take seconds at least to take one back.
+	evacuatedBack = 2 * time.Second
 	// endMargin is taken off the deadline, for the final answer's way.
 	endMargin = 15 * time.Millisecond
 	// accountStep is how many ranks of urgency an account's priority is worth.
@@ -44,6 +48,8 @@
 	Targets(pool string) []hookhall.Target
 	TargetsAge(now time.Time) time.Duration
 	Silence(now time.Time) time.Duration
+	// Evacuated tells whether only evacuations keep a service without targets.
+	Evacuated(pool string) bool
 }
 
 // Stages makes the work before a request.
@@ -74,6 +80,11 @@
 	Budget    *budget.Budget
 	// Sharers is how many processes share the retry budget, 0 when not known.
 	Sharers func(now time.Time) int
+	// ColdShare is how many requests in any second this process may send to a cold
+	// target of a service by its own choice.
+	ColdShare func(target string, s *hookhall.Service) int
+	// HallsIn lists the halls of regions.
+	HallsIn func(regions []string) []string
 	Meter   Meter
 	Log     *log.Logger
 
@@ -122,6 +133,7 @@
 		}
 	}
 	r.service = pickService(r.route.Backends)
+	r.halls = f.homes(r)
 	wait := c.Wait
 	if wait <= 0 {
 		wait = defaultWait
@@ -134,6 +146,35 @@
 	return r, nil
 }
 
+// homes lists the halls in which a request may run, nil for all. When both its route
+// and its account have homes, both bind; without a common hall there is one that no
+// target stands in.
+func (f *Forwarder) homes(r *request) []string {
+	var halls []string
+	if len(r.route.Regions) > 0 {
+		halls = f.HallsIn(r.route.Regions)
+	}
+	if r.account == nil || len(r.account.Regions) == 0 {
+		return orNowhere(halls, len(r.route.Regions) > 0)
+	}
+	own := f.HallsIn(r.account.Regions)
+	if len(r.route.Regions) > 0 {
+		own = slices.DeleteFunc(own, func(h string) bool { return !slices.Contains(halls, h) })
+	}
+	return orNowhere(own, true)
+}
+
+// nowhere is no hall's name.
+const nowhere = "(no hall)"
+
+// orNowhere keeps an empty list that binds from meaning everywhere.
+func orNowhere(halls []string, binds bool) []string {
+	if binds && len(halls) == 0 {
+		return []string{nowhere}
+	}
+	return halls
+}
+
 // afterOutage is when a client should come back, by how long the store has been
 // silent.
 func afterOutage(silence time.Duration) time.Duration {
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -21,6 +21,9 @@
 	mostSends = 6
 	// fullPause is the pause before all targets are offered a request again.
 	fullPause = 25 * time.Millisecond
+	// coldPause is the pause before a request looks again for a cold target with room
+	// for it: a target that bears ten requests a second has some each 100 ms.
+	coldPause = 50 * time.Millisecond
 	// mostAnswer bounds an answer that is read whole.
 	mostAnswer = 32 << 20
 )
@@ -34,6 +37,7 @@
 	route   *hookhall.Route
 	account *hookhall.AccountKeys
 	service string
+	halls   []string // where it may run, nil for everywhere
 	arrived time.Time
 	aim     time.Time
 	end     time.Time
@@ -73,6 +77,9 @@
 func (r *request) serve(ctx context.Context) error {
 	r.Budget.Request(r.service, r.arrived)
 	r.wish = r.makeWish()
+	if e := r.refuseEvacuated(); e != nil {
+		return e
+	}
 	if err := r.runStages(ctx); err != nil {
 		return err
 	}
@@ -83,13 +90,34 @@
 	return r.servePlain(ctx)
 }
 
+// refuseEvacuated refuses a request that no target may serve or make a stage of,
+// since operators have evacuated all halls that have any. Waiting would not help it.
+func (r *request) refuseEvacuated() *hookhall.Error {
+	needed := []string{r.service}
+	for i, s := range r.route.Stages {
+		if i < len(r.call.Pieces) && r.call.Pieces[i] > 0 {
+			needed = append(needed, s.Service)
+		}
+	}
+	for _, s := range needed {
+		if r.Catalog.Evacuated(s) {
+			return hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "all halls with targets of %s are evacuated", s).After(evacuatedBack)
+		}
+	}
+	return nil
+}
+
 // makeWish reads what the call wants of its target.
 func (r *request) makeWish() balance.Wish {
-	w := balance.Wish{Exclude: r.tried, OutTokens: r.call.TokensOut}
-	if s := r.table.Service(r.service); s != nil && s.Engine != nil {
+	w := balance.Wish{Exclude: r.tried, OutTokens: r.call.TokensOut, Halls: r.halls}
+	s := r.table.Service(r.service)
+	if s != nil && s.Engine != nil {
 		w.Engine = true
 		w.Spec = s.Engine
 	}
+	if s != nil && s.ColdRate > 0 {
+		w.Cold = func(target string) int { return r.ColdShare(target, s) }
+	}
 	last := len(r.call.Prompt) - 1
 	for i, p := range r.call.Prompt {
 		w.Parts = append(w.Parts, p.ID)
--- a/internal/coordination/placement/doc.go
+++ b/internal/coordination/placement/doc.go
@@ -12,6 +12,10 @@
 // and tells it, in notes that are gathered for some milliseconds, when its answer
 // began, ended or failed. What the placer knows of failures serves everybody.
 //
+// Engines that are cold bear a few requests a second from the whole fleet. The
+// placer holds the one account of these; gateways that choose by themselves have a
+// small share, divided so that all of them together stay within the bound.
+//
 // When the placer does not answer at once, a gateway chooses by what it sees
 // itself; a new placer begins with an empty account and learns within a second.
 //
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -48,6 +48,7 @@
 type Placer struct {
 	directory Directory
 	tracker   *balance.Tracker
+	limits    balance.ColdLimits
 
 	mu   sync.Mutex
 	open map[string]*placed
@@ -59,8 +60,8 @@
 }
 
 // NewPlacer makes a Placer that knows of no load.
-func NewPlacer(d Directory) *Placer {
-	return &Placer{directory: d, tracker: balance.NewTracker(), open: map[string]*placed{}}
+func NewPlacer(d Directory, l balance.ColdLimits) *Placer {
+	return &Placer{directory: d, tracker: balance.NewTracker(), limits: l, open: map[string]*placed{}}
 }
 
 // Place chooses an engine and counts the request there; "" when there is none.
@@ -69,6 +70,8 @@
 	if table := p.directory.Table(); table != nil {
 		if s := table.Service(service); s != nil {
 			w.Spec = s.Engine
+			most := p.limits.Placer(s)
+			w.Cold = func(string) int { return most }
 		}
 	}
 	p.mu.Lock()
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -29,6 +29,8 @@
 type Directory interface {
 	Table() *routetable.Table
 	Targets(pool string) []hookhall.Target
+	// Evacuated tells whether only evacuations keep a service without targets.
+	Evacuated(pool string) bool
 }
 
 // Broker holds the queues of the services that this process brokers, by its own
@@ -109,17 +111,24 @@
 			return o.Handles, nil
 		}
 		b.Free(w.Service, q.drop(job))
-		cause := hookhall.CauseStage
-		if o.Reason == hookhall.PieceLate {
-			cause = hookhall.CauseDeadline
-		}
-		return nil, hookhall.Errorf(hookhall.NotRun, cause, "stage %d of %s: %s", w.Stage, w.Service, o.Reason)
+		return nil, hookhall.Errorf(hookhall.NotRun, outcomeCause(o), "stage %d of %s: %s", w.Stage, w.Service, o.Reason)
 	case <-ctx.Done():
 		b.Free(w.Service, q.drop(job))
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "stage %d of %s was cancelled", w.Stage, w.Service)
 	}
 }
 
+// outcomeCause is the cause of a job's failure.
+func outcomeCause(o batch.Outcome) hookhall.Cause {
+	switch o.Reason {
+	case hookhall.PieceLate:
+		return hookhall.CauseDeadline
+	case hookhall.PieceNoTarget:
+		return hookhall.CauseNoTarget
+	}
+	return hookhall.CauseStage
+}
+
 // FreeIfCrowded releases results that are probably not needed any more, but only
 // while other work waits for the room that they take up.
 func (b *Broker) FreeIfCrowded(service string, handles []string) {
@@ -188,6 +197,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.queue.Configure(spec, q.broker.directory.Targets(q.service))
+	if q.broker.directory.Evacuated(q.service) {
+		q.queue.Abandon()
+	}
 	for _, b := range q.queue.Next(time.Now()) {
 		go q.call(b)
 	}
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -94,6 +94,8 @@
 	return []hookhall.Target{{ID: pool + "-a", Address: pool + "-a", Hall: "a"}, {ID: pool + "-b", Address: pool + "-b", Hall: "b"}}
 }
 
+func (fakeDirectory) Evacuated(string) bool { return false }
+
 // fakeFleet says that others own the work, as long as they are not suspected.
 type fakeFleet struct {
 	mu     sync.Mutex
--- a/internal/state/balance/record.go
+++ b/internal/state/balance/record.go
@@ -40,6 +40,7 @@
 	full     time.Time // refused a call, and is left out until then
 	parts    map[string]time.Time
 	used     time.Time
+	colds    []time.Time // of requests within the last second that it got while cold
 }
 
 func (a *record) begin(unread, held int, parts []string, now time.Time) {
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,11 +89,26 @@
 	Near map[string]float64
 	// Exclude are targets that were tried already.
 	Exclude map[string]bool
+	// Halls are where the target may stand; none means anywhere.
+	Halls []string
+	// Cold tells how many requests in any second a cold target may get from this
+	// process; nil leaves cold targets out.
+	Cold func(target string) int
 }
 
 // Choose picks the target with the earliest expected answer among targets, and
 // tells the estimate. ok is false when none is left.
 func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
+	for {
+		t, ok = b.pick(targets, w, now)
+		if !ok || !t.Cold(now) || b.record(t.ID).takeCold(w.Cold(t.ID), now) {
+			return t, ok
+		}
+		// Another request took its last place; now it is no candidate any more.
+	}
+}
+
+func (b *Tracker) pick(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	open, full, ejected := b.candidates(targets, w, now)
 	if len(open) == 0 {
 		open = full // all that work refuse: their pauses say nothing any more
@@ -120,7 +136,7 @@
 // refused a call a moment ago, and those that failed and are ejected for a pause.
 func (b *Tracker) candidates(targets []hookhall.Target, w Wish, now time.Time) (open, full, ejected []candidate) {
 	for _, t := range targets {
-		if t.Leaving || w.Exclude[t.ID] {
+		if t.Leaving || w.Exclude[t.ID] || !w.allows(t) || !b.bears(t, w, now) {
 			continue
 		}
 		c := candidate{t, b.record(t.ID).figures(w.Shared, now)}
@@ -136,6 +152,20 @@
 	return open, full, ejected
 }
 
+// allows tells whether a target stands where the request may run.
+func (w *Wish) allows(t hookhall.Target) bool {
+	return len(w.Halls) == 0 || slices.Contains(w.Halls, t.Hall)
+}
+
+// bears tells whether a target may get another request now: one that is cold falls
+// over under more than a few a second.
+func (b *Tracker) bears(t hookhall.Target, w Wish, now time.Time) bool {
+	if !t.Cold(now) {
+		return true
+	}
+	return w.Cold != nil && b.record(t.ID).coldRoom(w.Cold(t.ID), now)
+}
+
 // soonest is the candidate whose pause ends first.
 func soonest(ejected []candidate) (t hookhall.Target, ok bool) {
 	var until time.Time
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -113,6 +113,21 @@
 	q.jobs = kept
 }
 
+// Abandon ends all jobs that need another call: no target may get one, and none is
+// expected soon. Those whose pieces are all at work go on.
+func (q *Queue) Abandon() {
+	kept := q.jobs[:0]
+	for _, j := range q.jobs {
+		if len(j.waiting) > 0 {
+			j.end(Outcome{Reason: hookhall.PieceNoTarget})
+		}
+		if !j.ended {
+			kept = append(kept, j)
+		}
+	}
+	q.jobs = kept
+}
+
 // Next returns the calls to make now, most urgent pieces first.
 func (q *Queue) Next(now time.Time) []*Batch {
 	q.expireJobs(now)
--- a/internal/state/batch/queue_test.go
+++ b/internal/state/batch/queue_test.go
@@ -427,3 +427,27 @@
 		t.Error("that was long ago")
 	}
 }
+
+// TestAbandon: jobs that need another call end at once when no target may get one;
+// what is at work goes on.
+func TestAbandon(t *testing.T) {
+	q := NewQueue()
+	q.Configure(spec, targets("a"))
+	atWork, first := job("one", 4, 500, 5000)
+	q.Add(atWork)
+	b := q.Next(at(0))
+	waiting, second := job("two", 2, 500, 5000)
+	q.Add(waiting)
+	q.Configure(spec, nil)
+	q.Abandon()
+	if second.Reason != hookhall.PieceNoTarget {
+		t.Errorf("the job that waits ended as %q", second.Reason)
+	}
+	if len(b) != 1 || first.Reason != "" {
+		t.Fatalf("%d calls, the job at work ended as %q", len(b), first.Reason)
+	}
+	q.Done(b[0], answer(b[0]), at(150))
+	if len(first.Handles) != 4 {
+		t.Errorf("%d results of the call at work", len(first.Handles))
+	}
+}
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if b.GetHallsRevision() > 0 {
+		s.Catalog.LearnHalls(catalog.Halls{Revision: b.GetHallsRevision(), Evacuated: b.GetEvacuated()}, instance(seed))
+	}
 	s.Catalog.LearnPacked(b.GetTable().GetPacked(), b.GetTable().GetRevision(), instance(seed), began)
 	r := catalog.Reading{Revision: b.GetTargetsRevision(), Began: began.Add(-milliseconds(b.GetAgeMs()))}
 	for _, t := range b.GetTargets() {
@@ -103,6 +106,8 @@
 		Table:           &pb.Table{Packed: packed, Revision: revision},
 		TargetsRevision: r.Revision, AgeMs: ageMS(time.Since(r.Began)),
 	}
+	h := b.Catalog.Halls()
+	out.HallsRevision, out.Evacuated = h.Revision, h.Evacuated
 	for _, i := range r.Items {
 		out.Targets = append(out.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value})
 	}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -86,7 +86,7 @@
 	})
 	if err != nil {
 		e := hookhall.AsError(err)
-		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage}
+		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage, NoTarget: e.Cause == hookhall.CauseNoTarget}
 	}
 	return &pb.StageReply{Handles: handles}
 }
@@ -104,7 +104,7 @@
 // Place implements the service.
 func (s *Server) Place(_ context.Context, r *pb.PlaceRequest) (*pb.PlaceReply, error) {
 	w := balance.Wish{
-		Engine: true, Shared: r.GetShared(), SharedTokens: int(r.GetSharedTokens()), OwnTokens: int(r.GetOwnTokens()),
+		Engine: !r.GetPlain(), Halls: r.GetHalls(), Shared: r.GetShared(), SharedTokens: int(r.GetSharedTokens()), OwnTokens: int(r.GetOwnTokens()),
 		Parts: r.GetParts(), Near: r.GetNear(), Slack: milliseconds(r.GetSlackMs()), OutTokens: int(r.GetOutTokens()), Exclude: map[string]bool{},
 	}
 	for _, id := range r.GetExclude() {
@@ -230,15 +230,22 @@
 		return nil, wayError(ctx, err)
 	}
 	if reply.GetReason() != "" || len(reply.GetHandles()) != w.Pieces {
-		cause := hookhall.CauseDeadline
-		if reply.GetMayRetry() {
-			cause = hookhall.CauseStage
-		}
-		return nil, hookhall.Errorf(hookhall.NotRun, cause, "%s", reply.GetReason())
+		return nil, hookhall.Errorf(hookhall.NotRun, replyCause(reply), "%s", reply.GetReason())
 	}
 	return reply.GetHandles(), nil
 }
 
+// replyCause is why a broker could not have a stage made.
+func replyCause(r *pb.StageReply) hookhall.Cause {
+	switch {
+	case r.GetMayRetry():
+		return hookhall.CauseStage
+	case r.GetNoTarget():
+		return hookhall.CauseNoTarget
+	}
+	return hookhall.CauseDeadline
+}
+
 func wayError(ctx context.Context, err error) error {
 	if ctx.Err() != nil || status.Code(err) == codes.Canceled {
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "%v", err)
@@ -272,7 +279,7 @@
 	ask := &pb.PlaceRequest{
 		Ticket: ticket, Service: service, Shared: w.Shared, SharedTokens: int64(w.SharedTokens), OwnTokens: int64(w.OwnTokens),
 		Parts: w.Parts, Near: w.Near, SlackMs: w.Slack.Milliseconds(),
-		OutTokens: int64(w.OutTokens),
+		OutTokens: int64(w.OutTokens), Plain: !w.Engine, Halls: w.Halls,
 	}
 	for id := range w.Exclude {
 		ask.Exclude = append(ask.Exclude, id)
--- a/internal/transport/fleet/invite_test.go
+++ b/internal/transport/fleet/invite_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,8 +23,12 @@
 // plainPlatform keeps tables as JSON.
 type plainPlatform struct{}
 
-func (plainPlatform) RoutingKey() string   { return "table" }
-func (plainPlatform) TargetPrefix() string { return "t/" }
+func (plainPlatform) OperatorPrefix() string { return "op/" }
+func (plainPlatform) RoutingKey() string     { return "op/table" }
+func (plainPlatform) TargetPrefix() string   { return "t/" }
+func (plainPlatform) EvacuatedHall(key string) (string, bool) {
+	return strings.CutPrefix(key, "op/out/")
+}
 func (plainPlatform) ReadRouting(b []byte) (*hookhall.Routing, error) {
 	r := &hookhall.Routing{}
 	return r, json.Unmarshal(b, r)
@@ -35,9 +40,6 @@
 // silentStore answers nothing.
 type silentStore struct{ hookhall.Store }
 
-func (silentStore) Get(context.Context, string) (hookhall.Item, uint64, error) {
-	return hookhall.Item{}, 0, hookhall.ErrUnavailable
-}
 func (silentStore) RangeStale(context.Context, string) ([]hookhall.Item, uint64, error) {
 	return nil, 0, hookhall.ErrUnavailable
 }
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -85,6 +85,8 @@
 	for _, i := range n.Changed {
 		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
 	}
+	h := s.Catalog.Halls()
+	m.HallsRevision, m.Evacuated = h.Revision, h.Evacuated
 	p := s.Peers.News(now)
 	m.MembersRevision, m.MembersDigest, m.MembersGone = p.Revision, p.Digest, p.Gone
 	for _, i := range p.Changed {
@@ -140,6 +142,7 @@
 		Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
 		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(),
 		MembersChanged: m.GetMembersChanged(), MembersGone: m.GetMembersGone(),
+		HallsRevision: m.GetHallsRevision(), Evacuated: m.GetEvacuated(),
 	}
 }
 
@@ -165,6 +168,8 @@
 		n.Changed = append(n.Changed, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
 	}
 	from := instance(m.GetReader())
+	// Before the table, which is confirmed by the same news.
+	emptied := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
 	fresh := s.Catalog.LearnNews(n, from)
 	if fresh && s.Heard != nil {
 		s.Heard(n.Began)
@@ -178,7 +183,7 @@
 		m = proto.Clone(m).(*pb.News)
 		m.ConfigRevision, m.ConfigAgeMs = 0, 0
 	}
-	if fresh {
+	if fresh || emptied {
 		s.relay(m, came)
 	}
 }
--- a/routing.go
+++ b/routing.go
@@ -60,6 +60,8 @@
 	Public bool
 	// Resumable streams may go on at another target.
 	Resumable bool
+	// Regions are where the route's requests may run; none means everywhere.
+	Regions []string
 }
 
 // Repeatable tells whether a request may run a second time.
@@ -87,6 +89,11 @@
 type Service struct {
 	Name     string
 	MaxConns int // connections a target takes from all callers together
+	// ColdRate is how many requests a second a cold target bears from the whole
+	// fleet, and ColdTime how long it stays cold after a start; 0 when the
+	// service's targets are never cold.
+	ColdRate float64
+	ColdTime time.Duration
 	// Engine is set for model engines.
 	Engine *EngineSpec
 	// Pool is set for stage pools.
@@ -115,6 +122,8 @@
 	Name     string
 	Keys     []string
 	Priority int // 0 is the most urgent
+	// Regions are where the account's requests may run; none means everywhere.
+	Regions []string
 }
 
 // RequestLimits bound what a client may send. Zero means no limit.
--- a/store.go
+++ b/store.go
@@ -59,8 +59,13 @@
 
 // Platform tells where things lie in a store and how they are read.
 type Platform interface {
+	// OperatorPrefix is the prefix of all keys that operators write.
+	OperatorPrefix() string
 	// RoutingKey is the key of the operators' table.
 	RoutingKey() string
+	// EvacuatedHall is the hall that a key of the operators evacuates while it
+	// exists; ok is false for any other key.
+	EvacuatedHall(key string) (hall string, ok bool)
 	// TargetPrefix is the prefix of the targets' own keys.
 	TargetPrefix() string
 	// ReadRouting decodes the operators' table.
--- a/target.go
+++ b/target.go
@@ -22,8 +22,17 @@
 	Slots int `json:"slots,omitempty"`
 	// Beat counts the target's own heartbeats, 0 when it has none.
 	Beat uint64 `json:"beat,omitempty"`
+	// ColdLeft is for how long the target stayed cold when it last wrote, by its
+	// own word: it works, but falls over under more than its service's ColdRate.
+	ColdLeft time.Duration `json:"cold_left,omitempty"`
+	// ColdUntil is until when this process holds it to be cold, by this process's
+	// steady clock; zero for a target that is warm. It never travels.
+	ColdUntil time.Time `json:"-"`
 }
 
+// Cold tells whether the target is held to be cold at a time.
+func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
 // LoadReport is what a target says of itself, late.
 type LoadReport struct {
 	Running  int  `json:"running"`
