fleet, upstream, platform: connections that fall silent are replaced

Cause: connections between gateways had no time-out of their own but the kernel's, which is many minutes: one that falls silent without a reset while new ones work would have failed each call to that peer until it was idle for 20 s. Kept connections to the store and to a target that fell silent together cost a call each.

Change: one package of socket options for all connections that gateways open (unacknowledged bytes 1.5 s, probes while an answer is awaited). A peer that does not answer a short call in time is pinged on the connection and on a new one; if only the new one is answered, it takes the other's place. After a call of the store without an answer, and after a failure on a kept connection to a target, the other kept ones are closed.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -155,7 +155,7 @@
 	g.gate.Pace = g.outagePace
 	g.catalog = catalog.New(g.gate, g.adapters.Platform, g.logger(logging.Catalog))
 	g.members = members.New(self, g.gate, g.logger(logging.Members))
-	g.clients = fleet.NewClients()
+	g.clients = fleet.NewClients(g.logger(logging.Members))
 	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
 	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Log: g.logger(logging.Catalog), Began: time.Now()}
 	g.broadcaster.Start = g.starter
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -124,5 +124,5 @@
 	if c.err != nil {
 		return nil, c.err
 	}
-	return c.rpc.GetBeliefs(ctx, &pb.BeliefsRequest{}, largeReply)
+	return c.rpc().GetBeliefs(ctx, &pb.BeliefsRequest{}, largeReply)
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -13,12 +13,13 @@
 // # Invariants
 //
 //   - A call is sent once: gRPC's own retries are off.
+//   - A connection on which a peer does not answer is replaced when a new one is
+//     answered.
 //   - Ages travel as durations: clocks of two machines are never compared.
 package fleet
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -27,15 +28,11 @@
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
 
 const (
-	// idleTime without a call a connection is closed.
-	idleTime = 20 * time.Second
 	// mostTable bounds an operators' table in bytes.
 	mostTable = 8 << 20
 )
@@ -46,11 +43,6 @@
 // largeReply lets a table through.
 var largeReply = grpc.MaxCallRecvMsgSize(mostTable)
 
-var reconnect = grpc.ConnectParams{
-	Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 400 * time.Millisecond},
-	MinConnectTimeout: 300 * time.Millisecond,
-}
-
 // Server answers peers.
 type Server struct {
 	pb.UnimplementedFleetServer
@@ -149,62 +141,6 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Clients has the connections to peers.
-type Clients struct {
-	mu     sync.Mutex
-	byAddr map[string]*Client
-}
-
-// NewClients makes an empty set.
-func NewClients() *Clients { return &Clients{byAddr: map[string]*Client{}} }
-
-// Client finds the client of the peer at address.
-func (c *Clients) Client(address string) *Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.byAddr[address]
-	if p != nil {
-		return p
-	}
-	p = &Client{}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
-		grpc.WithConnectParams(reconnect), grpc.WithIdleTimeout(idleTime), grpc.WithNoProxy(),
-		grpc.WithDisableServiceConfig(), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
-	p.err = err
-	if err == nil {
-		p.conn = conn
-		p.rpc = pb.NewFleetClient(conn)
-	}
-	c.byAddr[address] = p
-	return p
-}
-
-// Keep closes the connections to addresses that are not in use any more.
-func (c *Clients) Keep(inUse func(address string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for a, p := range c.byAddr {
-		if !inUse(a) {
-			p.close()
-			delete(c.byAddr, a)
-		}
-	}
-}
-
-// Client is a stages.Remote.
-type Client struct {
-	conn *grpc.ClientConn
-	rpc  pb.FleetClient
-	err  error // the address was no address
-}
-
-func (c *Client) close() {
-	if c.conn != nil {
-		_ = c.conn.Close() // nothing is sent any more
-	}
-}
-
 // Run implements stages.Remote.
 func (c *Client) Run(ctx context.Context, w stages.Work) ([]string, error) {
 	if c.err != nil {
@@ -213,7 +149,7 @@
 	now := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies, err := c.rpc.RunStage(ctx, &pb.StageRequest{
+	replies, err := c.rpc().RunStage(ctx, &pb.StageRequest{
 		Request: w.Call, Stage: int32(w.Stage), Pieces: int32(w.Pieces), Service: w.Service, Key: w.Key, Inputs: w.Inputs,
 		PieceBytes: w.Bytes, DueMs: w.Due.Sub(now).Milliseconds(), RemainingMs: w.End.Sub(now).Milliseconds(),
 		Urgency: int32(w.Urgency), Hall: w.Hall, CrossBytes: w.Cross,
@@ -258,7 +194,7 @@
 	if c.err != nil {
 		return c.err
 	}
-	_, err := c.rpc.Free(ctx, &pb.FreeRequest{Service: service, Handles: handles, IfCrowded: ifCrowded})
+	_, err := c.rpc().Free(ctx, &pb.FreeRequest{Service: service, Handles: handles, IfCrowded: ifCrowded})
 	return err
 }
 
@@ -267,7 +203,8 @@
 	if c.err != nil {
 		return c.err
 	}
-	_, err := c.rpc.Ping(ctx, &pb.PingRequest{})
+	_, err := c.rpc().Ping(ctx, &pb.PingRequest{})
+	c.note(err)
 	return err
 }
 
@@ -284,7 +221,8 @@
 	for id := range w.Exclude {
 		ask.Exclude = append(ask.Exclude, id)
 	}
-	reply, err := c.rpc.Place(ctx, ask)
+	reply, err := c.rpc().Place(ctx, ask)
+	c.note(err)
 	if err != nil {
 		return "", err
 	}
@@ -306,7 +244,8 @@
 	for _, n := range notes {
 		ask.Notes = append(ask.Notes, &pb.PlacedNote{Ticket: n.Ticket, Kind: noteKinds[n.Kind]})
 	}
-	_, err := c.rpc.Note(ctx, ask)
+	_, err := c.rpc().Note(ctx, ask)
+	c.note(err)
 	return err
 }
 
@@ -315,7 +254,8 @@
 	if c.err != nil {
 		return c.err
 	}
-	_, err := c.rpc.Share(ctx, n)
+	_, err := c.rpc().Share(ctx, n)
+	c.note(err)
 	return err
 }
 
@@ -324,5 +264,5 @@
 	if c.err != nil {
 		return nil, c.err
 	}
-	return c.rpc.GetTable(ctx, &pb.TableRequest{}, largeReply)
+	return c.rpc().GetTable(ctx, &pb.TableRequest{}, largeReply)
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -7,36 +7,29 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/transport/sockets"
+	"github.com/pkg/errors"
 )
 
 const (
 	// dialTime bounds a new connection; a full queue drops the opening packet,
 	// and sending it anew takes a second.
 	dialTime = 700 * time.Millisecond
-	// userTimeout is after how long unacknowledged bytes break a connection.
-	userTimeout = 1500 * time.Millisecond
 	// mostIdle bounds the idle connections to one address.
 	mostIdle = 8
 	// mostDropped bounds the answers of earlier requests that are skipped.
 	mostDropped = 4
 	// mostDrain bounds what is read of a dropped answer.
 	mostDrain = 1 << 20
-
-	tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux
 )
 
-// probes find a target out that has gone silent while an answer is awaited.
-var probes = net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 400 * time.Millisecond, Count: 3}
-
 // Pool has the connections of one process.
 type Pool struct {
 	mu    sync.Mutex
@@ -102,6 +95,17 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Forget closes the idle connections to an address: one that was kept has failed, and
+// what broke it may have broken all that are as old.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Sweep closes idle connections that are past their time.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -123,17 +127,9 @@
 	}
 }
 
-func control(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Where it is not to be had, keep-alive probes and deadlines remain.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout/time.Millisecond))
-	})
-}
-
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTime, KeepAliveConfig: probes, Control: control}
 	p.dials.Add(1)
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := sockets.Dialer(dialTime).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -172,6 +168,9 @@
 		stop()
 		_ = c.Close()
 		<-wrote
+		if !r.Fresh && !errors.Is(ctx.Err(), context.Canceled) {
+			p.Forget(r.Address)
+		}
 		return nil, failure(ctx, c, err)
 	}
 	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength}
