catalog, fleet: targets followed by watch, news packed once, gaps repaired by buckets

Cause: the reader read every page of the targets each 0.4 s, though a key's change counts only when more than its heartbeat does; each change was told in full with each piece of news for three seconds, uncompressed and marshalled for each receiver; a process that lacked one change read all pages; each change made all maps and lists anew, with a digest that formatted each target.

Change: the first reader watches the targets (0.4 s a watch, all read every ten seconds, after each failure and when history is gone); news holds one compressed part that is passed on as it came and told for one second; targets are summed up in 64 buckets, and a process whose digest differs asks its teller for the buckets that differ (GetTargets); pictures share the pools in which nothing changed; a key whose value is known is not decoded again.

Tests: watches that tell, hide or forget; random losses with repairs; digests against what is listed; a repair over gRPC.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -291,7 +291,7 @@
 			return
 		}
 	}
-	g.log.Info("Ready.", "table", g.catalog.Table().Version(), "targets", len(g.catalog.Picture().ByID), "after", time.Since(began))
+	g.log.Info("Ready.", "table", g.catalog.Table().Version(), "targets", len(g.catalog.Known()), "after", time.Since(began))
 }
 
 // tidy sweeps connections and accounts.
@@ -299,8 +299,9 @@
 	for retry.Sleep(ctx, tidyEvery) {
 		now := time.Now()
 		g.adapters.Connections.Sweep(now)
-		if p := g.catalog.Picture(); p != nil {
-			known := func(id string) bool { _, ok := p.ByID[id]; return ok }
+		if g.catalog.Picture() != nil {
+			targets := g.catalog.Known()
+			known := func(id string) bool { _, ok := targets[id]; return ok }
 			g.tracker.Keep(known, now)
 			g.placer.Tidy(known, now)
 		}
@@ -341,7 +342,7 @@
 	}
 	if p := g.catalog.Picture(); p != nil {
 		s.Targets, s.AgeMS = p.Revision, p.Age(now).Milliseconds()
-		for id := range p.ByID {
+		for id := range g.catalog.Known() {
 			s.Balance[id] = g.tracker.Status(id, now)
 		}
 		s.Cold = p.Cold(now)
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -20,6 +20,13 @@
 	watchTime = 300 * time.Millisecond
 	// readEvery is how old the first reader lets its beliefs get.
 	readEvery = 400 * time.Millisecond
+	// readAllEvery is how often the first reader reads all targets beside its watch, in
+	// case a watch has missed a change without saying so.
+	readAllEvery = 10 * time.Second
+	// gatherEvents is how long it lets further changes gather after some: when all
+	// targets start at once, each of them is one. A tenth of a second is little of
+	// the three in which they have to be in force.
+	gatherEvents = 100 * time.Millisecond
 	// rankStep is how much older they get at the second reader, and, twice that
 	// and some chance, at all others. What others are told of the table is up to a
 	// watch and the reader's interval old.
@@ -53,6 +60,7 @@
 	table   atomic.Pointer[tableState]
 	picture atomic.Pointer[Picture]
 	halls   atomic.Pointer[Halls]
+	hallAt  sync.Map // address to resident
 	// Rank tells which reader this process is: 0 reads for all, 1 stands by, and
 	// others read only what they have not been told. Set before Run.
 	Rank func() int
@@ -66,8 +74,16 @@
 	// and 1 for the last.
 	place float64
 
-	mu    sync.Mutex // held while pictures and tables change
-	known map[string]*entry
+	mu    sync.Mutex        // held while pictures and tables change
+	known map[string]*entry // by key
+	// pools has them by service, and dirty the services whose part of the next
+	// picture has to be made anew.
+	pools map[string]map[string]*entry
+	dirty map[string]bool
+	// buckets sums up those that are listed.
+	buckets Digests
+	// lapseEnds is when the last target that lapsed has to be back.
+	lapseEnds time.Time
 	// returned is when halls that were evacuated were taken back.
 	returned map[string]time.Time
 
@@ -78,7 +94,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
 	c.noteAnswer(time.Now())
 	return c
 }
@@ -111,12 +127,23 @@
 
 // HallAt is the hall of the target at an address, "" when none is known there.
 func (c *Catalog) HallAt(address string) string {
-	if p := c.picture.Load(); p != nil {
-		return p.HallAt[address]
+	if hall, ok := c.hallAt.Load(address); ok {
+		return hall.(resident).hall
 	}
 	return ""
 }
 
+// Known has the targets that are known, by id, leaving and missing ones too.
+func (c *Catalog) Known() map[string]hookhall.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := make(map[string]hookhall.Target, len(c.known))
+	for _, e := range c.known {
+		known[e.target.ID] = e.target
+	}
+	return known
+}
+
 // TargetsAge is how old the picture of the targets is.
 func (c *Catalog) TargetsAge(now time.Time) time.Duration {
 	if p := c.picture.Load(); p != nil {
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,11 +66,13 @@
 	ranges  int               // readings of the targets themselves
 	copied  map[string]string // what a copy has of them
 	forgot  int
+	seen    map[uint64]map[string]string // the targets at revisions that were told
+	watches int                          // of the targets
 	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{targets: map[string]string{}, halls: map[string]uint64{}, changed: make(chan struct{})}
+	return &fakeStore{targets: map[string]string{}, halls: map[string]uint64{}, seen: map[uint64]map[string]string{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) change(f func()) {
@@ -107,6 +110,7 @@
 		return s.operators()
 	}
 	s.ranges++
+	s.seen[s.at] = maps.Clone(s.targets)
 	return s.list(s.targets, s.at)
 }
 
@@ -156,12 +160,35 @@
 	return list, at, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
+// targetsSince lists how the targets differ from those at a revision that was told.
+// The caller holds s.mu.
+func (s *fakeStore) targetsSince(revision uint64) []hookhall.Item {
+	var list []hookhall.Item
+	old := s.seen[revision]
+	for id, v := range s.targets {
+		if was, ok := old[id]; !ok || was != v {
+			list = append(list, hookhall.Item{Key: "t/" + id, Value: []byte(v), Revision: s.at})
+		}
+	}
+	for id := range old {
+		if _, ok := s.targets[id]; !ok {
+			list = append(list, hookhall.Item{Key: "t/" + id, Revision: s.at, Gone: true})
+		}
+	}
+	s.seen[s.at] = maps.Clone(s.targets)
+	return list
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
 		events, at, down, gone, changed := s.since(since), s.at, s.down, since < s.horizon, s.changed
+		if prefix == "t/" {
+			events = s.targetsSince(since)
+			s.watches++
+		}
 		if gone {
 			s.forgot++
 		}
@@ -354,11 +381,11 @@
 			read(c, 3, "a", "b")
 			read(c, 2, "a", "b", "c", "d", "e", "f")
 			So(usable(c), ShouldEqual, 5) // three lapsed, f unknown
-			So(c.Picture().ByID["f"].ID, ShouldEqual, "")
+			So(c.Known(), ShouldNotContainKey, "f")
 		})
 		Convey("a key that can't be read is skipped", func() {
 			c.Learn(Reading{Revision: 2, Began: time.Now(), Items: []hookhall.Item{{Key: "t/x", Value: []byte("bad")}}}, "test")
-			So(c.Picture().ByID["x"].ID, ShouldEqual, "")
+			So(c.Known(), ShouldNotContainKey, "x")
 		})
 	})
 }
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -8,14 +8,15 @@
 //
 // One process, the first reader, reads for all: it follows the table by short
 // waiting watches, so that a silent cut is noticed well inside the bound of a
-// change, and reads the targets, whose heartbeats change the store many times a
-// second, now and then. The others are told what changed (News, ConfirmTable,
+// change. It follows the targets in the same way, and reads all of them every ten
+// seconds: a watch is silent while heartbeats alone change their keys. The others are told what changed (News, ConfirmTable,
 // LearnPacked) and read for themselves when what they were told has grown old:
 // the second reader first, then everybody. What counts is the moment at which
 // the reading that confirmed a belief began, by the steady clock.
 //
 // News names what changed lately, and a digest of everything: a process that
-// lacks an earlier change gets another digest and reads.
+// lacks an earlier change gets another digest, and asks the teller for the buckets
+// of targets in which their digests differ.
 //
 // A target that states that it is leaving gets nothing new, ever. One that goes
 // missing gets nothing new, unless many went missing in one reading: then keys
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -5,7 +5,7 @@
 
 import (
 	"bytes"
-	"fmt"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,7 +29,10 @@
 
 // entry is what is known of one target.
 type entry struct {
+	key    string
 	target hookhall.Target
+	// sum is the digest of target.
+	sum uint64
 	// missing is when a reading first lacked it, zero while it is listed.
 	missing time.Time
 	// lapsed is until when a missing target is used all the same.
@@ -52,91 +55,108 @@
 	return e.missing.IsZero() || now.Before(e.lapsed)
 }
 
-// Learn takes in a reading of the targets. It tells whether the reading was newer.
-func (c *Catalog) Learn(r Reading, from string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.older(r.Revision, r.Began) {
-		return false
-	}
-	now := time.Now()
-	listed := map[string]bool{}
-	for _, i := range r.Items {
-		if t, ok := c.read(i); ok {
-			listed[t.ID] = true
-			c.list(t, i.Value, from, now)
-		}
+// digest sums up what matters of a target; its heartbeats don't, nor does a countdown
+// that each of them moves.
+func digest(t *hookhall.Target) uint64 {
+	var b [512]byte
+	text := b[:0]
+	for _, s := range []string{t.ID, t.Pool, t.Hall, t.Address, t.Version} {
+		text = append(append(text, s...), 0)
 	}
-	var lost []*entry
-	for id, e := range c.known {
-		if !listed[id] && e.missing.IsZero() {
-			lost = append(lost, e)
+	text = binary.AppendVarint(text, int64(t.Slots))
+	for _, on := range []bool{t.Streams, t.Leaving, t.ColdLeft > 0} {
+		if on {
+			text = append(text, 1)
+		} else {
+			text = append(text, 0)
 		}
 	}
-	c.miss(lost, from, now)
-	if c.picture.Load() == nil {
-		c.log.Info("The targets are known.", "count", len(c.known), "revision", r.Revision, "from", from)
-	}
-	c.publish(r.Revision, r.Began, now)
-	return true
+	return xxhash.Sum64(text)
 }
 
-// logChange logs a change. The first reading of all is told in one line.
-func (c *Catalog) logChange(msg string, fields ...any) {
-	if c.picture.Load() != nil {
-		c.log.Info(msg, fields...)
+// take takes in a key that is listed. The value of most is the one that is known, and
+// costs nothing to take in again. The caller holds c.mu.
+func (c *Catalog) take(i hookhall.Item, from string, now time.Time) {
+	e := c.known[i.Key]
+	if e != nil && e.missing.IsZero() && bytes.Equal(e.value, i.Value) {
+		return
 	}
-}
-
-// older tells whether what was read at a revision is no news.
-func (c *Catalog) older(revision uint64, began time.Time) bool {
-	p := c.picture.Load()
-	return p != nil && (revision < p.Revision || (revision == p.Revision && !began.After(p.Began)))
-}
-
-func (c *Catalog) read(i hookhall.Item) (hookhall.Target, bool) {
 	t, err := c.platform.ReadTarget(i.Key, i.Value)
 	if err != nil {
 		c.log.Error("A target's key can't be read.", "key", i.Key, "error", err.Error())
+		return
+	}
+	if e == nil {
+		e = c.add(i.Key, t, from, now)
+	} else if !e.missing.IsZero() {
+		c.log.Info("A target is listed again.", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missing))
+		e.changed = now
 	}
-	return t, err == nil
+	c.list(e, t, i.Value, from, now)
 }
 
-// digest sums up what matters of a target; its heartbeats don't, nor does a countdown
-// that each of them moves.
-func digest(t hookhall.Target) uint64 {
-	t.Beat = 0
-	t.ColdLeft = min(t.ColdLeft, 1)
-	return xxhash.Sum64String(fmt.Sprintf("%+v", t))
+// add begins to know a target. The caller holds c.mu.
+func (c *Catalog) add(key string, t hookhall.Target, from string, now time.Time) *entry {
+	e := &entry{key: key, target: t, missing: now}
+	c.known[key] = e
+	c.join(e)
+	if c.picture.Load() != nil {
+		// What is news to a newcomer is none to the others, and is told in one line.
+		e.changed = now
+		c.log.Info("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
+	}
+	return e
 }
 
-// list takes in a target that is listed.
-func (c *Catalog) list(t hookhall.Target, value []byte, from string, now time.Time) {
-	e := c.known[t.ID]
-	if e == nil {
-		e = &entry{target: t}
-		if c.picture.Load() != nil {
-			e.changed = now // what is news to a newcomer is none to the others
-		}
-		c.known[t.ID] = e
-		c.logChange("A target is listed.", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
-	}
+// list takes in what a listed target's key says. The caller holds c.mu.
+func (c *Catalog) list(e *entry, t hookhall.Target, value []byte, from string, now time.Time) {
+	sum := digest(&t)
 	if !e.missing.IsZero() {
-		c.log.Info("A target is listed again.", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missing))
-		e.missing, e.lapsed, e.changed = time.Time{}, time.Time{}, now
+		c.flip(e, sum)
+		c.dirty[t.Pool] = true
+	} else if sum != e.sum {
+		c.flip(e, e.sum^sum)
+		c.dirty[t.Pool] = true
+		e.changed = now
 	}
+	e.missing, e.lapsed = time.Time{}, time.Time{}
 	if t.Leaving && !e.left {
 		e.left = true
 		c.log.Info("A target is leaving.", "target", t.ID, "service", t.Pool, "from", from)
 	}
-	if digest(t) != digest(e.target) {
-		e.changed = now
+	if t.Pool != e.target.Pool || t.Address != e.target.Address {
+		c.part(e)
+		e.target = t
+		c.join(e)
 	}
-	if !bytes.Equal(value, e.value) || e.value == nil {
-		// A key that was read before says nothing new of how long it is cold.
-		e.coldUntil = chill(t, now)
+	if until := chill(t, now); !until.Equal(e.coldUntil) {
+		e.coldUntil = until
+		c.dirty[t.Pool] = true
 	}
-	e.target, e.value = t, value
+	e.target, e.sum, e.value = t, sum, value
+}
+
+// flip changes the digest of a target's bucket. The caller holds c.mu.
+func (c *Catalog) flip(e *entry, sum uint64) { c.buckets[bucketOf(e.key)] ^= sum }
+
+// join finds a target by its service and its address from now on. The caller holds
+// c.mu.
+func (c *Catalog) join(e *entry) {
+	if c.pools[e.target.Pool] == nil {
+		c.pools[e.target.Pool] = map[string]*entry{}
+	}
+	c.pools[e.target.Pool][e.key] = e
+	c.dirty[e.target.Pool] = true
+	c.hallAt.Store(e.target.Address, resident{e.target.Hall, e.key})
+}
+
+// resident is the target that was last listed at an address.
+type resident struct{ hall, key string }
+
+// part ends that. The caller holds c.mu.
+func (c *Catalog) part(e *entry) {
+	delete(c.pools[e.target.Pool], e.key)
+	c.dirty[e.target.Pool] = true
 }
 
 // chill is until when a target is cold that has just written its key.
@@ -147,21 +167,29 @@
 	return now.Add(t.ColdLeft)
 }
 
-// miss takes in targets that are not listed any more.
+// miss takes in targets that are not listed any more. The caller holds c.mu.
 func (c *Catalog) miss(lost []*entry, from string, now time.Time) {
+	if len(lost) == 0 {
+		return
+	}
 	listed := 0
-	for id, e := range c.known {
+	for key, e := range c.known {
 		if e.missing.IsZero() {
 			listed++
 		} else if now.Sub(e.missing) > forget {
-			delete(c.known, id)
+			c.part(e)
+			delete(c.known, key)
+			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
 		}
 	}
 	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
 	for _, e := range lost {
 		e.missing, e.changed = now, now
+		c.flip(e, e.sum)
+		c.dirty[e.target.Pool] = true
 		if lapse {
 			e.lapsed = now.Add(lapseFor)
+			c.lapseEnds = e.lapsed
 		}
 		c.log.Info("A target is missing.", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", lapse, "left", e.left)
 	}
--- a/internal/coordination/catalog/halls_test.go
+++ b/internal/coordination/catalog/halls_test.go
@@ -52,7 +52,7 @@
 			s.evacuate("south", true)
 			time.Sleep(time.Millisecond)
 			knows(t, c, "a@north", "c@west")
-			if c.HallAt("") == "" || c.Evacuated("pool") {
+			if len(c.Known()) != 3 || c.Evacuated("pool") {
 				t.Error("the hall's targets are forgotten, or all are held to be out")
 			}
 			s.evacuate("south", false)
--- a/internal/coordination/catalog/news.go
+++ b/internal/coordination/catalog/news.go
@@ -7,12 +7,32 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hookhall/hookhall"
 )
 
-// tellFor is for how long a change is told again with each piece of news, so
-// that one that was lost leaves no gap.
-const tellFor = 3 * time.Second
+// tellFor is for how long a change is told again with each piece of news: twice or
+// three times. A process that has missed all of them repairs the buckets that differ.
+const tellFor = time.Second
+
+// Buckets is how many buckets the targets are divided into, by their keys. With 3,000
+// targets, a bucket has some 50, and is repaired in some 2 KB.
+const Buckets = 64
+
+// bucketOf is the bucket of a key.
+func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
+
+// Digests sum up the listed targets of each bucket. Equal ones mean equal lists.
+type Digests [Buckets]uint64
+
+// whole sums up all targets.
+func (d *Digests) whole() uint64 {
+	sum := uint64(0)
+	for _, s := range d {
+		sum ^= s
+	}
+	return sum
+}
 
 // News is what a reading of the targets changed lately. A process that has all
 // earlier changes gets to the same list, which the digest proves.
@@ -21,7 +41,7 @@
 	Began    time.Time // when the reading began, by this process's steady clock
 	Digest   uint64
 	Changed  []hookhall.Item
-	Gone     []string // ids
+	Gone     []string // keys
 }
 
 // News is what this process last learned.
@@ -33,13 +53,13 @@
 		return News{}
 	}
 	n := News{Revision: p.Revision, Began: p.Began, Digest: p.Digest}
-	for id, e := range c.known {
+	for key, e := range c.known {
 		switch {
 		case now.Sub(e.changed) > tellFor:
 		case e.missing.IsZero():
-			n.Changed = append(n.Changed, hookhall.Item{Key: c.platform.TargetPrefix() + id, Value: e.value})
+			n.Changed = append(n.Changed, hookhall.Item{Key: key, Value: e.value})
 		default:
-			n.Gone = append(n.Gone, id)
+			n.Gone = append(n.Gone, key)
 		}
 	}
 	sort.Slice(n.Changed, func(i, j int) bool { return n.Changed[i].Key < n.Changed[j].Key })
@@ -47,6 +67,76 @@
 	return n
 }
 
+// LearnNews takes in what a peer has learned. It tells whether that was newer, and
+// whether this process lacks earlier changes: then its digest differs, and the changes
+// count, but its picture stays as old as it was until the gap is repaired.
+func (c *Catalog) LearnNews(n News, from string) (fresh, gap bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.picture.Load()
+	if p == nil || c.older(n.Revision, n.Began) {
+		return false, false
+	}
+	now := time.Now()
+	for _, i := range n.Changed {
+		c.take(i, from, now)
+	}
+	var lost []*entry
+	for _, key := range n.Gone {
+		if e := c.known[key]; e != nil && e.missing.IsZero() {
+			lost = append(lost, e)
+		}
+	}
+	c.miss(lost, from, now)
+	if c.buckets.whole() == n.Digest {
+		c.publish(n.Revision, n.Began, now)
+		return true, false
+	}
+	c.publish(p.Revision, p.Began, now)
+	c.log.Info("News leaves a gap; it is to be repaired.", "from", from, "revision", n.Revision, "have", p.Revision)
+	return true, true
+}
+
+// Digests are those of all buckets.
+func (c *Catalog) Digests() Digests {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.buckets
+}
+
+// Repair is what a process believes of the buckets in which another one differs.
+type Repair struct {
+	Reading
+	Buckets []int
+	// Digest sums up all buckets, also those that don't differ.
+	Digest uint64
+}
+
+// Differing is what this process believes of the buckets in which a peer's digests
+// differ from its own.
+func (c *Catalog) Differing(theirs Digests) Repair {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.picture.Load()
+	if p == nil {
+		return Repair{}
+	}
+	r := Repair{Reading: Reading{Revision: p.Revision, Began: p.Began}, Digest: c.buckets.whole()}
+	differs := [Buckets]bool{}
+	for b := range Buckets {
+		if c.buckets[b] != theirs[b] {
+			differs[b] = true
+			r.Buckets = append(r.Buckets, b)
+		}
+	}
+	for key, e := range c.known {
+		if e.missing.IsZero() && differs[bucketOf(key)] {
+			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value})
+		}
+	}
+	return r
+}
+
 // Reading is all that this process believes to be listed, as of its last reading.
 func (c *Catalog) Reading() Reading {
 	c.mu.Lock()
@@ -56,57 +146,57 @@
 		return Reading{}
 	}
 	r := Reading{Revision: p.Revision, Began: p.Began}
-	for id, e := range c.known {
+	for key, e := range c.known {
 		if e.missing.IsZero() {
-			r.Items = append(r.Items, hookhall.Item{Key: c.platform.TargetPrefix() + id, Value: e.value})
+			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value})
 		}
 	}
 	return r
 }
 
-// LearnNews takes in what a peer has learned. It tells whether that was newer.
-// If this process lacks earlier changes, its digest differs; then the changes
-// count, but its picture stays as old as it was, so that it reads for itself.
-func (c *Catalog) LearnNews(n News, from string) bool {
+// LearnRepair takes in what a peer believes of some buckets. The picture is as new as
+// the peer's only if all buckets agree then.
+func (c *Catalog) LearnRepair(r Repair, from string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.picture.Load()
-	if p == nil || c.older(n.Revision, n.Began) {
+	if p == nil || c.older(r.Revision, r.Began) {
 		return false
 	}
 	now := time.Now()
-	if len(n.Changed) == 0 && len(n.Gone) == 0 && n.Digest == p.Digest && !c.lapsing(p.Began) {
-		again := *p
-		again.Revision, again.Began = n.Revision, n.Began
-		c.picture.Store(&again)
-		return true
-	}
-	for _, i := range n.Changed {
-		if t, ok := c.read(i); ok {
-			c.list(t, i.Value, from, now)
+	told := [Buckets]bool{}
+	for _, b := range r.Buckets {
+		if b < 0 || b >= Buckets {
+			return false
 		}
+		told[b] = true
 	}
-	var lost []*entry
-	for _, id := range n.Gone {
-		if e := c.known[id]; e != nil && e.missing.IsZero() {
-			lost = append(lost, e)
-		}
+	listed := map[string]bool{}
+	for _, i := range r.Items {
+		c.take(i, from, now)
+		listed[i.Key] = true
 	}
-	c.miss(lost, from, now)
-	c.publish(n.Revision, n.Began, now)
-	if got := c.picture.Load(); got.Digest != n.Digest {
+	c.miss(c.unlisted(listed, func(key string) bool { return told[bucketOf(key)] }), from, now)
+	if c.buckets.whole() != r.Digest {
 		c.publish(p.Revision, p.Began, now)
-		c.log.Info("News leaves a gap; the targets are to be read.", "from", from, "revision", n.Revision, "have", p.Revision)
+		return false
 	}
+	c.log.Info("A gap is repaired.", "from", from, "buckets", len(r.Buckets), "targets", len(r.Items), "revision", r.Revision)
+	c.publish(r.Revision, r.Began, now)
 	return true
 }
 
-// lapsing tells whether a target's time to come back was running at a time.
-func (c *Catalog) lapsing(at time.Time) bool {
-	for _, e := range c.known {
-		if e.lapsed.After(at) {
-			return true
+// unlisted are the targets with certain keys that are listed here but not in a reading.
+// The caller holds c.mu.
+func (c *Catalog) unlisted(listed map[string]bool, which func(key string) bool) []*entry {
+	var lost []*entry
+	for key, e := range c.known {
+		if !listed[key] && e.missing.IsZero() && which(key) {
+			lost = append(lost, e)
 		}
 	}
-	return false
+	return lost
 }
+
+// lapsing tells whether a target's time to come back was running at a time.
+func (c *Catalog) lapsing(at time.Time) bool { return c.lapseEnds.After(at) }
--- a/internal/coordination/catalog/news_test.go
+++ b/internal/coordination/catalog/news_test.go
@@ -32,13 +32,13 @@
 		began := follower.Picture().Began
 		Convey("news without changes confirms what the follower has", func() {
 			reader.Learn(reading(2, "a", "b", "c"), "store")
-			So(follower.LearnNews(reader.News(time.Now()), "reader"), ShouldBeTrue)
+			So(fresh(follower.LearnNews(reader.News(time.Now()), "reader")), ShouldBeTrue)
 			So(follower.Picture().Revision, ShouldEqual, 2)
 			So(follower.Picture().Began.After(began), ShouldBeTrue)
 		})
 		Convey("changes arrive, and the age with them", func() {
 			reader.Learn(reading(2, "a", "b", "d"), "store")
-			So(follower.LearnNews(reader.News(time.Now()), "reader"), ShouldBeTrue)
+			So(fresh(follower.LearnNews(reader.News(time.Now()), "reader")), ShouldBeTrue)
 			So(follower.Picture().Digest, ShouldEqual, reader.Picture().Digest)
 			So(follower.Picture().Revision, ShouldEqual, 2)
 			So(len(follower.Targets("pool")), ShouldEqual, 3)
@@ -47,24 +47,28 @@
 			reader.Learn(reading(2, "a", "b", "d"), "store")
 			n := reader.News(time.Now())
 			n.Gone = nil // the news that told of c's end was lost long ago
-			So(follower.LearnNews(n, "reader"), ShouldBeTrue)
+			So(gap(follower.LearnNews(n, "reader")), ShouldBeTrue)
 			So(follower.Picture().Revision, ShouldEqual, 1)
 			So(follower.Picture().Began, ShouldEqual, began)
-			So(follower.Picture().ByID["d"].ID, ShouldEqual, "d")
+			So(follower.Known(), ShouldContainKey, "d")
 		})
 		Convey("old news is no news", func() {
 			old := reader.News(time.Now())
 			follower.Learn(reading(3, "a"), "store")
-			So(follower.LearnNews(old, "reader"), ShouldBeFalse)
+			So(fresh(follower.LearnNews(old, "reader")), ShouldBeFalse)
 		})
 		Convey("a process without a picture reads first", func() {
-			So(newCatalog(newFakeStore()).LearnNews(reader.News(time.Now()), "reader"), ShouldBeFalse)
+			So(fresh(newCatalog(newFakeStore()).LearnNews(reader.News(time.Now()), "reader")), ShouldBeFalse)
 		})
 	})
 }
 
+// fresh and gap are the two results of LearnNews.
+func fresh(fresh, _ bool) bool { return fresh }
+func gap(_, gap bool) bool     { return gap }
+
 func lists(c *Catalog, id string) bool {
-	e := c.known[id]
+	e := c.known["t/"+id]
 	return e != nil && e.missing.IsZero()
 }
 
@@ -95,7 +99,7 @@
 				}
 				continue
 			}
-			for id := range reader.Picture().ByID {
+			for id := range reader.Known() {
 				if lists(reader, id) != lists(follower, id) {
 					t.Fatalf("%s differs under equal digests", id)
 				}
--- a/internal/coordination/catalog/pack.go
+++ b/internal/coordination/catalog/pack.go
@@ -7,19 +7,29 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
-// mostUnpacked bounds a table in bytes.
+// mostUnpacked bounds a table, or a list, in bytes.
 const mostUnpacked = 16 << 20
 
-func pack(value []byte) ([]byte, error) {
+// A writer's tables are some 800 KB, a reader's 40 KB; both are used again.
+var (
+	writers = sync.Pool{New: func() any {
+		w, _ := gzip.NewWriterLevel(nil, gzip.BestSpeed) // a known level is no error
+		return w
+	}}
+	readers = sync.Pool{New: func() any { return new(gzip.Reader) }}
+)
+
+// Pack compresses a value.
+func Pack(value []byte) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "pack")
-	}
+	w := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
 	if _, err := w.Write(value); err != nil {
 		return nil, errors.Wrap(err, "pack")
 	}
@@ -29,17 +39,19 @@
 	return b.Bytes(), nil
 }
 
-func unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
+// Unpack is the inverse of Pack.
+func Unpack(packed []byte) ([]byte, error) {
+	r := readers.Get().(*gzip.Reader)
+	defer readers.Put(r)
+	if err := r.Reset(bytes.NewReader(packed)); err != nil {
 		return nil, errors.Wrap(err, "unpack")
 	}
-	value, err := io.ReadAll(io.LimitReader(r, mostUnpacked+1))
+	b, err := io.ReadAll(io.LimitReader(r, mostUnpacked+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack")
 	}
-	if len(value) > mostUnpacked {
+	if len(b) > mostUnpacked {
 		return nil, errors.Errorf("unpack: more than %d bytes", mostUnpacked)
 	}
-	return value, nil
+	return b, nil
 }
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -171,7 +171,7 @@
 	if c.ConfirmTable(revision, began) {
 		return false
 	}
-	packed, err := pack(value)
+	packed, err := Pack(value)
 	if err != nil {
 		c.log.Error("The table can't be packed.", "revision", revision, "error", err.Error())
 		return false
@@ -184,7 +184,7 @@
 	if c.ConfirmTable(revision, began) {
 		return false
 	}
-	value, err := unpack(packed)
+	value, err := Unpack(packed)
 	if err != nil {
 		c.log.Error("A peer's table can't be unpacked.", "revision", revision, "from", from, "error", err.Error())
 		return false
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"time"
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/pkg/errors"
 )
 
 // Reading is one list of targets as the store had it.
@@ -20,7 +22,8 @@
 	Began time.Time
 }
 
-// Picture is what is believed of the targets. It never changes.
+// Picture is what is believed of the targets. It never changes; one that follows
+// another shares the pools in which nothing changed.
 type Picture struct {
 	Revision uint64
 	Began    time.Time
@@ -30,12 +33,8 @@
 	// Evacuated has the services with targets that only the evacuation of their hall
 	// keeps out of ByPool.
 	Evacuated map[string]bool
-	// ByID has all that are known, leaving and lapsed ones too.
-	ByID map[string]hookhall.Target
 	// Digest sums up all listed targets; equal digests mean equal lists.
 	Digest uint64
-	// HallAt has the hall of the target at an address.
-	HallAt map[string]string
 }
 
 // Cold lists the usable targets that are held to be cold, sorted.
@@ -55,34 +54,102 @@
 // Age is how old the picture is.
 func (p *Picture) Age(now time.Time) time.Duration { return now.Sub(p.Began) }
 
-// followTargets reads the targets whenever what is believed of them has grown old.
+// followTargets reads the targets whenever what is believed of them has grown old. The
+// process that reads for all watches them, and reads all of them now and then.
 func (c *Catalog) followTargets(ctx context.Context) {
-	pause := retry.Between(pauseFirst, pauseMost)
-	var first time.Time // when the copy that this process began with was made, at least
+	f := targetsFollower{Catalog: c, pause: retry.Between(pauseFirst, pauseMost)}
 	for ctx.Err() == nil {
-		now := time.Now()
-		p := c.picture.Load()
-		if p != nil && (!c.due(p.Began, now) || (p.Began.Equal(first) && c.awaitsNews(first, now))) {
+		if !f.wanted(time.Now()) {
+			f.at = 0 // whoever was told by others may be ahead of an old watch
 			retry.Sleep(ctx, look)
 			continue
 		}
-		r, err := c.readTargets(ctx, p == nil)
-		c.noteCall(ctx, err)
-		if err != nil {
-			pause.Wait(ctx)
-			continue
-		}
-		pause.Reset()
-		if p == nil {
-			first = r.Began
-			c.Learn(r, "store's copy")
-		} else if c.Learn(r, "store") {
-			c.Read()
-			continue
-		}
-		// Also after a reading that was no news: the next one may be none either.
-		retry.Sleep(ctx, look)
+		f.step(ctx)
+	}
+}
+
+// targetsFollower is the loop of followTargets.
+type targetsFollower struct {
+	*Catalog
+	pause *retry.Pause
+	first time.Time // when the copy that this process began with was made, at least
+	at    uint64    // the revision to watch from, 0 to read all targets
+	read  time.Time // when all were last read
+	// gather is set when a watch told of changes: others may come with them.
+	gather bool
+}
+
+// wanted tells whether it is this process's turn to ask the store.
+func (f *targetsFollower) wanted(now time.Time) bool {
+	p := f.picture.Load()
+	switch {
+	case p == nil:
+		return true
+	case p.Began.Equal(f.first) && f.awaitsNews(f.first, now):
+		return false
+	}
+	return f.Rank() == 0 || f.due(p.Began, now)
+}
+
+// step makes one call of the store and takes its answer in.
+func (f *targetsFollower) step(ctx context.Context) {
+	now := time.Now()
+	began := f.picture.Load() == nil
+	fresh, err := f.ask(ctx, began)
+	if errors.Is(err, hookhall.ErrHistoryGone) {
+		f.noteCall(ctx, nil)
+		f.at = 0
+		return
+	}
+	f.noteCall(ctx, err)
+	if err != nil {
+		f.at = 0 // whatever was missed is read whole
+		f.pause.Wait(ctx)
+		return
 	}
+	f.pause.Reset()
+	if fresh && !began {
+		f.Read()
+	}
+	if f.gather {
+		retry.Sleep(ctx, gatherEvents)
+	} else if f.at == 0 || !f.read.Before(now) {
+		retry.Sleep(ctx, look) // a reading does not wait in the store, as a watch does
+	}
+}
+
+// ask watches the targets, or reads all of them. It tells whether anything was newer
+// than what is known.
+func (f *targetsFollower) ask(ctx context.Context, begins bool) (fresh bool, err error) {
+	f.gather = false
+	if f.at > 0 && f.Rank() == 0 && time.Since(f.read) < readAllEvery {
+		return f.watch(ctx)
+	}
+	r, err := f.readTargets(ctx, begins)
+	if err != nil {
+		return false, err
+	}
+	if begins {
+		f.first = r.Began
+		return f.Learn(r, "store's copy"), nil
+	}
+	f.at, f.read = r.Revision, time.Now()
+	return f.Learn(r, "store"), nil
+}
+
+// watch waits for changes.
+func (f *targetsFollower) watch(ctx context.Context) (fresh bool, err error) {
+	began := time.Now()
+	events, at, err := f.store.Watch(ctx, f.platform.TargetPrefix(), f.at, readEvery)
+	if err != nil {
+		return false, err
+	}
+	f.at = at
+	if len(events) == 0 && time.Since(began) >= readEvery {
+		began = began.Add(readEvery) // the store waited before it said that there is nothing
+	}
+	f.gather = len(events) > 0
+	return f.Follow(events, at, began), nil
 }
 
 // awaitsNews tells whether a process that began with a copy leaves the store to
@@ -104,34 +171,105 @@
 	return Reading{at, items, began}, err
 }
 
+// Learn takes in a reading of the targets. It tells whether the reading was newer.
+func (c *Catalog) Learn(r Reading, from string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.picture.Load(); p != nil && (r.Revision < p.Revision || (r.Revision == p.Revision && r.Began.Before(p.Began))) {
+		return false
+	}
+	now := time.Now()
+	listed := make(map[string]bool, len(r.Items))
+	for _, i := range r.Items {
+		c.take(i, from, now)
+		listed[i.Key] = true
+	}
+	c.miss(c.unlisted(listed, func(string) bool { return true }), from, now)
+	if c.picture.Load() == nil {
+		c.log.Info("The targets are known.", "count", len(c.known), "revision", r.Revision, "from", from)
+	}
+	c.publish(r.Revision, r.Began, now)
+	return true
+}
+
+// Follow takes in what a watch of the targets told, up to a revision. It tells whether
+// that was newer.
+func (c *Catalog) Follow(events []hookhall.Item, revision uint64, began time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.picture.Load() == nil || c.older(revision, began) {
+		return false
+	}
+	now := time.Now()
+	last := map[string]hookhall.Item{} // a key may have changed twice
+	for _, i := range events {
+		last[i.Key] = i
+	}
+	var lost []*entry
+	for key, i := range last {
+		if e := c.known[key]; i.Gone && e != nil && e.missing.IsZero() {
+			lost = append(lost, e)
+		} else if !i.Gone {
+			c.take(i, "store", now)
+		}
+	}
+	c.miss(lost, "store", now)
+	c.publish(revision, began, now)
+	return true
+}
+
+// older tells whether what was read at a revision is no news.
+func (c *Catalog) older(revision uint64, began time.Time) bool {
+	p := c.picture.Load()
+	return p != nil && (revision < p.Revision || (revision == p.Revision && !began.After(p.Began)))
+}
+
 // publish makes the picture of what is known, as confirmed at a revision. The
 // caller holds c.mu.
 func (c *Catalog) publish(revision uint64, began, now time.Time) {
-	p := &Picture{
-		Revision: revision, Began: began,
-		ByPool: map[string][]hookhall.Target{}, ByID: map[string]hookhall.Target{}, HallAt: map[string]string{}, Evacuated: map[string]bool{},
-	}
-	halls := c.Halls()
-	for id, e := range c.known {
-		p.ByID[id] = e.target
-		if e.missing.IsZero() || p.HallAt[e.target.Address] == "" {
-			p.HallAt[e.target.Address] = e.target.Hall
+	p := &Picture{Revision: revision, Began: began, Digest: c.buckets.whole()}
+	old := c.picture.Load()
+	if old == nil || c.lapsing(old.Began) {
+		c.soilAll()
+	}
+	if old != nil {
+		p.ByPool, p.Evacuated = old.ByPool, old.Evacuated
+	}
+	if len(c.dirty) > 0 {
+		p.ByPool, p.Evacuated = maps.Clone(p.ByPool), maps.Clone(p.Evacuated)
+		if p.ByPool == nil {
+			p.ByPool, p.Evacuated = map[string][]hookhall.Target{}, map[string]bool{}
+		}
+		halls := c.Halls()
+		for pool := range c.dirty {
+			p.ByPool[pool], p.Evacuated[pool] = c.usable(pool, halls, now)
 		}
+		clear(c.dirty)
+	}
+	c.picture.Store(p)
+}
+
+// soilAll has all pools made anew. The caller holds c.mu.
+func (c *Catalog) soilAll() {
+	for pool := range c.pools {
+		c.dirty[pool] = true
+	}
+}
+
+// usable lists the usable targets of a pool, sorted by id, and tells whether an
+// evacuation keeps others out. The caller holds c.mu.
+func (c *Catalog) usable(pool string, halls Halls, now time.Time) (list []hookhall.Target, evacuated bool) {
+	for _, e := range c.pools[pool] {
 		switch {
 		case !e.usable(now):
 		case halls.has(e.target.Hall):
-			p.Evacuated[e.target.Pool] = true
+			evacuated = true
 		default:
 			t := e.target
 			t.ColdUntil = c.coldUntil(e)
-			p.ByPool[t.Pool] = append(p.ByPool[t.Pool], t)
-		}
-		if e.missing.IsZero() {
-			p.Digest ^= digest(e.target)
+			list = append(list, t)
 		}
 	}
-	for _, list := range p.ByPool {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
-	c.picture.Store(p)
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list, evacuated
 }
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -74,8 +74,8 @@
 	}
 	s.Catalog.LearnPacked(b.GetTable().GetPacked(), b.GetTable().GetRevision(), instance(seed), began)
 	r := catalog.Reading{Revision: b.GetTargetsRevision(), Began: began.Add(-milliseconds(b.GetAgeMs()))}
-	for _, t := range b.GetTargets() {
-		r.Items = append(r.Items, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
+	if r.Items, _, err = unpackBulk(b.GetTargets()); err != nil {
+		return err
 	}
 	s.Catalog.Learn(r, instance(seed))
 	s.Members.Meet(listed(b.GetMembers()))
@@ -108,8 +108,9 @@
 	}
 	h := b.Catalog.Halls()
 	out.HallsRevision, out.Evacuated = h.Revision, h.Evacuated
-	for _, i := range r.Items {
-		out.Targets = append(out.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value})
+	var err error
+	if out.Targets, err = packBulk(r.Items, nil); err != nil {
+		return nil, err
 	}
 	for _, m := range b.Peers.All() {
 		if v, err := json.Marshal(m); err == nil {
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -52,9 +52,10 @@
 	// nil when nobody asks.
 	Heard func(began time.Time)
 
-	starting atomic.Bool // a peer is being asked for all that it believes
-	fetching atomic.Bool // a table is being fetched
-	silent   sync.Map    // address to when the peer did not answer
+	repairing atomic.Bool // a gap is being repaired
+	starting  atomic.Bool // a peer is being asked for all that it believes
+	fetching  atomic.Bool // a table is being fetched
+	silent    sync.Map    // address to when the peer did not answer
 }
 
 // skipped tells whether a peer did not answer a moment ago.
@@ -82,15 +83,13 @@
 		Reader: s.Peers.Self().Address, TargetsRevision: n.Revision, Digest: n.Digest, Gone: n.Gone,
 		AgeMs: ageMS(now.Sub(n.Began)), ConfigRevision: revision, ConfigAgeMs: ageMS(age),
 	}
-	for _, i := range n.Changed {
-		m.Changed = append(m.Changed, &pb.TargetNews{Key: i.Key, Value: i.Value})
-	}
 	h := s.Catalog.Halls()
 	m.HallsRevision, m.Evacuated = h.Revision, h.Evacuated
 	p := s.Peers.News(now)
 	m.MembersRevision, m.MembersDigest, m.MembersGone = p.Revision, p.Digest, p.Gone
-	for _, i := range p.Changed {
-		m.MembersChanged = append(m.MembersChanged, &pb.MemberNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
+	var err error
+	if m.Bulk, err = packBulk(n.Changed, p.Changed); err != nil {
+		s.Clients.Log.Error("News can't be packed; who lacks it reads for itself.", "error", err.Error())
 	}
 	return m
 }
@@ -139,9 +138,8 @@
 		Reader: m.GetReader(), From: s.Peers.Self().Address, Position: int32(position),
 		ConfigRevision: m.GetConfigRevision(), ConfigAgeMs: m.GetConfigAgeMs() + held,
 		TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
-		Digest: m.GetDigest(), Changed: m.GetChanged(), Gone: m.GetGone(),
-		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(),
-		MembersChanged: m.GetMembersChanged(), MembersGone: m.GetMembersGone(),
+		Digest: m.GetDigest(), Bulk: m.GetBulk(), Gone: m.GetGone(),
+		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(), MembersGone: m.GetMembersGone(),
 		HallsRevision: m.GetHallsRevision(), Evacuated: m.GetEvacuated(),
 	}
 }
@@ -160,17 +158,25 @@
 		s.start(m)
 		return
 	}
-	s.Peers.LearnNews(membersNews(m), came)
-	n := catalog.News{
-		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(), Gone: m.GetGone(),
+	targets, changed, err := unpackBulk(m.GetBulk())
+	if err != nil {
+		s.Clients.Log.Error("A peer's news can't be unpacked.", "peer", m.GetFrom(), "error", err.Error())
+		return
 	}
-	for _, t := range m.GetChanged() {
-		n.Changed = append(n.Changed, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
+	s.Peers.LearnNews(members.News{
+		Revision: m.GetMembersRevision(), Digest: m.GetMembersDigest(), Changed: changed, Gone: m.GetMembersGone(),
+	}, came)
+	n := catalog.News{
+		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(),
+		Changed: targets, Gone: m.GetGone(),
 	}
 	from := instance(m.GetReader())
 	// Before the table, which is confirmed by the same news.
 	emptied := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
-	fresh := s.Catalog.LearnNews(n, from)
+	fresh, gap := s.Catalog.LearnNews(n, from)
+	if gap && m.GetFrom() != "" {
+		s.repair(m.GetFrom())
+	}
 	if fresh && s.Heard != nil {
 		s.Heard(n.Began)
 	}
@@ -188,15 +194,6 @@
 	}
 }
 
-// membersNews reads what news tells of the members.
-func membersNews(m *pb.News) members.News {
-	n := members.News{Revision: m.GetMembersRevision(), Digest: m.GetMembersDigest(), Gone: m.GetMembersGone()}
-	for _, c := range m.GetMembersChanged() {
-		n.Changed = append(n.Changed, hookhall.Item{Key: c.GetKey(), Value: c.GetValue(), Revision: c.GetRevision()})
-	}
-	return n
-}
-
 // instance shortens an address for the log.
 func instance(address string) string {
 	host, _, _ := strings.Cut(address, ":")
