--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -99,7 +99,7 @@
 func (c *Catalog) add(key string, t hookhall.Target, from string, now time.Time) *entry {
 	e := &entry{key: key, target: t, missing: now}
 	c.known[key] = e
-	c.join(e)
+	c.index(e)
 	if c.picture.Load() != nil {
 		// What is news to a newcomer is none to the others, and is told in one line.
 		e.changed = now
@@ -112,10 +112,10 @@
 func (c *Catalog) list(e *entry, t hookhall.Target, value []byte, from string, now time.Time) {
 	sum := digest(&t)
 	if !e.missing.IsZero() {
-		c.flip(e, sum)
+		c.toggle(e, sum)
 		c.dirty[t.Pool] = true
 	} else if sum != e.sum {
-		c.flip(e, e.sum^sum)
+		c.toggle(e, e.sum^sum)
 		c.dirty[t.Pool] = true
 		e.changed = now
 	}
@@ -125,23 +125,23 @@
 		c.log.Info("A target is leaving.", "target", t.ID, "service", t.Pool, "from", from)
 	}
 	if t.Pool != e.target.Pool || t.Address != e.target.Address {
-		c.part(e)
+		c.unindex(e)
 		e.target = t
-		c.join(e)
+		c.index(e)
 	}
-	if until := chill(t, now); !until.Equal(e.coldUntil) {
+	if until := coldBy(t, now); !until.Equal(e.coldUntil) {
 		e.coldUntil = until
 		c.dirty[t.Pool] = true
 	}
 	e.target, e.sum, e.value = t, sum, value
 }
 
-// flip changes the digest of a target's bucket. The caller holds c.mu.
-func (c *Catalog) flip(e *entry, sum uint64) { c.buckets[bucketOf(e.key)] ^= sum }
+// toggle changes the digest of a target's bucket. The caller holds c.mu.
+func (c *Catalog) toggle(e *entry, sum uint64) { c.buckets[bucketOf(e.key)] ^= sum }
 
-// join finds a target by its service and its address from now on. The caller holds
+// index has a target found by its service and its address from now on. The caller holds
 // c.mu.
-func (c *Catalog) join(e *entry) {
+func (c *Catalog) index(e *entry) {
 	if c.pools[e.target.Pool] == nil {
 		c.pools[e.target.Pool] = map[string]*entry{}
 	}
@@ -153,14 +153,14 @@
 // resident is the target that was last listed at an address.
 type resident struct{ hall, key string }
 
-// part ends that. The caller holds c.mu.
-func (c *Catalog) part(e *entry) {
+// unindex ends that. The caller holds c.mu.
+func (c *Catalog) unindex(e *entry) {
 	delete(c.pools[e.target.Pool], e.key)
 	c.dirty[e.target.Pool] = true
 }
 
-// chill is until when a target is cold that has just written its key.
-func chill(t hookhall.Target, now time.Time) time.Time {
+// coldBy is until when a target is cold that has just written its key.
+func coldBy(t hookhall.Target, now time.Time) time.Time {
 	if t.ColdLeft <= 0 {
 		return time.Time{}
 	}
@@ -177,7 +177,7 @@
 		if e.missing.IsZero() {
 			listed++
 		} else if now.Sub(e.missing) > forget {
-			c.part(e)
+			c.unindex(e)
 			delete(c.known, key)
 			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
 		}
@@ -185,7 +185,7 @@
 	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
 	for _, e := range lost {
 		e.missing, e.changed = now, now
-		c.flip(e, e.sum)
+		c.toggle(e, e.sum)
 		c.dirty[e.target.Pool] = true
 		if lapse {
 			e.lapsed = now.Add(lapseFor)
--- a/internal/coordination/catalog/halls.go
+++ b/internal/coordination/catalog/halls.go
@@ -83,7 +83,7 @@
 	}
 	c.noteHalls(old, h, from)
 	if p := c.picture.Load(); p != nil {
-		c.soilAll()
+		c.markAllDirty()
 		c.publish(p.Revision, p.Began, time.Now())
 	}
 	return true
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -230,7 +230,7 @@
 	p := &Picture{Revision: revision, Began: began, Digest: c.buckets.whole()}
 	old := c.picture.Load()
 	if old == nil || c.lapsing(old.Began) {
-		c.soilAll()
+		c.markAllDirty()
 	}
 	if old != nil {
 		p.ByPool, p.Evacuated = old.ByPool, old.Evacuated
@@ -249,8 +249,8 @@
 	c.picture.Store(p)
 }
 
-// soilAll has all pools made anew. The caller holds c.mu.
-func (c *Catalog) soilAll() {
+// markAllDirty has all pools made anew. The caller holds c.mu.
+func (c *Catalog) markAllDirty() {
 	for pool := range c.pools {
 		c.dirty[pool] = true
 	}
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -172,7 +172,7 @@
 	}
 	from := instance(m.GetReader())
 	// Before the table, which is confirmed by the same news.
-	emptied := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
+	hallsChanged := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
 	fresh, gap := s.Catalog.LearnNews(n, from)
 	if gap && m.GetFrom() != "" {
 		s.repair(m.GetFrom())
@@ -189,7 +189,7 @@
 		m = proto.Clone(m).(*pb.News)
 		m.ConfigRevision, m.ConfigAgeMs = 0, 0
 	}
-	if fresh || emptied {
+	if fresh || hallsChanged {
 		s.relay(m, came)
 	}
 }
