forward: a failed send tells what content it had

Cause: the logs of an incident could not tell which requests were alike, since each has an id of its own. A line of a failed send now has the digest of the request's account, host, path with query and body, and the body's size. The digest is made for failed sends only.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -152,7 +152,7 @@
 
 // logSend writes a line on a send that did not bring the answer.
 func (r *request) logSend(a *attempt, t hookhall.Target, next string) {
-	r.Log.Warn("A send failed.", "request", r.call.ID, "service", r.service, "target", t.ID, "send", r.sends,
+	r.Log.Warn("A send failed.", "request", r.call.ID, "content", r.digest(), "bytes", len(r.call.Body), "service", r.service, "target", t.ID, "send", r.sends,
 		"took_ms", time.Since(a.began).Milliseconds(), "verdict", a.err.Verdict.String(), "cause", string(a.err.Cause),
 		"detail", a.err.Detail, "next", next)
 }
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -11,6 +11,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 )
 
@@ -56,6 +57,17 @@
 	placed  placement.Placement
 	status  int
 	cutBy   string
+	// content is the digest of what the client asks, zero before it was needed.
+	content crashes.Digest
+}
+
+// digest names the request's content. It is made when it is first needed: most requests
+// never need it.
+func (r *request) digest() crashes.Digest {
+	if r.content == (crashes.Digest{}) {
+		r.content = crashes.Sum(r.accountName(), r.call.Host, r.call.URI, r.call.Body)
+	}
+	return r.content
 }
 
 func (r *request) accountName() string {
