forward, quarantine: a content under which three targets ended is refused by all gateways

Cause: each client request was judged by itself, by the targets that had run it. What came again under another id, at any gateway, began with nothing held against it, so that nothing bounded how many targets it ended.

Change: requests are known by a digest of account, host, path and body. When an answer breaks off, the target's address is asked for a connection; if it refuses, or the store lists another life of the target, its end is entered in a ledger and told to all gateways along the tree by which news goes. Ledgers merge by union, and news carries their sum, so that what was missed is repaired. Three ends of lives refuse a content: 502, at once, without a time to come back. A whole answer clears what was held against it. A refused content is written to the platform's store for ten minutes, so that gateways which all end at once know it again. Targets have a start time, by which lives under one id differ.

--- a/interfaces.go
+++ b/interfaces.go
@@ -50,6 +50,13 @@
 	Load(ctx context.Context, t Target) (LoadReport, error)
 }
 
+// Prober finds out whether anything listens at a target's address.
+type Prober interface {
+	// Refuses tells whether the address refuses a new connection: the process that
+	// listened there has ended. An address that does not answer says nothing.
+	Refuses(ctx context.Context, address string) bool
+}
+
 // Peer is another entry process.
 type Peer interface {
 	Probe(ctx context.Context, p Probe) (ProbeReply, error)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/members"
 	"github.com/hookhall/hookhall/internal/coordination/outage"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
+	"github.com/hookhall/hookhall/internal/coordination/quarantine"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
@@ -102,6 +103,7 @@
 	tracker     *balance.Tracker
 	broker      *stages.Broker
 	placer      *placement.Placer
+	quarantine  *quarantine.Quarantine
 	forward     *forward.Forwarder
 	drain       *front.Drain
 	// Listeners; the first can stop accepting by itself.
@@ -156,8 +158,12 @@
 	g.catalog = catalog.New(g.gate, g.adapters.Platform, g.logger(logging.Catalog))
 	g.members = members.New(self, g.gate, g.logger(logging.Members))
 	g.clients = fleet.NewClients(g.logger(logging.Members))
-	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog}
-	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Log: g.logger(logging.Catalog), Began: time.Now()}
+	g.quarantine = quarantine.New(g.logger(logging.Crashes))
+	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog, Ends: g.quarantine}
+	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Ends: g.quarantine, Log: g.logger(logging.Catalog), Began: time.Now()}
+	g.quarantine.Prober, g.quarantine.Catalog, g.quarantine.Store = g.adapters.Connections, g.catalog, g.gate
+	g.quarantine.Leads = func() bool { return g.catalog.Rank() == 0 }
+	g.quarantine.Tell = g.broadcaster.Report
 	g.broadcaster.Start = g.starter
 	g.broadcaster.Heard = g.gate.Heard
 	g.catalog.Read = g.broadcaster.Broadcast
@@ -178,7 +184,7 @@
 			Local: g.placer, Fleet: g.members,
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
 		},
-		Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
+		Quarantine: g.quarantine, Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
@@ -233,7 +239,7 @@
 		"metrics", g.metricsAt.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.tidy, g.tellReady, g.askSeeds, (&fleet.Inviter{Broadcaster: g.broadcaster}).Run} {
+	for _, f := range []func(context.Context){g.catalog.Run, g.members.Run, g.quarantine.Run, g.tidy, g.tellReady, g.askSeeds, (&fleet.Inviter{Broadcaster: g.broadcaster}).Run} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/app/logging/logging.go
+++ b/internal/app/logging/logging.go
@@ -28,6 +28,7 @@
 	Stages  = "stages"
 	Catalog = "catalog"
 	Members = "members"
+	Crashes = "crashes"
 )
 
 // New makes a logger of a part; level is one of debug, info, warn and error.
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -137,6 +137,19 @@
 	return ""
 }
 
+// Over tells whether what is listed shows that the life of a target is over: it lists
+// itself with another start, or another target has its address.
+func (c *Catalog) Over(t hookhall.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, ok := c.hallAt.Load(t.Address)
+	if !ok {
+		return false
+	}
+	e := c.known[now.(resident).key]
+	return e != nil && e.missing.IsZero() && (e.target.ID != t.ID || e.target.Born != t.Born)
+}
+
 // Known has the targets that are known, by id, leaving and missing ones too.
 func (c *Catalog) Known() map[string]hookhall.Target {
 	c.mu.Lock()
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -64,6 +64,7 @@
 		text = append(append(text, s...), 0)
 	}
 	text = binary.AppendVarint(text, int64(t.Slots))
+	text = binary.AppendVarint(text, t.Born)
 	for _, on := range []bool{t.Streams, t.Leaving, t.ColdLeft > 0} {
 		if on {
 			text = append(text, 1)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -53,9 +53,23 @@
 	a.end()
 }
 
-// choose finds the next target, or says why there is none. Engines are chosen by
-// their placer, if it answers.
+// choose finds the next target, or says why there is none. What is held against the
+// request's content counts as of the end of the choice, which may wait for a placer.
 func (r *request) choose(ctx context.Context) (hookhall.Target, *hookhall.Error) {
+	for {
+		if e := r.shunCrashing(); e != nil {
+			return hookhall.Target{}, e
+		}
+		t, none := r.pick(ctx)
+		if none != nil || !r.Quarantine.Standing(r.digest).RefusedBy(t.Version) {
+			return t, none
+		}
+		r.placed.Tell(placement.Ended)
+	}
+}
+
+// pick finds the next target. Engines are chosen by their placer, if it answers.
+func (r *request) pick(ctx context.Context) (hookhall.Target, *hookhall.Error) {
 	r.wish.Slack = max(time.Until(r.aim), 0)
 	r.placed = placement.Placement{}
 	for {
@@ -165,6 +179,9 @@
 	if a.err.Verdict != hookhall.NotRun {
 		r.runs++
 	}
+	if a.err.Verdict == hookhall.MayHaveRun && ctx.Err() == nil {
+		r.Quarantine.Broke(r.digest(), r.accountName(), t)
+	}
 	why := ""
 	switch {
 	case ctx.Err() != nil:
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 	"github.com/pkg/errors"
 )
@@ -62,6 +63,17 @@
 	Place(ctx context.Context, service string, w balance.Wish) placement.Placement
 }
 
+// Quarantine knows the requests that end the targets which run them.
+type Quarantine interface {
+	// Standing is what is held against a request's content. The digest is asked for only
+	// when something is held against any.
+	Standing(content func() crashes.Digest) crashes.Standing
+	// Broke takes in that t's answer to a content broke off.
+	Broke(content crashes.Digest, account string, t hookhall.Target)
+	// Served takes in that a target gave a whole answer to a content.
+	Served(content func() crashes.Digest)
+}
+
 // Meter counts.
 type Meter interface {
 	// Forwarded counts a request's end; cause is "answered" for a target's answer.
@@ -76,8 +88,10 @@
 	Stages    Stages
 	Sender    hookhall.Sender
 	Placement Placement
-	Tracker   *balance.Tracker
-	Budget    *budget.Budget
+	// Quarantine keeps requests from targets that would end.
+	Quarantine Quarantine
+	Tracker    *balance.Tracker
+	Budget     *budget.Budget
 	// Sharers is how many processes share the retry budget, 0 when not known.
 	Sharers func(now time.Time) int
 	// ColdShare is how many requests in any second this process may send to a cold
@@ -110,6 +124,9 @@
 	defer cancel()
 	r.answer = a
 	err = r.serve(ctx)
+	if err == nil {
+		f.Quarantine.Served(r.digest)
+	}
 	f.report(r, err)
 	return err
 }
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -61,15 +61,6 @@
 	content crashes.Digest
 }
 
-// digest names the request's content. It is made when it is first needed: most requests
-// never need it.
-func (r *request) digest() crashes.Digest {
-	if r.content == (crashes.Digest{}) {
-		r.content = crashes.Sum(r.accountName(), r.call.Host, r.call.URI, r.call.Body)
-	}
-	return r.content
-}
-
 func (r *request) accountName() string {
 	if r.account == nil {
 		return ""
@@ -92,6 +83,9 @@
 	if e := r.refuseEvacuated(); e != nil {
 		return e
 	}
+	if e := r.shunCrashing(); e != nil {
+		return e
+	}
 	if err := r.runStages(ctx); err != nil {
 		return err
 	}
@@ -237,7 +231,7 @@
 	if r.runs > 0 {
 		e.Verdict = hookhall.MayHaveRun
 	}
-	if e.Verdict == hookhall.NotRun && e.RetryAfter == 0 {
+	if e.Verdict == hookhall.NotRun && e.RetryAfter == 0 && e.Cause != hookhall.CauseCrashes {
 		e.RetryAfter = comeBack
 	}
 	return e
--- /dev/null
+++ b/internal/state/crashes/end.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package crashes
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Life is one life of a target, from its start to its end.
+type Life struct {
+	Target string
+	// Born tells the lives of a target with the same id apart, 0 when it doesn't say.
+	Born int64
+}
+
+// End is the end of a target's life while it ran a content.
+type End struct {
+	Content Digest
+	// Account bears the cost of remembering the content, "" for requests without one.
+	Account string
+	Life    Life
+	// Version is that of the target's software.
+	Version string
+	// Cleared is set once a target gave a whole answer to the content.
+	Cleared bool
+	// At is when it was first reported, by this process's clock.
+	At time.Time
+}
+
+// sum is the End's part of the ledger's sum.
+func (e *End) sum() uint64 {
+	b := make([]byte, 0, 128)
+	b = append(b, e.Content[:]...)
+	b = append(append(b, e.Life.Target...), 0)
+	b = binary.AppendVarint(b, e.Life.Born)
+	if e.Cleared {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -35,6 +35,7 @@
 	Clients *Clients
 	Catalog *catalog.Catalog
 	Members Meeter
+	Ends    Ends
 	Log     *log.Logger
 	// Began is when the process started.
 	Began time.Time
@@ -72,6 +73,7 @@
 	if b.GetHallsRevision() > 0 {
 		s.Catalog.LearnHalls(catalog.Halls{Revision: b.GetHallsRevision(), Evacuated: b.GetEvacuated()}, instance(seed))
 	}
+	s.Ends.Learn(readEnds(b.GetEnds().GetEnds(), time.Now()), instance(seed))
 	s.Catalog.LearnPacked(b.GetTable().GetPacked(), b.GetTable().GetRevision(), instance(seed), began)
 	r := catalog.Reading{Revision: b.GetTargetsRevision(), Began: began.Add(-milliseconds(b.GetAgeMs()))}
 	if r.Items, _, err = unpackBulk(b.GetTargets()); err != nil {
@@ -108,6 +110,7 @@
 	}
 	h := b.Catalog.Halls()
 	out.HallsRevision, out.Evacuated = h.Revision, h.Evacuated
+	out.Ends = &pb.Ends{Ends: wireEnds(b.Ends.All(), time.Now())}
 	var err error
 	if out.Targets, err = packBulk(r.Items, nil); err != nil {
 		return nil, err
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -46,16 +46,20 @@
 	Peers   Peers
 	Clients *Clients
 	Catalog *catalog.Catalog
+	// Ends knows which targets ended while they ran a request.
+	Ends Ends
 	// Start asks a peer while this process knows nothing; nil never does.
 	Start *Starter
 	// Heard is told when a call of the store began that somebody had an answer to;
 	// nil when nobody asks.
 	Heard func(began time.Time)
 
-	repairing atomic.Bool // a gap is being repaired
-	starting  atomic.Bool // a peer is being asked for all that it believes
-	fetching  atomic.Bool // a table is being fetched
-	silent    sync.Map    // address to when the peer did not answer
+	repairing atomic.Bool  // a gap is being repaired
+	starting  atomic.Bool  // a peer is being asked for all that it believes
+	fetching  atomic.Bool  // a table is being fetched
+	silent    sync.Map     // address to when the peer did not answer
+	comparing atomic.Bool  // the ends are being compared with a peer's
+	compareAt atomic.Int64 // no comparison before, as Unix nanoseconds
 }
 
 // skipped tells whether a peer did not answer a moment ago.
@@ -85,6 +89,7 @@
 	}
 	h := s.Catalog.Halls()
 	m.HallsRevision, m.Evacuated = h.Revision, h.Evacuated
+	m.EndsSum = s.Ends.Sum(now)
 	p := s.Peers.News(now)
 	m.MembersRevision, m.MembersDigest, m.MembersGone = p.Revision, p.Digest, p.Gone
 	var err error
@@ -99,32 +104,41 @@
 
 // relay passes news on that came in at a time.
 func (s *Broadcaster) relay(m *pb.News, came time.Time) {
+	s.spread(m.GetReader(), int(m.GetPosition()), func(address string, position int) bool {
+		return s.tell(address, s.copyFor(m, came, position))
+	})
+}
+
+// teller tells one peer, whose place in the tree is given, and whether it answered.
+type teller func(address string, position int) bool
+
+// spread tells those that come after a place in the tree that a process began.
+func (s *Broadcaster) spread(root string, place int, tell teller) {
 	all := s.Peers.All()
-	reader := sort.Search(len(all), func(i int) bool { return all[i].Address >= m.GetReader() })
-	s.children(m, came, all, reader, int(m.GetPosition()))
+	first := sort.Search(len(all), func(i int) bool { return all[i].Address >= root })
+	s.children(root, all, first, place, tell)
 }
 
 // children tells those that come after a place in the tree. Those after a peer
 // that does not answer are told in its stead.
-func (s *Broadcaster) children(m *pb.News, came time.Time, all []hookhall.Member, reader, place int) {
+func (s *Broadcaster) children(root string, all []hookhall.Member, first, place int, tell teller) {
 	for i := range fanOut {
 		position := place*fanOut + i + 1
 		if position >= len(all) {
 			return
 		}
-		to := all[(reader+position)%len(all)]
-		if to.Address == m.GetReader() {
+		to := all[(first+position)%len(all)]
+		if to.Address == root {
 			continue
 		}
 		if to.Address == s.Peers.Self().Address || s.skipped(to.Address, time.Now()) {
-			s.children(m, came, all, reader, position)
+			s.children(root, all, first, position, tell)
 			continue
 		}
-		own := s.copyFor(m, came, position)
 		go func() {
-			if !s.tell(to.Address, own) {
+			if !tell(to.Address, position) {
 				s.silent.Store(to.Address, time.Now())
-				s.children(m, came, all, reader, position)
+				s.children(root, all, first, position, tell)
 			}
 		}()
 	}
@@ -140,7 +154,7 @@
 		TargetsRevision: m.GetTargetsRevision(), AgeMs: m.GetAgeMs() + held,
 		Digest: m.GetDigest(), Bulk: m.GetBulk(), Gone: m.GetGone(),
 		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(), MembersGone: m.GetMembersGone(),
-		HallsRevision: m.GetHallsRevision(), Evacuated: m.GetEvacuated(),
+		HallsRevision: m.GetHallsRevision(), Evacuated: m.GetEvacuated(), EndsSum: m.GetEndsSum(),
 	}
 }
 
@@ -173,6 +187,7 @@
 	from := instance(m.GetReader())
 	// Before the table, which is confirmed by the same news.
 	hallsChanged := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
+	s.compareEnds(m, came)
 	fresh, gap := s.Catalog.LearnNews(n, from)
 	if gap && m.GetFrom() != "" {
 		s.repair(m.GetFrom())
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -117,6 +117,9 @@
 		return http.StatusNotFound
 	case hookhall.CauseTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case hookhall.CauseCrashes:
+		// Clients come back after a 503, and this content is not served then either.
+		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -139,6 +140,16 @@
 	return newConn(c, address), nil
 }
 
+// Refuses implements hookhall.Prober. A connection that opens is closed again.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // it served its purpose
+	return false
+}
+
 // Do sends a request once and waits for the head of its answer.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
 	var c *conn
--- a/target.go
+++ b/target.go
@@ -20,6 +20,10 @@
 	Version string `json:"version,omitempty"`
 	// Slots is how many calls it works on at once, 0 when it doesn't say.
 	Slots int `json:"slots,omitempty"`
+	// Born tells the lives of a target apart that starts again under its id: the Unix
+	// millisecond of its start by its own clock, 0 when it doesn't say. A target knows
+	// nothing of its earlier lives.
+	Born int64 `json:"born,omitempty"`
 	// Beat counts the target's own heartbeats, 0 when it has none.
 	Beat uint64 `json:"beat,omitempty"`
 	// ColdLeft is for how long the target stayed cold when it last wrote, by its
--- a/verdict.go
+++ b/verdict.go
@@ -71,6 +71,7 @@
 	CauseStage        Cause = "stage-failed"
 	CauseBudget       Cause = "retry-budget"
 	CauseCanceled     Cause = "canceled"
+	CauseCrashes      Cause = "crashes-targets"
 )
 
 // Error is the one error type of the request path.
