stages, batch: a content that ends stage targets is refused, and goes alone before

A piece was asked for again, up to 24 times, in calls with other requests' pieces, whatever had ended under it.

Change: work for a broker names its request's content and account. When a call breaks off, its target is asked for a connection; if that has ended, the end is entered for each content in the call, before the pieces are asked for again, and each of their jobs goes alone from then on. So the others are made by the next call, and their requests' answers clear them. Work of a refused content ends. Ends are counted by service and version of the software, since both pools and engines have a v1.

--- a/forward.go
+++ b/forward.go
@@ -150,6 +150,9 @@
 	PieceError  PieceFailure = "error"
 	// PieceNoTarget is this product's own: no target may make the piece.
 	PieceNoTarget PieceFailure = "no target"
+	// PieceCrashes is this product's own: targets ended while they made pieces of the
+	// same content.
+	PieceCrashes PieceFailure = "crashes targets"
 )
 
 // PieceResult is a handle, or why there is none.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -158,10 +158,9 @@
 	g.catalog = catalog.New(g.gate, g.adapters.Platform, g.logger(logging.Catalog))
 	g.members = members.New(self, g.gate, g.logger(logging.Members))
 	g.clients = fleet.NewClients(g.logger(logging.Members))
-	g.quarantine = quarantine.New(g.logger(logging.Crashes))
+	g.quarantine = quarantine.New(g.adapters.Connections, g.catalog, g.gate, g.logger(logging.Crashes))
 	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog, Ends: g.quarantine}
 	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Ends: g.quarantine, Log: g.logger(logging.Catalog), Began: time.Now()}
-	g.quarantine.Prober, g.quarantine.Catalog, g.quarantine.Store = g.adapters.Connections, g.catalog, g.gate
 	g.quarantine.Leads = func() bool { return g.catalog.Rank() == 0 }
 	g.quarantine.Tell = g.broadcaster.Report
 	g.broadcaster.Start = g.starter
@@ -171,7 +170,7 @@
 	g.catalog.Fleet = g.members.Count
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
-	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.logger(logging.Stages))
+	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.logger(logging.Stages))
 	cold := balance.ColdLimits{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack}
 	g.placer = placement.NewPlacer(g.catalog, cold)
 	runner := &stages.Runner{
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -61,7 +61,7 @@
 			return hookhall.Target{}, e
 		}
 		t, none := r.pick(ctx)
-		if none != nil || !r.Quarantine.Standing(r.digest).RefusedBy(t.Version) {
+		if none != nil || !r.Quarantine.Standing(r.digest).RefusedBy(t.Software()) {
 			return t, none
 		}
 		r.placed.Tell(placement.Ended)
--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -30,7 +30,7 @@
 	}
 	left := 0
 	for _, t := range r.Catalog.Targets(r.service) {
-		if s.RefusedBy(t.Version) {
+		if s.RefusedBy(t.Software()) {
 			r.tried[t.ID] = true
 		} else {
 			left++
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -156,7 +156,7 @@
 	}
 	g := stages.Graph{
 		Call: r.call, Route: r.route, Table: r.table, Aim: r.aim, End: r.firstBy(), Urgency: r.urgency(),
-		Answer: r.answerTime(), Hall: r.readingHall(),
+		Answer: r.answerTime(), Hall: r.readingHall(), Content: r.digest(), Account: r.accountName(),
 	}
 	for {
 		results, err := r.Stages.Run(ctx, g)
--- a/internal/coordination/quarantine/finding.go
+++ b/internal/coordination/quarantine/finding.go
@@ -27,16 +27,18 @@
 	findingKeep = 10 * time.Second
 )
 
-// finding is whether a life of a target has ended; it is known once done is closed.
+// finding is whether a life of a target has ended.
 type finding struct {
-	done  chan struct{}
-	ended bool
-	at    time.Time // when it began
+	probed  chan struct{} // closed once the target was asked for a connection
+	refused bool          // which it refused; set before
+	done    chan struct{} // closed once all is known
+	ended   bool          // set before
+	at      time.Time     // when it began
 }
 
 // Broke takes in that t's answer to a content broke off.
 func (q *Quarantine) Broke(content crashes.Digest, account string, t hookhall.Target) {
-	e := crashes.End{Content: content, Account: account, Life: crashes.Life{Target: t.ID, Born: t.Born}, Version: t.Version}
+	e := crashes.End{Content: content, Account: account, Life: crashes.Life{Target: t.ID, Born: t.Born}, Software: t.Software()}
 	f := q.find(e.Life, t)
 	go func() {
 		<-f.done
@@ -47,6 +49,14 @@
 	}()
 }
 
+// Ended tells whether a target has ended whose answer broke off. It waits for the answer
+// to one request for a connection.
+func (q *Quarantine) Ended(t hookhall.Target) bool {
+	f := q.find(crashes.Life{Target: t.ID, Born: t.Born}, t)
+	<-f.probed
+	return f.refused
+}
+
 // find begins to find out whether a life has ended. All that broke off at one target
 // share one probe.
 func (q *Quarantine) find(l crashes.Life, t hookhall.Target) *finding {
@@ -55,15 +65,19 @@
 	if f := q.findings[l]; f != nil && (!f.known() || f.ended) {
 		return f
 	}
-	f := &finding{done: make(chan struct{}), at: time.Now()}
+	f := &finding{probed: make(chan struct{}), done: make(chan struct{}), at: time.Now()}
 	q.findings[l] = f
-	go func() {
-		defer close(f.done)
-		f.ended = q.over(t)
-	}()
+	go q.findOut(f, t)
 	return f
 }
 
+func (q *Quarantine) findOut(f *finding, t hookhall.Target) {
+	defer close(f.done)
+	f.refused = q.refuses(t.Address)
+	close(f.probed)
+	f.ended = f.refused || q.reborn(t)
+}
+
 // known tells whether the finding is complete.
 func (f *finding) known() bool {
 	select {
@@ -74,14 +88,11 @@
 	}
 }
 
-// over tells whether t's life is over.
-func (q *Quarantine) over(t hookhall.Target) bool {
+// reborn tells whether it is listed soon that t's life is over.
+func (q *Quarantine) reborn(t hookhall.Target) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), rebirthTime)
 	defer cancel()
-	if q.refuses(ctx, t.Address) {
-		return true
-	}
-	for !q.Catalog.Over(t) {
+	for !q.catalog.Over(t) {
 		if !retry.Sleep(ctx, rebirthLook) {
 			return false
 		}
@@ -89,10 +100,10 @@
 	return true
 }
 
-func (q *Quarantine) refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTime)
+func (q *Quarantine) refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
-	return q.Prober.Refuses(ctx, address)
+	return q.prober.Refuses(ctx, address)
 }
 
 // forgetFindings drops those that nothing waits for.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -44,18 +44,19 @@
 	Over(t hookhall.Target) bool
 }
 
-// Quarantine is what a gateway knows of requests that end targets. Its fields are set
+// Quarantine is what a gateway knows of requests that end targets. Leads and Tell are set
 // before Run.
 type Quarantine struct {
-	Ledger  *crashes.Ledger
-	Prober  hookhall.Prober
-	Catalog Catalog
-	Store   hookhall.Store
+	Ledger *crashes.Ledger
 	// Leads tells whether this process writes to the store for all.
 	Leads func() bool
 	// Tell tells all other gateways, without waiting for them.
 	Tell func(ends []crashes.End)
-	Log  *log.Logger
+
+	prober  hookhall.Prober
+	catalog Catalog
+	store   hookhall.Store
+	log     *log.Logger
 
 	mu       sync.Mutex // for what follows
 	findings map[crashes.Life]*finding
@@ -65,9 +66,10 @@
 }
 
 // New makes a Quarantine with an empty ledger.
-func New(l *log.Logger) *Quarantine {
+func New(p hookhall.Prober, c Catalog, s hookhall.Store, l *log.Logger) *Quarantine {
 	return &Quarantine{
-		Ledger: crashes.NewLedger(Limits()), Log: l, Leads: func() bool { return false }, Tell: func([]crashes.End) {},
+		Ledger: crashes.NewLedger(Limits()), prober: p, catalog: c, store: s, log: l,
+		Leads: func() bool { return false }, Tell: func([]crashes.End) {},
 		findings: map[crashes.Life]*finding{}, refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -104,7 +106,7 @@
 	if len(cleared) == 0 {
 		return
 	}
-	q.Log.Info("A content was served; ends under it do not count.", "content", content(), "account", cleared[0].Account, "ends", len(cleared))
+	q.log.Info("A content was served; ends under it do not count.", "content", content(), "account", cleared[0].Account, "ends", len(cleared))
 	q.noteRefusals()
 	q.tell(cleared)
 }
@@ -115,7 +117,7 @@
 	if len(fresh) == 0 {
 		return nil
 	}
-	q.Log.Info("Ends of targets are told.", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Life.Target, "cleared", fresh[0].Cleared)
+	q.log.Info("Ends of targets are told.", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Life.Target, "cleared", fresh[0].Cleared)
 	q.noteRefusals()
 	return fresh
 }
@@ -132,8 +134,8 @@
 	if len(fresh) == 0 {
 		return
 	}
-	q.Log.Warn("A target ended while it ran a request.", "content", e.Content, "account", e.Account, "target", e.Life.Target,
-		"born", e.Life.Born, "version", e.Version, "ends", q.Ledger.Standing(e.Content).Ends)
+	q.log.Warn("A target ended while it ran a request.", "content", e.Content, "account", e.Account, "target", e.Life.Target,
+		"born", e.Life.Born, "software", e.Software, "ends", q.Ledger.Standing(e.Content).Ends)
 	q.noteRefusals()
 	q.tell(fresh)
 }
@@ -166,14 +168,14 @@
 	for d, s := range refused {
 		if !q.refused[d] {
 			q.refused[d] = true
-			q.Log.Warn("A content is refused from now on: targets end when they run it.", "content", d, "ends", s.Ends,
-				"versions", s.Versions, "first_ago_ms", time.Since(s.Since).Milliseconds(), "targets", q.targets(d))
+			q.log.Warn("A content is refused from now on: targets end when they run it.", "content", d, "ends", s.Ends,
+				"software", s.Software, "first_ago_ms", time.Since(s.Since).Milliseconds(), "targets", q.targets(d))
 		}
 	}
 	for d := range q.refused {
 		if _, still := refused[d]; !still {
 			delete(q.refused, d)
-			q.Log.Info("A content is not refused any more.", "content", d)
+			q.log.Info("A content is not refused any more.", "content", d)
 		}
 	}
 	select {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -47,10 +47,9 @@
 
 // newQuarantine makes one that collects what it tells.
 func newQuarantine(p *prober, l lives) (q *Quarantine, told *[]crashes.End) {
-	q = New(log.New(io.Discard))
-	told = &[]crashes.End{}
 	l.began = time.Now()
-	q.Prober, q.Catalog = p, l
+	q = New(p, l, nil, log.New(io.Discard))
+	told = &[]crashes.End{}
 	q.Tell = func(ends []crashes.End) { *told = append(*told, ends...) }
 	return q, told
 }
@@ -156,12 +155,12 @@
 // TestReadRecord: records that can't be read are no records.
 func TestReadRecord(t *testing.T) {
 	now := time.Now()
-	ends := []crashes.End{{Content: crashes.Digest{1, 2}, Account: "a", Life: crashes.Life{Target: "t", Born: 5}, Version: "v1", Cleared: true, At: now}}
+	ends := []crashes.End{{Content: crashes.Digest{1, 2}, Account: "a", Life: crashes.Life{Target: "t", Born: 5}, Software: "s v1", Cleared: true, At: now}}
 	for name, c := range map[string]struct {
 		value string
 		want  bool
 	}{
-		"a record":       {`{"content":"01020000000000000000000000000000","account":"a","ends":[{"target":"t","born":5,"version":"v1","cleared":true}]}`, true},
+		"a record":       {`{"content":"01020000000000000000000000000000","account":"a","ends":[{"target":"t","born":5,"software":"s v1","cleared":true}]}`, true},
 		"no JSON":        {`{`, false},
 		"no content":     {`{"ends":[{"target":"t"}]}`, false},
 		"a short digest": {`{"content":"0102","ends":[{"target":"t"}]}`, false},
--- a/internal/coordination/quarantine/stored.go
+++ b/internal/coordination/quarantine/stored.go
@@ -36,10 +36,11 @@
 }
 
 type recordEnd struct {
-	Target  string `json:"target"`
-	Born    int64  `json:"born,omitempty"`
-	Version string `json:"version,omitempty"`
-	Cleared bool   `json:"cleared,omitempty"`
+	Target string `json:"target"`
+	Born   int64  `json:"born,omitempty"`
+	// Software is the target's service and the version of that.
+	Software string `json:"software,omitempty"`
+	Cleared  bool   `json:"cleared,omitempty"`
 }
 
 // stored is what this process knows to be in the store of one content.
@@ -83,7 +84,7 @@
 
 // read takes in what the store has.
 func (w *writer) read(ctx context.Context) error {
-	items, _, err := w.Store.Range(ctx, prefix)
+	items, _, err := w.store.Range(ctx, prefix)
 	if err != nil {
 		return err
 	}
@@ -91,7 +92,7 @@
 	for _, i := range items {
 		ends, err := readRecord(i, now)
 		if err != nil {
-			w.Log.Error("A record of a refused content can't be read.", "key", i.Key, "error", err.Error())
+			w.log.Error("A record of a refused content can't be read.", "key", i.Key, "error", err.Error())
 			continue
 		}
 		w.Learn(ends, "store")
@@ -108,7 +109,7 @@
 	done := true
 	for d := range w.changed() {
 		if err := w.writeOne(ctx, d); err != nil {
-			w.Log.Warn("A refused content could not be written.", "content", d, "error", err.Error())
+			w.log.Warn("A refused content could not be written.", "content", d, "error", err.Error())
 			done = false
 		}
 	}
@@ -141,11 +142,11 @@
 	}
 	lease := w.stored[d].lease
 	if lease == 0 {
-		if lease, err = w.Store.Grant(ctx, keep); err != nil {
+		if lease, err = w.store.Grant(ctx, keep); err != nil {
 			return err
 		}
 	}
-	err = w.Store.Put(ctx, prefix+d.String(), value, lease)
+	err = w.store.Put(ctx, prefix+d.String(), value, lease)
 	if errors.Is(err, hookhall.ErrLeaseGone) {
 		delete(w.stored, d)
 	}
@@ -169,7 +170,7 @@
 func newRecord(ends []crashes.End) record {
 	r := record{Content: ends[0].Content.String(), Account: ends[0].Account}
 	for _, e := range ends {
-		r.Ends = append(r.Ends, recordEnd{e.Life.Target, e.Life.Born, e.Version, e.Cleared})
+		r.Ends = append(r.Ends, recordEnd{e.Life.Target, e.Life.Born, e.Software, e.Cleared})
 	}
 	return r
 }
@@ -191,7 +192,7 @@
 	for _, e := range r.Ends {
 		ends = append(ends, crashes.End{
 			Content: content, Account: r.Account, Life: crashes.Life{Target: e.Target, Born: e.Born},
-			Version: e.Version, Cleared: e.Cleared, At: now,
+			Software: e.Software, Cleared: e.Cleared, At: now,
 		})
 	}
 	return ends, nil
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/batch"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 )
 
@@ -33,20 +34,31 @@
 	Evacuated(pool string) bool
 }
 
+// Quarantine knows the requests that end the targets which work on them.
+type Quarantine interface {
+	// Standing is what is held against a request's content.
+	Standing(content func() crashes.Digest) crashes.Standing
+	// Broke takes in that t's answer to a content broke off.
+	Broke(content crashes.Digest, account string, t hookhall.Target)
+	// Ended tells whether a target has ended whose answer broke off.
+	Ended(t hookhall.Target) bool
+}
+
 // Broker holds the queues of the services that this process brokers, by its own
 // list of members or by another process's.
 type Broker struct {
-	directory Directory
-	pool      hookhall.StagePool
-	log       *log.Logger
+	directory  Directory
+	pool       hookhall.StagePool
+	quarantine Quarantine
+	log        *log.Logger
 
 	mu     sync.Mutex
 	queues map[string]*serviceQueue
 }
 
 // NewBroker makes a Broker without work.
-func NewBroker(d Directory, p hookhall.StagePool, l *log.Logger) *Broker {
-	return &Broker{directory: d, pool: p, log: l, queues: map[string]*serviceQueue{}}
+func NewBroker(d Directory, p hookhall.StagePool, q Quarantine, l *log.Logger) *Broker {
+	return &Broker{directory: d, pool: p, quarantine: q, log: l, queues: map[string]*serviceQueue{}}
 }
 
 // serviceQueue is one service's queue with its lock.
@@ -78,6 +90,9 @@
 	Pieces  int
 	Key     string
 	Inputs  []string
+	// Content is the digest of the request, and Account whose it is.
+	Content crashes.Digest
+	Account string
 	Bytes   float64
 	Due     time.Time
 	End     time.Time
@@ -99,7 +114,9 @@
 	job := &batch.Job{
 		Call: w.Call, Stage: w.Stage, Count: w.Pieces, Key: w.Key, Inputs: w.Inputs, Bytes: w.Bytes,
 		Due: w.Due, End: w.End, Urgency: w.Urgency, Hall: w.Hall, Cross: w.Cross,
-		Finish: func(o batch.Outcome) { done <- o },
+		Finish:  func(o batch.Outcome) { done <- o },
+		Refused: func(t hookhall.Target) bool { return b.standing(w.Content).RefusedBy(t.Software()) },
+		Request: batch.Request{Content: w.Content, Account: w.Account},
 	}
 	if w.InputsRead != nil && len(w.Inputs) > 0 {
 		job.InputsRead = func() { go w.InputsRead() }
@@ -118,6 +135,11 @@
 	}
 }
 
+// standing is what is held against a request's content.
+func (b *Broker) standing(content crashes.Digest) crashes.Standing {
+	return b.quarantine.Standing(func() crashes.Digest { return content })
+}
+
 // outcomeCause is the cause of a job's failure.
 func outcomeCause(o batch.Outcome) hookhall.Cause {
 	switch o.Reason {
@@ -125,6 +147,8 @@
 		return hookhall.CauseDeadline
 	case hookhall.PieceNoTarget:
 		return hookhall.CauseNoTarget
+	case hookhall.PieceCrashes:
+		return hookhall.CauseCrashes
 	}
 	return hookhall.CauseStage
 }
@@ -230,7 +254,11 @@
 		q.broker.log.Warn("A call of a stage pool failed.", "service", q.service, "target", b.Target.ID,
 			"pieces", len(b.Pieces), "first", b.Pieces[0].Call, "took", time.Since(began), "error", err.Error())
 	}
+	ended := q.broke(b, err)
 	q.mu.Lock()
+	if ended {
+		q.queue.Ended(b)
+	}
 	unwanted := q.queue.Done(b, results, time.Now())
 	waiting := q.queue.Waiting()
 	bytes, held := q.queue.Held()
@@ -241,6 +269,18 @@
 	q.kick()
 }
 
+// broke takes in how a call ended, and tells whether its target has ended. Before that is
+// known the pieces are not asked for again.
+func (q *serviceQueue) broke(b *batch.Batch, err error) bool {
+	if err == nil || hookhall.AsError(err).Verdict != hookhall.MayHaveRun {
+		return false
+	}
+	for _, r := range b.Requests() {
+		q.broker.quarantine.Broke(r.Content, r.Account, b.Target)
+	}
+	return q.broker.quarantine.Ended(b.Target)
+}
+
 // inputsRead tells of the jobs that have read all their inputs.
 func (q *serviceQueue) inputsRead(b *batch.Batch) {
 	q.mu.Lock()
--- a/internal/coordination/stages/runner.go
+++ b/internal/coordination/stages/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 	"github.com/pkg/errors"
 )
@@ -58,6 +59,9 @@
 	Aim     time.Time // when the answer should have begun
 	End     time.Time
 	Urgency int
+	// Content is the digest of the request, and Account whose it is.
+	Content crashes.Digest
+	Account string
 	// Answer is how long the answer should take to begin once all stages are made.
 	Answer time.Duration
 	// Hall is that of the target that should run the request, "" when any will do.
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/batch"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 	"github.com/pkg/errors"
 )
@@ -156,7 +157,7 @@
 	table := routetable.Compile(r)
 	b := &bench{pool: &fakePool{held: map[string]bool{}, fails: map[hookhall.PieceFailure]int{}}, fleet: &fakeFleet{}}
 	quiet := log.New(io.Discard)
-	broker := NewBroker(fakeDirectory{table}, b.pool, quiet)
+	broker := NewBroker(fakeDirectory{table}, b.pool, openQuarantine{}, quiet)
 	b.runner = &Runner{
 		Local: broker, Fleet: b.fleet, Log: quiet,
 		Remote: func(string) Remote { return silentRemote{} },
@@ -374,3 +375,10 @@
 		freed(t, b, 0)
 	}
 }
+
+// openQuarantine holds nothing against any request.
+type openQuarantine struct{}
+
+func (openQuarantine) Standing(func() crashes.Digest) crashes.Standing { return crashes.Standing{} }
+func (openQuarantine) Broke(crashes.Digest, string, hookhall.Target)   {}
+func (openQuarantine) Ended(hookhall.Target) bool                      { return false }
--- a/internal/coordination/stages/walk.go
+++ b/internal/coordination/stages/walk.go
@@ -213,6 +213,7 @@
 	work := Work{
 		Service: spec.Service, Call: w.graph.Call.ID, Stage: i, Pieces: n, Inputs: inputs, Bytes: spec.Bytes,
 		Due: w.graph.Aim.Add(-w.rest[i]), End: w.graph.End.Add(-w.least[i]), Urgency: w.graph.Urgency,
+		Content: w.graph.Content, Account: w.graph.Account,
 	}
 	work.Hall, work.Cross = w.place(i, inputs)
 	work.InputsRead = func() { w.inputsRead(i) }
--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -71,7 +71,7 @@
 	for _, whole := range []bool{true, false} {
 		for _, j := range q.jobs {
 			places := most - len(b.Pieces)
-			if whole && len(j.waiting) > places || !q.suits(s, j, halls, now) {
+			if whole && len(j.waiting) > places || !b.bears(j) || !q.suits(s, j, halls, now) {
 				continue
 			}
 			if !q.roomy(s, j, places) {
@@ -91,6 +91,14 @@
 	return b
 }
 
+// bears tells whether pieces of a job may go into a call beside those that are in it.
+func (b *Batch) bears(j *Job) bool {
+	if len(b.jobs) == 0 || b.jobs[0] == j {
+		return true
+	}
+	return !j.alone && !b.jobs[0].alone
+}
+
 // roomy tells whether the target has room for all pieces of a job that go into a
 // call with so many free places. Jobs that have begun, or that no target's room
 // holds whole, take what there is.
@@ -106,6 +114,9 @@
 // does not go where the target's pace would cost it, and one whose data lies in
 // another hall waits for a target there while it has the time.
 func (q *Queue) suits(s *worker, j *Job, halls map[string]bool, now time.Time) bool {
+	if j.refusedBy(s.Target) {
+		return false
+	}
 	call := q.spec.CallTime + time.Duration(q.spec.Batch)*q.spec.ItemTime
 	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && halls[j.Hall] && !j.pressed(call, now) {
 		return false
--- a/internal/state/batch/job.go
+++ b/internal/state/batch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 )
 
 // urgencyStep is how much earlier one rank of urgency puts a job's latest start:
@@ -19,6 +20,12 @@
 	Reason  hookhall.PieceFailure
 }
 
+// Request tells whose work a job is.
+type Request struct {
+	Content crashes.Digest
+	Account string
+}
+
 // Job is one stage of one request.
 type Job struct {
 	Call   string
@@ -26,6 +33,7 @@
 	Count  int
 	Key    string
 	Inputs []string
+	Request
 	// Bytes is roughly the size of one result.
 	Bytes float64
 	// Due is the latest start that makes the request's aim. End is when the
@@ -39,6 +47,9 @@
 	// hall, the job's first pieces bind it to theirs.
 	Hall  string
 	Cross float64
+	// Refused tells whether the job may not be made at a target; nil when nobody knows
+	// anything against it. It must not block nor call the queue.
+	Refused func(t hookhall.Target) bool
 	// Finish is called once, by whoever holds the queue's lock: it must not
 	// block nor call the queue.
 	Finish func(Outcome)
@@ -56,6 +67,10 @@
 	unread   int    // pieces that none has
 	told     bool   // InputsRead was called
 	calls    []int  // calls in progress by piece
+	// alone is set once a target ended that made pieces of the job and of others: its
+	// next calls have no pieces but its own, so that the others are made, and their
+	// requests cleared, while the one that ends targets pays alone.
+	alone bool
 }
 
 // crossLeast is the number of bytes between halls from which it is worth waiting
@@ -77,6 +92,9 @@
 	}
 }
 
+// refusedBy tells whether the job may not be made at a target.
+func (j *Job) refusedBy(t hookhall.Target) bool { return j.Refused != nil && j.Refused(t) }
+
 // late tells whether the aim is out of reach.
 func (j *Job) late(now time.Time) bool { return now.After(j.Due) }
 
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -4,6 +4,7 @@
 package batch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,6 +28,17 @@
 	read    bool // InputsRead was called
 }
 
+// Requests are those whose pieces the call has, each once.
+func (b *Batch) Requests() []Request {
+	var list []Request
+	for _, j := range b.jobs {
+		if !slices.Contains(list, j.Request) {
+			list = append(list, j.Request)
+		}
+	}
+	return list
+}
+
 // Queue is the work that waits for one pool. It is not safe for concurrent use.
 type Queue struct {
 	spec    hookhall.PoolSpec
@@ -128,9 +140,37 @@
 	q.jobs = kept
 }
 
+// refuse ends the jobs that no target may make.
+func (q *Queue) refuse() {
+	kept := q.jobs[:0]
+	for _, j := range q.jobs {
+		if len(j.waiting) > 0 && q.refusedByAll(j) {
+			j.end(Outcome{Reason: hookhall.PieceCrashes})
+		}
+		if !j.ended {
+			kept = append(kept, j)
+		}
+	}
+	q.jobs = kept
+}
+
+// refusedByAll tells whether a job may be made at none of the targets that there are.
+func (q *Queue) refusedByAll(j *Job) bool {
+	if j.Refused == nil || len(q.workers) == 0 {
+		return false
+	}
+	for _, s := range q.workers {
+		if !j.Refused(s.Target) {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns the calls to make now, most urgent pieces first.
 func (q *Queue) Next(now time.Time) []*Batch {
 	q.expireJobs(now)
+	q.refuse()
 	if len(q.jobs) == 0 {
 		return nil
 	}
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -38,6 +38,14 @@
 	return true
 }
 
+// Ended takes in that a call's target ended while it was at work: each of the jobs may be
+// the one that ended it.
+func (q *Queue) Ended(b *Batch) {
+	for _, j := range b.jobs {
+		j.alone = true
+	}
+}
+
 // Done takes in a call's answers; a nil list means that the call failed. It
 // returns handles that nobody needs, for the caller to release.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
--- a/internal/state/crashes/end.go
+++ b/internal/state/crashes/end.go
@@ -23,8 +23,8 @@
 	// Account bears the cost of remembering the content, "" for requests without one.
 	Account string
 	Life    Life
-	// Version is that of the target's software.
-	Version string
+	// Software is what the target ran: its service and the version of that.
+	Software string
 	// Cleared is set once a target gave a whole answer to the content.
 	Cleared bool
 	// At is when it was first reported, by this process's clock.
--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -285,11 +285,11 @@
 		if s.Since.IsZero() || e.At.Before(s.Since) {
 			s.Since = e.At
 		}
-		if !slices.Contains(s.Versions, e.Version) {
-			s.Versions = append(s.Versions, e.Version)
+		if !slices.Contains(s.Software, e.Software) {
+			s.Software = append(s.Software, e.Software)
 		}
 	}
-	slices.Sort(s.Versions)
+	slices.Sort(s.Software)
 	s.refused = s.Ends >= b.limits.Ends
 	return s
 }
--- a/internal/state/crashes/ledger_test.go
+++ b/internal/state/crashes/ledger_test.go
@@ -19,7 +19,7 @@
 // end is the end of target n of version v1 under a content of account a, when the tests
 // begin.
 func end(content byte, n int) End {
-	return End{Content: Digest{content}, Account: "a", Life: Life{Target: fmt.Sprint("target-", n)}, Version: "v1", At: start}
+	return End{Content: Digest{content}, Account: "a", Life: Life{Target: fmt.Sprint("target-", n)}, Software: "s v1", At: start}
 }
 
 func cleared(e End) End {
@@ -109,13 +109,13 @@
 	l := NewLedger(limits)
 	l.Learn([]End{end(1, 1), end(1, 2), end(1, 3)}, start)
 	s := l.Standing(Digest{1})
-	if !s.RefusedBy("v1") || s.RefusedBy("v2") {
-		t.Errorf("refused by v1 %v, by v2 %v", s.RefusedBy("v1"), s.RefusedBy("v2"))
+	if !s.RefusedBy("s v1") || s.RefusedBy("s v2") {
+		t.Errorf("refused by v1 %v, by v2 %v", s.RefusedBy("s v1"), s.RefusedBy("s v2"))
 	}
 	newer := end(1, 4)
-	newer.Version = "v2"
+	newer.Software = "s v2"
 	l.Learn([]End{newer}, start)
-	if s := l.Standing(Digest{1}); !s.RefusedBy("v2") {
+	if s := l.Standing(Digest{1}); !s.RefusedBy("s v2") {
 		t.Error("v2 ended under it, and would get it again")
 	}
 }
--- a/internal/state/crashes/standing.go
+++ b/internal/state/crashes/standing.go
@@ -14,19 +14,19 @@
 	Ends int
 	// Since is when the first of them was reported.
 	Since time.Time
-	// Versions are those of the software that ended, sorted.
-	Versions []string
+	// Software is what ended under it, sorted.
+	Software []string
 	// refused is set when there are enough of them.
 	refused bool
 }
 
-// Refused tells whether the content may not be sent to any target of the versions that
-// ended under it.
+// Refused tells whether the content may not be sent to any target whose software ended
+// under it.
 func (s Standing) Refused() bool { return s.refused }
 
-// RefusedBy tells whether it may not be sent to a target with a version. Another version
-// of the software may bear what ended the one before; the first end proves that it
-// doesn't.
-func (s Standing) RefusedBy(version string) bool {
-	return s.refused && slices.Contains(s.Versions, version)
+// RefusedBy tells whether it may not be sent to a target with some software. Another
+// version, or another service, may bear what ended the one before; the first end proves
+// that it doesn't.
+func (s Standing) RefusedBy(software string) bool {
+	return s.refused && slices.Contains(s.Software, software)
 }
--- a/internal/transport/fleet/ends.go
+++ b/internal/transport/fleet/ends.go
@@ -118,13 +118,21 @@
 	list := make([]*pb.End, 0, len(ends))
 	for _, e := range ends {
 		list = append(list, &pb.End{
-			Content: e.Content[:], Account: e.Account, Target: e.Life.Target, Born: e.Life.Born, Version: e.Version,
+			Content: e.Content[:], Account: e.Account, Target: e.Life.Target, Born: e.Life.Born, Software: e.Software,
 			Cleared: e.Cleared, AgeMs: ageMS(now.Sub(e.At)),
 		})
 	}
 	return list
 }
 
+// readDigest reads a digest, the zero one from what is none.
+func readDigest(b []byte) crashes.Digest {
+	if len(b) != len(crashes.Digest{}) {
+		return crashes.Digest{}
+	}
+	return crashes.Digest(b)
+}
+
 // readEnds reads ends that came in at a time. What is no digest is left out.
 func readEnds(list []*pb.End, came time.Time) []crashes.End {
 	var ends []crashes.End
@@ -134,7 +142,7 @@
 		}
 		ends = append(ends, crashes.End{
 			Content: crashes.Digest(e.GetContent()), Account: e.GetAccount(), Life: crashes.Life{Target: e.GetTarget(), Born: e.GetBorn()},
-			Version: e.GetVersion(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
+			Software: e.GetSoftware(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
 		})
 	}
 	return ends
@@ -145,7 +153,7 @@
 	aged := make([]*pb.End, 0, len(list))
 	for _, e := range list {
 		aged = append(aged, &pb.End{
-			Content: e.GetContent(), Account: e.GetAccount(), Target: e.GetTarget(), Born: e.GetBorn(), Version: e.GetVersion(),
+			Content: e.GetContent(), Account: e.GetAccount(), Target: e.GetTarget(), Born: e.GetBorn(), Software: e.GetSoftware(),
 			Cleared: e.GetCleared(), AgeMs: e.GetAgeMs() + ageMS(held),
 		})
 	}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -75,10 +75,11 @@
 		Key: r.GetKey(), Inputs: r.GetInputs(), Bytes: r.GetPieceBytes(),
 		Due: now.Add(milliseconds(r.GetDueMs())), End: now.Add(milliseconds(r.GetRemainingMs())),
 		Urgency: int(r.GetUrgency()), Hall: r.GetHall(), Cross: r.GetCrossBytes(), InputsRead: inputsRead,
+		Content: readDigest(r.GetContent()), Account: r.GetAccount(),
 	})
 	if err != nil {
 		e := hookhall.AsError(err)
-		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage, NoTarget: e.Cause == hookhall.CauseNoTarget}
+		return &pb.StageReply{Reason: e.Detail, MayRetry: e.Cause == hookhall.CauseStage, NoTarget: e.Cause == hookhall.CauseNoTarget, Crashes: e.Cause == hookhall.CauseCrashes}
 	}
 	return &pb.StageReply{Handles: handles}
 }
@@ -153,6 +154,7 @@
 		Request: w.Call, Stage: int32(w.Stage), Pieces: int32(w.Pieces), Service: w.Service, Key: w.Key, Inputs: w.Inputs,
 		PieceBytes: w.Bytes, DueMs: w.Due.Sub(now).Milliseconds(), RemainingMs: w.End.Sub(now).Milliseconds(),
 		Urgency: int32(w.Urgency), Hall: w.Hall, CrossBytes: w.Cross,
+		Content: w.Content[:], Account: w.Account,
 	})
 	if err != nil {
 		return nil, wayError(ctx, err)
@@ -178,6 +180,8 @@
 		return hookhall.CauseStage
 	case r.GetNoTarget():
 		return hookhall.CauseNoTarget
+	case r.GetCrashes():
+		return hookhall.CauseCrashes
 	}
 	return hookhall.CauseDeadline
 }
--- a/target.go
+++ b/target.go
@@ -37,6 +37,9 @@
 // Cold tells whether the target is held to be cold at a time.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
+// Software is what the target runs: its service and the version of that.
+func (t Target) Software() string { return t.Pool + " " + t.Version }
+
 // LoadReport is what a target says of itself, late.
 type LoadReport struct {
 	Running  int  `json:"running"`
