--- a/cmd/hookhallctl/cmd/root.go
+++ b/cmd/hookhallctl/cmd/root.go
@@ -73,6 +73,7 @@
 	{"status", "Show the fleet's members", longStatus, &statusCommand{}},
 	{"dump", "Show the state of one process", longDump, &dumpCommand{}},
 	{"explain", "Say why an account's requests are refused", longExplain, &explainCommand{}},
+	{"crashes", "Show or lift refusals of requests that end targets", longCrashes, &crashesCommand{}},
 	{"trace", "Print what gateways logged of a request", longTrace, &traceCommand{}},
 	{"hash-key", "Print the key_sha256 cell of an account's key", longHashKey, &hashKeyCommand{}},
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -73,6 +73,7 @@
 
 	pathMetrics = "/metrics"
 	pathState   = "/state"
+	pathCrashes = "/crashes"
 )
 
 // Adapters join a gateway to a platform.
@@ -163,6 +164,7 @@
 	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Ends: g.quarantine, Log: g.logger(logging.Catalog), Began: time.Now()}
 	g.quarantine.Leads = func() bool { return g.catalog.Rank() == 0 }
 	g.quarantine.Tell = g.broadcaster.Report
+	g.quarantine.Meter = g.metrics
 	g.broadcaster.Start = g.starter
 	g.broadcaster.Heard = g.gate.Heard
 	g.catalog.Read = g.broadcaster.Broadcast
@@ -205,6 +207,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(pathMetrics, g.metrics.Handler())
 	mux.HandleFunc(pathState, g.state)
+	mux.HandleFunc("GET "+pathCrashes, g.crashes)
+	mux.HandleFunc("DELETE "+pathCrashes+"/{content}", g.lift)
 	control := server(g.metricsAt, mux)
 	peers := kgrpc.NewServer(kgrpc.Listener(g.peersAt), kgrpc.Address(g.peersAt.Addr().String()), kgrpc.Timeout(0))
 	pb.RegisterFleetServer(peers, &fleet.Server{Broker: g.broker, Placer: g.placer, Broadcaster: g.broadcaster})
@@ -331,6 +335,7 @@
 	Cold     []string                  `json:"cold_targets"`
 	Members  []hookhall.Member         `json:"members"`
 	Balance  map[string]balance.Status `json:"balance"`
+	Refused  []RefusedContent          `json:"refused_contents"`
 	Dropped  int64                     `json:"log_lines_dropped"`
 }
 
@@ -340,6 +345,7 @@
 	s := State{
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
 		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
+		Refused: g.refusedContents(now),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -97,6 +97,14 @@
 	m.scope.Tagged(map[string]string{"service": service}).Counter("repeats").Inc(1)
 }
 
+// TargetEnded counts a target's end while it ran a request, found by this process.
+func (m *Metrics) TargetEnded(software string) {
+	m.scope.Tagged(map[string]string{"software": software}).Counter("target_ends").Inc(1)
+}
+
+// ContentsRefused is how many contents are refused since targets ended under them.
+func (m *Metrics) ContentsRefused(n int) { m.scope.Gauge("contents_refused").Update(float64(n)) }
+
 // AccountStats is what happened to an account's requests here.
 type AccountStats struct {
 	causes sync.Map // cause to *atomic.Int64
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -44,14 +44,23 @@
 	Over(t hookhall.Target) bool
 }
 
-// Quarantine is what a gateway knows of requests that end targets. Leads and Tell are set
-// before Run.
+// Meter counts.
+type Meter interface {
+	// TargetEnded counts an end that this process found, by service and version.
+	TargetEnded(software string)
+	// ContentsRefused tells how many contents are refused.
+	ContentsRefused(n int)
+}
+
+// Quarantine is what a gateway knows of requests that end targets. Its exported
+// fields are set before Run.
 type Quarantine struct {
 	Ledger *crashes.Ledger
 	// Leads tells whether this process writes to the store for all.
 	Leads func() bool
 	// Tell tells all other gateways, without waiting for them.
-	Tell func(ends []crashes.End)
+	Tell  func(ends []crashes.End)
+	Meter Meter // nil counts nothing
 
 	prober  hookhall.Prober
 	catalog Catalog
@@ -102,13 +111,27 @@
 	if q.Standing(content).Ends == 0 {
 		return
 	}
-	cleared := q.Ledger.Clear(content())
-	if len(cleared) == 0 {
-		return
+	if cleared := q.clear(content()); len(cleared) > 0 {
+		q.log.Info("A content was served; ends under it do not count.", "content", content(), "account", cleared[0].Account, "ends", len(cleared))
 	}
-	q.log.Info("A content was served; ends under it do not count.", "content", content(), "account", cleared[0].Account, "ends", len(cleared))
-	q.noteRefusals()
-	q.tell(cleared)
+}
+
+// Lift has a content served again, by an operator's word. It tells whether anything was
+// held against it.
+func (q *Quarantine) Lift(content crashes.Digest) bool {
+	cleared := q.clear(content)
+	q.log.Info("An operator lifts what is held against a content.", "content", content, "ends", len(cleared))
+	return len(cleared) > 0
+}
+
+// clear clears all ends under a content, here and elsewhere.
+func (q *Quarantine) clear(content crashes.Digest) []crashes.End {
+	cleared := q.Ledger.Clear(content)
+	if len(cleared) > 0 {
+		q.noteRefusals()
+		q.tell(cleared)
+	}
+	return cleared
 }
 
 // Learn takes in what a peer or the store told of ends, and returns what was new.
@@ -136,6 +159,9 @@
 	}
 	q.log.Warn("A target ended while it ran a request.", "content", e.Content, "account", e.Account, "target", e.Life.Target,
 		"born", e.Life.Born, "software", e.Software, "ends", q.Ledger.Standing(e.Content).Ends)
+	if q.Meter != nil {
+		q.Meter.TargetEnded(e.Software)
+	}
 	q.noteRefusals()
 	q.tell(fresh)
 }
@@ -178,6 +204,9 @@
 			q.log.Info("A content is not refused any more.", "content", d)
 		}
 	}
+	if q.Meter != nil {
+		q.Meter.ContentsRefused(len(refused))
+	}
 	select {
 	case q.wake <- struct{}{}:
 	default: // it is awake
