--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -44,7 +44,12 @@
 	if n, _ := fmt.Sscanf(string(b), "cold %d %d", &t.Beat, &left); n == 2 {
 		t.ColdLeft = time.Duration(left) * time.Millisecond
 	}
-	t.Leaving = string(b) == "leaving"
+	// "born 5 leaving" and "born 5 cold" are words of the life that began at 5.
+	fmt.Sscanf(string(b), "born %d", &t.Born)
+	if strings.HasSuffix(string(b), " cold") {
+		t.ColdLeft = time.Minute
+	}
+	t.Leaving = strings.HasSuffix(string(b), "leaving")
 	if string(b) == "bad" {
 		return t, errors.New("bad")
 	}
--- /dev/null
+++ b/internal/coordination/catalog/life_test.go
@@ -0,0 +1,72 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// word is what the target t/a says of itself at a revision: its start, and how it is.
+func word(revision uint64, value string) hookhall.Item {
+	return hookhall.Item{Key: "t/a", Value: []byte(value), Revision: revision}
+}
+
+// usable tells whether the catalog offers the target a, and whether as a cold one.
+func usable(c *Catalog) (listed, cold bool) {
+	for _, t := range c.Targets("pool") {
+		if t.ID == "a" {
+			return true, t.Cold(time.Now())
+		}
+	}
+	return false, false
+}
+
+// TestTargetReborn: what a target said in an earlier life holds for that life only. Its
+// clock may have been set back, and its heartbeats count from the start.
+func TestTargetReborn(t *testing.T) {
+	for name, c := range map[string]struct {
+		words  []string
+		listed bool
+		cold   bool
+	}{
+		"it is ready":                                    {[]string{"born 5 ready"}, true, false},
+		"it leaves":                                      {[]string{"born 5 ready", "born 5 leaving"}, false, false},
+		"it leaves, and says once more that it is ready": {[]string{"born 5 leaving", "born 5 ready"}, false, false},
+		"it left, and is back":                           {[]string{"born 5 leaving", "born 9 ready"}, true, false},
+		"it left, and is back with an earlier clock":     {[]string{"born 5 leaving", "born 2 ready"}, true, false},
+		"it is back, and leaves":                         {[]string{"born 5 ready", "born 9 ready", "born 9 leaving"}, false, false},
+		"it left, is back, and the first life's clock":   {[]string{"born 5 leaving", "born 9 ready", "born 5 ready"}, true, false},
+		"it is back cold":                                {[]string{"born 5 ready", "born 9 cold"}, true, true},
+		"it was cold, and is back warm":                  {[]string{"born 5 cold", "born 9 ready"}, true, false},
+		"it does not say when it started":                {[]string{"leaving", "born 9 ready"}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for way, learn := range map[string]func(c *Catalog, i hookhall.Item){
+				"by readings": func(c *Catalog, i hookhall.Item) {
+					c.Learn(Reading{Revision: i.Revision, Items: []hookhall.Item{i}, Began: time.Now()}, "store")
+				},
+				"by a watch": func(c *Catalog, i hookhall.Item) {
+					c.Follow([]hookhall.Item{i}, i.Revision, time.Now())
+				},
+				"by news": func(c *Catalog, i hookhall.Item) {
+					c.LearnNews(News{Revision: i.Revision, Began: time.Now(), Changed: []hookhall.Item{i}}, "peer")
+				},
+			} {
+				t.Run(way, func(t *testing.T) {
+					catalog := newCatalog(newFakeStore())
+					catalog.Learn(Reading{Revision: 1, Began: time.Now()}, "store")
+					for n, value := range c.words {
+						learn(catalog, word(uint64(n+2), value))
+					}
+					if listed, cold := usable(catalog); listed != c.listed || cold != c.cold {
+						t.Errorf("listed %v, cold %v; want %v, %v", listed, cold, c.listed, c.cold)
+					}
+				})
+			}
+		})
+	}
+}
