catalog, balance, batch: what is believed of a target ends with its life

Cause: a target was its id. One that had said it leaves never got work again under that id; the prompts, results, failures, pace, refusals and calls in progress of an earlier life were believed of the next one.

Change: hookhall.Target.Life, an id with a start, keys the records of trackers, placers and brokers; a life that begins is logged, ends what its id had said and closes idle connections to its earlier address. Two lives differ in their start and are ordered by the revision of the store at which each was listed, since clocks of targets jump: news names that revision, and an earlier word never overwrites a later one, also over a gap.

--- a/internal/app/gateway/crashes.go
+++ b/internal/app/gateway/crashes.go
@@ -33,7 +33,7 @@
 		for _, e := range g.quarantine.Ledger.Of(d) {
 			if !e.Cleared {
 				c.Account = e.Account
-				c.Targets = append(c.Targets, e.Life.Target)
+				c.Targets = append(c.Targets, e.Life.ID)
 			}
 		}
 		list = append(list, c)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -170,6 +170,7 @@
 	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = g.readerRank
 	g.catalog.Fleet = g.members.Count
+	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.logger(logging.Stages))
@@ -310,7 +311,7 @@
 		g.adapters.Connections.Sweep(now)
 		if g.catalog.Picture() != nil {
 			targets := g.catalog.Known()
-			known := func(id string) bool { _, ok := targets[id]; return ok }
+			known := func(l hookhall.Life) bool { return targets[l.ID].Born == l.Born && targets[l.ID].ID != "" }
 			g.tracker.Keep(known, now)
 			g.placer.Tidy(known, now)
 		}
@@ -353,8 +354,8 @@
 	}
 	if p := g.catalog.Picture(); p != nil {
 		s.Targets, s.AgeMS = p.Revision, p.Age(now).Milliseconds()
-		for id := range g.catalog.Known() {
-			s.Balance[id] = g.tracker.Status(id, now)
+		for id, t := range g.catalog.Known() {
+			s.Balance[id] = g.tracker.Status(t.Life(), now)
 		}
 		s.Cold = p.Cold(now)
 	}
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -73,6 +73,9 @@
 	// Read is called after this process has learned something from the store
 	// itself. Set before Run.
 	Read func()
+	// Reborn is told of a target whose life is over, as it was listed before. It must
+	// not block, nor call the catalog. Set before Run.
+	Reborn func(before hookhall.Target)
 
 	// place is this process's among those that read for themselves, 0 for the first
 	// and 1 for the last.
@@ -98,7 +101,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(time.Now())
 	return c
 }
@@ -147,7 +150,7 @@
 		return false
 	}
 	e := c.known[now.(resident).key]
-	return e != nil && e.missing.IsZero() && (e.target.ID != t.ID || e.target.Born != t.Born)
+	return e != nil && e.missing.IsZero() && (e.target.Life() != t.Life())
 }
 
 // Known has the targets that are known, by id, leaving and missing ones too.
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -41,7 +41,10 @@
 	// last became known; heartbeats don't count.
 	value   []byte
 	changed time.Time
-	// left is set once it said that it leaves.
+	// revision is the store's at the key's last change that is known, 0 when whoever told
+	// of it did not say.
+	revision uint64
+	// left is set once its present life said that it leaves.
 	left bool
 	// coldUntil is until when it is cold by its own word, counted from when this
 	// process heard it, which is later than when it was said.
@@ -79,7 +82,11 @@
 // costs nothing to take in again. The caller holds c.mu.
 func (c *Catalog) take(i hookhall.Item, from string, now time.Time) {
 	e := c.known[i.Key]
+	if e != nil && i.Revision > 0 && i.Revision < e.revision {
+		return // news of an earlier life, or of an earlier word, that took a longer way
+	}
 	if e != nil && e.missing.IsZero() && bytes.Equal(e.value, i.Value) {
+		e.revision = max(e.revision, i.Revision)
 		return
 	}
 	t, err := c.platform.ReadTarget(i.Key, i.Value)
@@ -94,6 +101,7 @@
 		e.changed = now
 	}
 	c.list(e, t, i.Value, from, now)
+	e.revision = max(e.revision, i.Revision)
 }
 
 // add begins to know a target. The caller holds c.mu.
@@ -112,6 +120,9 @@
 // list takes in what a listed target's key says. The caller holds c.mu.
 func (c *Catalog) list(e *entry, t hookhall.Target, value []byte, from string, now time.Time) {
 	sum := digest(&t)
+	if t.Life() != e.target.Life() {
+		c.begin(e, t, from)
+	}
 	if !e.missing.IsZero() {
 		c.toggle(e, sum)
 		c.dirty[t.Pool] = true
@@ -137,6 +148,14 @@
 	e.target, e.sum, e.value = t, sum, value
 }
 
+// begin takes in that a target is in another life, of which nothing is known: one that was
+// leaving takes work again. The caller holds c.mu.
+func (c *Catalog) begin(e *entry, t hookhall.Target, from string) {
+	c.log.Info("A target is in another life.", "target", t.ID, "service", t.Pool, "born", t.Born, "before", e.target.Born, "left", e.left, "from", from)
+	e.left = false
+	c.Reborn(e.target)
+}
+
 // toggle changes the digest of a target's bucket. The caller holds c.mu.
 func (c *Catalog) toggle(e *entry, sum uint64) { c.buckets[bucketOf(e.key)] ^= sum }
 
@@ -168,8 +187,9 @@
 	return now.Add(t.ColdLeft)
 }
 
-// miss takes in targets that are not listed any more. The caller holds c.mu.
-func (c *Catalog) miss(lost []*entry, from string, now time.Time) {
+// miss takes in targets that are not listed any more, as of a revision. The caller holds
+// c.mu.
+func (c *Catalog) miss(lost []*entry, revision uint64, from string, now time.Time) {
 	if len(lost) == 0 {
 		return
 	}
@@ -186,6 +206,7 @@
 	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
 	for _, e := range lost {
 		e.missing, e.changed = now, now
+		e.revision = max(e.revision, revision)
 		c.toggle(e, e.sum)
 		c.dirty[e.target.Pool] = true
 		if lapse {
--- a/internal/coordination/catalog/life_test.go
+++ b/internal/coordination/catalog/life_test.go
@@ -4,6 +4,8 @@
 package catalog
 
 import (
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,8 +35,8 @@
 		listed bool
 		cold   bool
 	}{
-		"it is ready":                                    {[]string{"born 5 ready"}, true, false},
-		"it leaves":                                      {[]string{"born 5 ready", "born 5 leaving"}, false, false},
+		"it is ready": {[]string{"born 5 ready"}, true, false},
+		"it leaves":   {[]string{"born 5 ready", "born 5 leaving"}, false, false},
 		"it leaves, and says once more that it is ready": {[]string{"born 5 leaving", "born 5 ready"}, false, false},
 		"it left, and is back":                           {[]string{"born 5 leaving", "born 9 ready"}, true, false},
 		"it left, and is back with an earlier clock":     {[]string{"born 5 leaving", "born 2 ready"}, true, false},
@@ -70,3 +72,34 @@
 		})
 	}
 }
+
+// TestNewsOfLivesInAnyOrder: whatever order news takes, by whichever detours, the last
+// word of the last life stands in the end.
+func TestNewsOfLivesInAnyOrder(t *testing.T) {
+	words := []string{"born 5 ready", "born 5 leaving", "", "born 2 ready", "born 2 cold", "born 2 leaving", "", "born 9 ready"}
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		last := 1 + r.IntN(len(words))
+		c := newCatalog(newFakeStore())
+		c.Learn(Reading{Revision: 1, Began: time.Now()}, "store")
+		var list []News
+		for n, value := range words[:last] {
+			news := News{Revision: uint64(n + 2), Began: time.Now(), Digest: 1} // always a gap
+			if value == "" {
+				news.Gone = []string{"t/a"}
+			} else {
+				news.Changed = []hookhall.Item{word(news.Revision, value)}
+			}
+			list = append(list, news)
+		}
+		list = append(list, list[r.IntN(len(list))]) // one comes twice
+		r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, n := range list {
+			c.LearnNews(n, "peer")
+		}
+		want := strings.HasSuffix(words[last-1], "ready") || strings.HasSuffix(words[last-1], "cold")
+		if listed, cold := usable(c); listed != want || cold != strings.HasSuffix(words[last-1], "cold") {
+			t.Fatalf("seed %d: after %q, listed %v, cold %v", seed, words[:last], listed, cold)
+		}
+	}
+}
--- a/internal/coordination/catalog/news.go
+++ b/internal/coordination/catalog/news.go
@@ -57,7 +57,7 @@
 		switch {
 		case now.Sub(e.changed) > tellFor:
 		case e.missing.IsZero():
-			n.Changed = append(n.Changed, hookhall.Item{Key: key, Value: e.value})
+			n.Changed = append(n.Changed, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
 		default:
 			n.Gone = append(n.Gone, key)
 		}
@@ -83,11 +83,11 @@
 	}
 	var lost []*entry
 	for _, key := range n.Gone {
-		if e := c.known[key]; e != nil && e.missing.IsZero() {
+		if e := c.known[key]; e != nil && e.missing.IsZero() && e.revision <= n.Revision {
 			lost = append(lost, e)
 		}
 	}
-	c.miss(lost, from, now)
+	c.miss(lost, n.Revision, from, now)
 	if c.buckets.whole() == n.Digest {
 		c.publish(n.Revision, n.Began, now)
 		return true, false
@@ -131,7 +131,7 @@
 	}
 	for key, e := range c.known {
 		if e.missing.IsZero() && differs[bucketOf(key)] {
-			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value})
+			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
 		}
 	}
 	return r
@@ -148,7 +148,7 @@
 	r := Reading{Revision: p.Revision, Began: p.Began}
 	for key, e := range c.known {
 		if e.missing.IsZero() {
-			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value})
+			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
 		}
 	}
 	return r
@@ -176,7 +176,7 @@
 		c.take(i, from, now)
 		listed[i.Key] = true
 	}
-	c.miss(c.unlisted(listed, func(key string) bool { return told[bucketOf(key)] }), from, now)
+	c.miss(c.unlisted(listed, r.Revision, func(key string) bool { return told[bucketOf(key)] }), r.Revision, from, now)
 	if c.buckets.whole() != r.Digest {
 		c.publish(p.Revision, p.Began, now)
 		return false
@@ -186,12 +186,12 @@
 	return true
 }
 
-// unlisted are the targets with certain keys that are listed here but not in a reading.
-// The caller holds c.mu.
-func (c *Catalog) unlisted(listed map[string]bool, which func(key string) bool) []*entry {
+// unlisted are the targets with certain keys that are listed here, and were already at a
+// revision, but not in a reading of that. The caller holds c.mu.
+func (c *Catalog) unlisted(listed map[string]bool, revision uint64, which func(key string) bool) []*entry {
 	var lost []*entry
 	for key, e := range c.known {
-		if !listed[key] && e.missing.IsZero() && which(key) {
+		if !listed[key] && e.missing.IsZero() && e.revision <= revision && which(key) {
 			lost = append(lost, e)
 		}
 	}
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -184,7 +184,7 @@
 		c.take(i, from, now)
 		listed[i.Key] = true
 	}
-	c.miss(c.unlisted(listed, func(string) bool { return true }), from, now)
+	c.miss(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, from, now)
 	if c.picture.Load() == nil {
 		c.log.Info("The targets are known.", "count", len(c.known), "revision", r.Revision, "from", from)
 	}
@@ -213,7 +213,7 @@
 			c.take(i, "store", now)
 		}
 	}
-	c.miss(lost, "store", now)
+	c.miss(lost, revision, "store", now)
 	c.publish(revision, began, now)
 	return true
 }
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -111,7 +111,7 @@
 
 // Tidy forgets placements whose notes must have been lost, and engines that are
 // gone.
-func (p *Placer) Tidy(current func(id string) bool, now time.Time) {
+func (p *Placer) Tidy(current func(l hookhall.Life) bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for ticket, o := range p.open {
--- a/internal/coordination/quarantine/finding.go
+++ b/internal/coordination/quarantine/finding.go
@@ -38,7 +38,7 @@
 
 // Broke takes in that t's answer to a content broke off.
 func (q *Quarantine) Broke(content crashes.Digest, account string, t hookhall.Target) {
-	e := crashes.End{Content: content, Account: account, Life: crashes.Life{Target: t.ID, Born: t.Born}, Software: t.Software()}
+	e := crashes.End{Content: content, Account: account, Life: t.Life(), Software: t.Software()}
 	f := q.find(e.Life, t)
 	go func() {
 		<-f.done
@@ -52,14 +52,14 @@
 // Ended tells whether a target has ended whose answer broke off. It waits for the answer
 // to one request for a connection.
 func (q *Quarantine) Ended(t hookhall.Target) bool {
-	f := q.find(crashes.Life{Target: t.ID, Born: t.Born}, t)
+	f := q.find(t.Life(), t)
 	<-f.probed
 	return f.refused
 }
 
 // find begins to find out whether a life has ended. All that broke off at one target
 // share one probe.
-func (q *Quarantine) find(l crashes.Life, t hookhall.Target) *finding {
+func (q *Quarantine) find(l hookhall.Life, t hookhall.Target) *finding {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if f := q.findings[l]; f != nil && (!f.known() || f.ended) {
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -68,7 +68,7 @@
 	log     *log.Logger
 
 	mu       sync.Mutex // for what follows
-	findings map[crashes.Life]*finding
+	findings map[hookhall.Life]*finding
 	outbox   []crashes.End
 	refused  map[crashes.Digest]bool // those whose refusal was logged
 	wake     chan struct{}           // the store is to be written
@@ -79,7 +79,7 @@
 	return &Quarantine{
 		Ledger: crashes.NewLedger(Limits()), prober: p, catalog: c, store: s, log: l,
 		Leads: func() bool { return false }, Tell: func([]crashes.End) {},
-		findings: map[crashes.Life]*finding{}, refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
+		findings: map[hookhall.Life]*finding{}, refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -140,7 +140,7 @@
 	if len(fresh) == 0 {
 		return nil
 	}
-	q.log.Info("Ends of targets are told.", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Life.Target, "cleared", fresh[0].Cleared)
+	q.log.Info("Ends of targets are told.", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Life.ID, "cleared", fresh[0].Cleared)
 	q.noteRefusals()
 	return fresh
 }
@@ -157,7 +157,7 @@
 	if len(fresh) == 0 {
 		return
 	}
-	q.log.Warn("A target ended while it ran a request.", "content", e.Content, "account", e.Account, "target", e.Life.Target,
+	q.log.Warn("A target ended while it ran a request.", "content", e.Content, "account", e.Account, "target", e.Life.ID,
 		"born", e.Life.Born, "software", e.Software, "ends", q.Ledger.Standing(e.Content).Ends)
 	if q.Meter != nil {
 		q.Meter.TargetEnded(e.Software)
@@ -218,7 +218,7 @@
 	var ids []string
 	for _, e := range q.Ledger.Of(d) {
 		if !e.Cleared {
-			ids = append(ids, e.Life.Target)
+			ids = append(ids, e.Life.ID)
 		}
 	}
 	slices.Sort(ids)
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -155,7 +155,7 @@
 // TestReadRecord: records that can't be read are no records.
 func TestReadRecord(t *testing.T) {
 	now := time.Now()
-	ends := []crashes.End{{Content: crashes.Digest{1, 2}, Account: "a", Life: crashes.Life{Target: "t", Born: 5}, Software: "s v1", Cleared: true, At: now}}
+	ends := []crashes.End{{Content: crashes.Digest{1, 2}, Account: "a", Life: hookhall.Life{ID: "t", Born: 5}, Software: "s v1", Cleared: true, At: now}}
 	for name, c := range map[string]struct {
 		value string
 		want  bool
--- a/internal/coordination/quarantine/stored.go
+++ b/internal/coordination/quarantine/stored.go
@@ -170,7 +170,7 @@
 func newRecord(ends []crashes.End) record {
 	r := record{Content: ends[0].Content.String(), Account: ends[0].Account}
 	for _, e := range ends {
-		r.Ends = append(r.Ends, recordEnd{e.Life.Target, e.Life.Born, e.Software, e.Cleared})
+		r.Ends = append(r.Ends, recordEnd{e.Life.ID, e.Life.Born, e.Software, e.Cleared})
 	}
 	return r
 }
@@ -191,7 +191,7 @@
 	var ends []crashes.End
 	for _, e := range r.Ends {
 		ends = append(ends, crashes.End{
-			Content: content, Account: r.Account, Life: crashes.Life{Target: e.Target, Born: e.Born},
+			Content: content, Account: r.Account, Life: hookhall.Life{ID: e.Target, Born: e.Born},
 			Software: e.Software, Cleared: e.Cleared, At: now,
 		})
 	}
--- a/internal/state/balance/record.go
+++ b/internal/state/balance/record.go
@@ -26,7 +26,7 @@
 	partKeep = 30 * time.Second
 )
 
-// record is what is known of one target.
+// record is what is known of one life of a target.
 type record struct {
 	mu       sync.Mutex
 	inflight int
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -42,24 +42,24 @@
 	return time.Duration(float64(tokens) / readRate * float64(time.Millisecond))
 }
 
-// Tracker has the records of all targets.
+// Tracker has the records of all targets' lives.
 type Tracker struct{ records sync.Map }
 
 // NewTracker makes an empty Tracker.
 func NewTracker() *Tracker { return &Tracker{} }
 
-func (b *Tracker) record(id string) *record {
-	if a, ok := b.records.Load(id); ok {
+func (b *Tracker) record(l hookhall.Life) *record {
+	if a, ok := b.records.Load(l); ok {
 		return a.(*record)
 	}
-	a, _ := b.records.LoadOrStore(id, &record{})
+	a, _ := b.records.LoadOrStore(l, &record{})
 	return a.(*record)
 }
 
-// Keep forgets the records of targets that are gone.
-func (b *Tracker) Keep(current func(id string) bool, now time.Time) {
+// Keep forgets the records of lives that are over.
+func (b *Tracker) Keep(current func(l hookhall.Life) bool, now time.Time) {
 	b.records.Range(func(k, v any) bool {
-		if !current(k.(string)) {
+		if !current(k.(hookhall.Life)) {
 			b.records.Delete(k)
 			return true
 		}
@@ -101,7 +101,7 @@
 func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	for {
 		t, ok = b.pick(targets, w, now)
-		if !ok || !t.Cold(now) || b.record(t.ID).takeCold(w.Cold(t.ID), now) {
+		if !ok || !t.Cold(now) || b.record(t.Life()).takeCold(w.Cold(t.ID), now) {
 			return t, ok
 		}
 		// Another request took its last place; now it is no candidate any more.
@@ -139,7 +139,7 @@
 		if t.Leaving || w.Exclude[t.ID] || !w.allows(t) || !b.bears(t, w, now) {
 			continue
 		}
-		c := candidate{t, b.record(t.ID).figures(w.Shared, now)}
+		c := candidate{t, b.record(t.Life()).figures(w.Shared, now)}
 		switch {
 		case c.until.After(now):
 			ejected = append(ejected, c)
@@ -163,7 +163,7 @@
 	if !t.Cold(now) {
 		return true
 	}
-	return w.Cold != nil && b.record(t.ID).coldRoom(w.Cold(t.ID), now)
+	return w.Cold != nil && b.record(t.Life()).coldRoom(w.Cold(t.ID), now)
 }
 
 // soonest is the candidate whose pause ends first.
@@ -269,7 +269,7 @@
 
 // Begin counts a call to t.
 func (b *Tracker) Begin(t hookhall.Target, w Wish, now time.Time) *Use {
-	a := b.record(t.ID)
+	a := b.record(t.Life())
 	u := &Use{record: a, began: now}
 	if w.Engine {
 		u.unread = w.OwnTokens
@@ -320,7 +320,7 @@
 }
 
 // Status reads a target's record.
-func (b *Tracker) Status(id string, now time.Time) Status {
-	f := b.record(id).figures("", now)
+func (b *Tracker) Status(l hookhall.Life, now time.Time) Status {
+	f := b.record(l).figures("", now)
 	return Status{f.inflight, f.unread, f.pace / 1e6, f.failRate, f.until.After(now), f.full.After(now)}
 }
--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -108,8 +108,8 @@
 				c, _ := b.Choose(list, Wish{}, now)
 				So(c.ID, ShouldEqual, "t1")
 			}
-			So(b.Status("t0", now).Ejected, ShouldBeTrue)
-			So(b.Status("t0", now.Add(2*ejectFirst)).Ejected, ShouldBeFalse)
+			So(b.Status(hookhall.Life{ID: "t0"}, now).Ejected, ShouldBeTrue)
+			So(b.Status(hookhall.Life{ID: "t0"}, now.Add(2*ejectFirst)).Ejected, ShouldBeFalse)
 		})
 		Convey("the last ones are never given up: the one whose pause ends first is tried", func() {
 			hard(0, now)
@@ -136,12 +136,12 @@
 		})
 		Convey("calls are counted once, whatever is told twice", func() {
 			u := b.Begin(list[0], prompt("p", 100, 10), now)
-			So(b.Status("t0", now).Unread, ShouldEqual, 110)
+			So(b.Status(hookhall.Life{ID: "t0"}, now).Unread, ShouldEqual, 110)
 			u.Read()
 			u.Read()
 			u.End()
 			u.End()
-			So(b.Status("t0", now), ShouldResemble, Status{})
+			So(b.Status(hookhall.Life{ID: "t0"}, now), ShouldResemble, Status{})
 		})
 	})
 }
@@ -189,7 +189,7 @@
 		u := b.Begin(list[0], Wish{}, now)
 		u.Succeeded(time.Millisecond)
 		u.End()
-		if b.Status("t0", now).Full || !b.Status("t1", now).Full {
+		if b.Status(hookhall.Life{ID: "t0"}, now).Full || !b.Status(hookhall.Life{ID: "t1"}, now).Full {
 			t.Error("t0 should be open, t1 not")
 		}
 	})
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -43,34 +43,34 @@
 type Queue struct {
 	spec    hookhall.PoolSpec
 	jobs    []*Job
-	workers map[string]*worker // by target's id
-	short   time.Time          // when work last found no room at a target with a free place
+	workers map[hookhall.Life]*worker
+	short   time.Time // when work last found no room at a target with a free place
 	// unsure is until when targets may hold results of another, lost queue: one
 	// reported no room where this queue's account has some.
 	unsure time.Time
 }
 
 // NewQueue makes an empty queue.
-func NewQueue() *Queue { return &Queue{workers: map[string]*worker{}} }
+func NewQueue() *Queue { return &Queue{workers: map[hookhall.Life]*worker{}} }
 
 // Configure takes in what the operators say of the pool, and which targets may
 // get work. Targets that are not named get none, and their results are
 // forgotten.
 func (q *Queue) Configure(spec hookhall.PoolSpec, targets []hookhall.Target) {
 	q.spec = spec
-	current := map[string]bool{}
+	current := map[hookhall.Life]bool{}
 	for _, t := range targets {
-		current[t.ID] = true
-		if s := q.workers[t.ID]; s != nil {
+		current[t.Life()] = true
+		if s := q.workers[t.Life()]; s != nil {
 			s.Target = t
 			continue
 		}
-		q.workers[t.ID] = newWorker(t)
+		q.workers[t.Life()] = newWorker(t)
 	}
-	for id, s := range q.workers {
-		if !current[id] && s.busy == 0 {
-			delete(q.workers, id)
-		} else if !current[id] {
+	for l, s := range q.workers {
+		if !current[l] && s.busy == 0 {
+			delete(q.workers, l)
+		} else if !current[l] {
 			s.Target.Leaving = true
 		}
 	}
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -49,7 +49,7 @@
 // Done takes in a call's answers; a nil list means that the call failed. It
 // returns handles that nobody needs, for the caller to release.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
-	s := q.workers[b.Target.ID]
+	s := q.workers[b.Target.Life()]
 	if s == nil {
 		s = newWorker(b.Target)
 	}
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -35,7 +35,7 @@
 	paceMost = 2.0
 )
 
-// worker is what the queue knows of one target.
+// worker is what the queue knows of one life of a target.
 type worker struct {
 	Target hookhall.Target
 	busy   int
--- a/internal/state/crashes/end.go
+++ b/internal/state/crashes/end.go
@@ -8,21 +8,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hookhall/hookhall"
 )
 
-// Life is one life of a target, from its start to its end.
-type Life struct {
-	Target string
-	// Born tells the lives of a target with the same id apart, 0 when it doesn't say.
-	Born int64
-}
-
 // End is the end of a target's life while it ran a content.
 type End struct {
 	Content Digest
 	// Account bears the cost of remembering the content, "" for requests without one.
 	Account string
-	Life    Life
+	Life    hookhall.Life
 	// Software is what the target ran: its service and the version of that.
 	Software string
 	// Cleared is set once a target gave a whole answer to the content.
@@ -35,7 +29,7 @@
 func (e *End) sum() uint64 {
 	b := make([]byte, 0, 128)
 	b = append(b, e.Content[:]...)
-	b = append(append(b, e.Life.Target...), 0)
+	b = append(append(b, e.Life.ID...), 0)
 	b = binary.AppendVarint(b, e.Life.Born)
 	if e.Cleared {
 		b = append(b, 1)
--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hookhall/hookhall"
 )
 
 // Limits bound a ledger.
@@ -42,7 +44,7 @@
 // content is what is known of one content.
 type content struct {
 	account string
-	ends    map[Life]*End
+	ends    map[hookhall.Life]*End
 	first   time.Time // the earliest report
 }
 
@@ -89,7 +91,7 @@
 		if !b.makeRoom(e.Account) {
 			return false
 		}
-		c = &content{account: e.Account, ends: map[Life]*End{}, first: e.At}
+		c = &content{account: e.Account, ends: map[hookhall.Life]*End{}, first: e.At}
 		b.contents[e.Content] = c
 		b.accounts[e.Account]++
 	}
@@ -136,7 +138,7 @@
 	defer b.mu.Unlock()
 	for d, c := range b.contents {
 		was := len(c.ends)
-		maps.DeleteFunc(c.ends, func(_ Life, e *End) bool { return now.Sub(e.At) >= b.limits.Keep })
+		maps.DeleteFunc(c.ends, func(_ hookhall.Life, e *End) bool { return now.Sub(e.At) >= b.limits.Keep })
 		switch len(c.ends) {
 		case 0:
 			b.forget(d, c)
@@ -171,7 +173,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b End) int {
-		return cmp.Or(strings.Compare(a.Life.Target, b.Life.Target), cmp.Compare(a.Life.Born, b.Life.Born))
+		return cmp.Or(strings.Compare(a.Life.ID, b.Life.ID), cmp.Compare(a.Life.Born, b.Life.Born))
 	})
 	return list
 }
--- a/internal/state/crashes/ledger_test.go
+++ b/internal/state/crashes/ledger_test.go
@@ -9,6 +9,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/hookhall/hookhall"
 )
 
 var (
@@ -19,7 +21,7 @@
 // end is the end of target n of version v1 under a content of account a, when the tests
 // begin.
 func end(content byte, n int) End {
-	return End{Content: Digest{content}, Account: "a", Life: Life{Target: fmt.Sprint("target-", n)}, Software: "s v1", At: start}
+	return End{Content: Digest{content}, Account: "a", Life: hookhall.Life{ID: fmt.Sprint("target-", n)}, Software: "s v1", At: start}
 }
 
 func cleared(e End) End {
@@ -76,7 +78,7 @@
 		"one is cleared later":         {[]End{end(1, 1), end(1, 2), end(1, 3), cleared(end(1, 3))}, 2, false},
 		"cleared news comes first":     {[]End{cleared(end(1, 3)), end(1, 3), end(1, 1), end(1, 2)}, 2, false},
 		"three after three cleared":    {[]End{cleared(end(1, 1)), cleared(end(1, 2)), cleared(end(1, 3)), end(1, 4), end(1, 5), end(1, 6)}, 3, true},
-		"an end that is past its time": {[]End{end(1, 1), end(1, 2), {Content: Digest{1}, Account: "a", Life: Life{Target: "old"}, At: start.Add(-time.Hour)}}, 2, false},
+		"an end that is past its time": {[]End{end(1, 1), end(1, 2), {Content: Digest{1}, Account: "a", Life: hookhall.Life{ID: "old"}, At: start.Add(-time.Hour)}}, 2, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger(limits)
@@ -217,7 +219,7 @@
 func BenchmarkStanding(b *testing.B) {
 	l := NewLedger(Limits{Ends: 3, Keep: time.Minute, Contents: 4096, PerAccount: 4096})
 	for n := range 4096 {
-		l.Learn([]End{{Content: Digest{byte(n), byte(n >> 8)}, Life: Life{Target: "t"}, At: start}}, start)
+		l.Learn([]End{{Content: Digest{byte(n), byte(n >> 8)}, Life: hookhall.Life{ID: "t"}, At: start}}, start)
 	}
 	for b.Loop() {
 		if l.Standing(Digest{1, 2}).Refused() {
@@ -230,11 +232,11 @@
 func BenchmarkLearn(b *testing.B) {
 	l := NewLedger(Limits{Ends: 3, Keep: time.Hour, Contents: 4096, PerAccount: 4096})
 	for n := range 4096 {
-		l.Learn([]End{{Content: Digest{byte(n), byte(n >> 8)}, Life: Life{Target: "t"}, At: start}}, start)
+		l.Learn([]End{{Content: Digest{byte(n), byte(n >> 8)}, Life: hookhall.Life{ID: "t"}, At: start}}, start)
 	}
 	n := int64(0)
 	for b.Loop() {
 		n++
-		l.Learn([]End{{Content: Digest{byte(n), byte(n>>8) & 15}, Life: Life{Target: "t", Born: n >> 12}, At: start}}, start)
+		l.Learn([]End{{Content: Digest{byte(n), byte(n>>8) & 15}, Life: hookhall.Life{ID: "t", Born: n >> 12}, At: start}}, start)
 	}
 }
--- a/internal/transport/fleet/bulk.go
+++ b/internal/transport/fleet/bulk.go
@@ -19,7 +19,7 @@
 	}
 	b := &pb.Bulk{}
 	for _, i := range targets {
-		b.Targets = append(b.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value})
+		b.Targets = append(b.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
 	}
 	for _, i := range members {
 		b.Members = append(b.Members, &pb.MemberNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
@@ -45,7 +45,7 @@
 		return nil, nil, errors.Wrap(err, "bulk")
 	}
 	for _, t := range b.GetTargets() {
-		targets = append(targets, hookhall.Item{Key: t.GetKey(), Value: t.GetValue()})
+		targets = append(targets, hookhall.Item{Key: t.GetKey(), Value: t.GetValue(), Revision: t.GetRevision()})
 	}
 	for _, m := range b.GetMembers() {
 		members = append(members, hookhall.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision()})
--- a/internal/transport/fleet/ends.go
+++ b/internal/transport/fleet/ends.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/hookhall/hookhall"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/crashes"
 )
@@ -97,7 +98,7 @@
 func lacking(own, theirs []crashes.End) []crashes.End {
 	type key struct {
 		content crashes.Digest
-		life    crashes.Life
+		life    hookhall.Life
 		cleared bool
 	}
 	known := map[key]bool{}
@@ -118,7 +119,7 @@
 	list := make([]*pb.End, 0, len(ends))
 	for _, e := range ends {
 		list = append(list, &pb.End{
-			Content: e.Content[:], Account: e.Account, Target: e.Life.Target, Born: e.Life.Born, Software: e.Software,
+			Content: e.Content[:], Account: e.Account, Target: e.Life.ID, Born: e.Life.Born, Software: e.Software,
 			Cleared: e.Cleared, AgeMs: ageMS(now.Sub(e.At)),
 		})
 	}
@@ -141,7 +142,7 @@
 			continue
 		}
 		ends = append(ends, crashes.End{
-			Content: crashes.Digest(e.GetContent()), Account: e.GetAccount(), Life: crashes.Life{Target: e.GetTarget(), Born: e.GetBorn()},
+			Content: crashes.Digest(e.GetContent()), Account: e.GetAccount(), Life: hookhall.Life{ID: e.GetTarget(), Born: e.GetBorn()},
 			Software: e.GetSoftware(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
 		})
 	}
--- a/target.go
+++ b/target.go
@@ -37,6 +37,19 @@
 // Cold tells whether the target is held to be cold at a time.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
+// Life is one life of a target, from the start of its process to its end. What is
+// believed of a target by its id holds for one life: another one knows nothing of what
+// the target held, did or said before.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life is the target's present one. Two lives of an id differ in their start; which came
+// later is told by the revision of the store at which each was listed, since the clocks
+// of targets jump.
+func (t Target) Life() Life { return Life{t.ID, t.Born} }
+
 // Software is what the target runs: its service and the version of that.
 func (t Target) Software() string { return t.Pool + " " + t.Version }
 
