platform, catalog, members: entries that other writers left name nobody

Cause: what could be decoded was a target. An entry without fields, with nulls, with another state or an address that is none was used; one that turned unreadable left its target in use, with an error logged at each reading.

One that is not drops its target until its own word is back, without the two seconds that lapsed targets get, and is logged once a change. Readers and followers leave it out of the digest alike. The same for keys of gateways. The state lists such keys.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -333,6 +333,7 @@
 	Targets  uint64                    `json:"targets_revision"`
 	AgeMS    int64                     `json:"targets_age_ms"`
 	Halls    catalog.Halls             `json:"halls"`
+	Rejected []string                  `json:"keys_of_no_target"`
 	Cold     []string                  `json:"cold_targets"`
 	Members  []hookhall.Member         `json:"members"`
 	Balance  map[string]balance.Status `json:"balance"`
@@ -346,7 +347,7 @@
 	s := State{
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
 		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
-		Refused: g.refusedContents(now),
+		Refused: g.refusedContents(now), Rejected: g.catalog.Rejected(),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +89,8 @@
 	// picture has to be made anew.
 	pools map[string]map[string]*entry
 	dirty map[string]bool
+	// rejected has the keys that name no target, with the hash of their values.
+	rejected map[string]uint64
 	// buckets sums up those that are listed.
 	buckets Digests
 	// lapseEnds is when the last target that lapsed has to be back.
@@ -101,7 +105,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(time.Now())
 	return c
 }
@@ -164,6 +168,13 @@
 	return known
 }
 
+// Rejected lists the keys among those of targets that name none, sorted.
+func (c *Catalog) Rejected() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.rejected))
+}
+
 // TargetsAge is how old the picture of the targets is.
 func (c *Catalog) TargetsAge(now time.Time) time.Duration {
 	if p := c.picture.Load(); p != nil {
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -25,6 +25,9 @@
 	// forget is for how long a target that is gone is remembered, so that an
 	// older reading can't bring it back.
 	forget = 30 * time.Second
+	// rejectedMost bounds the keys that are remembered as naming no target, so that each
+	// is logged once: as many as targets.
+	rejectedMost = 4096
 )
 
 // entry is what is known of one target.
@@ -78,6 +81,28 @@
 	return xxhash.Sum64(text)
 }
 
+// reject takes in a key that names no target: another writer left it, or wrote over a
+// target's own. That target gets nothing until its own is back. What is rejected is logged
+// once. The caller holds c.mu.
+func (c *Catalog) reject(i hookhall.Item, e *entry, why error, from string, now time.Time) {
+	if e != nil {
+		e.lapsed = time.Time{}
+		c.dirty[e.target.Pool] = true
+	}
+	if e != nil && e.missing.IsZero() {
+		c.drop(e, i.Revision, from, now)
+	}
+	sum := xxhash.Sum64(i.Value)
+	if known, ok := c.rejected[i.Key]; ok && known == sum {
+		return
+	}
+	if len(c.rejected) >= rejectedMost {
+		clear(c.rejected)
+	}
+	c.rejected[i.Key] = sum
+	c.log.Warn("A key names no target.", "key", i.Key, "bytes", len(i.Value), "from", from, "error", why.Error())
+}
+
 // take takes in a key that is listed. The value of most is the one that is known, and
 // costs nothing to take in again. The caller holds c.mu.
 func (c *Catalog) take(i hookhall.Item, from string, now time.Time) {
@@ -91,9 +116,10 @@
 	}
 	t, err := c.platform.ReadTarget(i.Key, i.Value)
 	if err != nil {
-		c.log.Error("A target's key can't be read.", "key", i.Key, "error", err.Error())
+		c.reject(i, e, err, from, now)
 		return
 	}
+	delete(c.rejected, i.Key)
 	if e == nil {
 		e = c.add(i.Key, t, from, now)
 	} else if !e.missing.IsZero() {
@@ -205,14 +231,19 @@
 	}
 	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
 	for _, e := range lost {
-		e.missing, e.changed = now, now
-		e.revision = max(e.revision, revision)
-		c.toggle(e, e.sum)
-		c.dirty[e.target.Pool] = true
 		if lapse {
 			e.lapsed = now.Add(lapseFor)
 			c.lapseEnds = e.lapsed
 		}
-		c.log.Info("A target is missing.", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", lapse, "left", e.left)
+		c.drop(e, revision, from, now)
 	}
 }
+
+// drop takes a target off the list, as of a revision. The caller holds c.mu.
+func (c *Catalog) drop(e *entry, revision uint64, from string, now time.Time) {
+	e.missing, e.changed = now, now
+	e.revision = max(e.revision, revision)
+	c.toggle(e, e.sum)
+	c.dirty[e.target.Pool] = true
+	c.log.Info("A target is missing.", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", !e.lapsed.IsZero(), "left", e.left)
+}
--- a/internal/coordination/members/follow.go
+++ b/internal/coordination/members/follow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -124,16 +125,48 @@
 // takeNew takes in a member that has registered: if it was silent, that was
 // before it did. The caller holds m.mu.
 func (m *Members) takeNew(i hookhall.Item, now time.Time) {
-	var o hookhall.Member
-	if err := json.Unmarshal(i.Value, &o); err != nil {
-		m.log.Error("A member's key can't be read.", "key", i.Key, "error", err.Error())
+	o, err := readMember(i)
+	if err != nil {
+		m.reject(i, err, now)
 		return
 	}
+	delete(m.rejected, i.Key)
 	m.byKey[i.Key] = listing{i, o, now}
 	delete(m.gone, i.Key)
 	m.suspects.Delete(o.Address)
 }
 
+// readMember reads a member's key, which another writer may have written.
+func readMember(i hookhall.Item) (hookhall.Member, error) {
+	var o hookhall.Member
+	if err := json.Unmarshal(i.Value, &o); err != nil {
+		return o, errors.Wrap(err, "member")
+	}
+	if _, err := netip.ParseAddrPort(o.Address); err != nil {
+		return o, errors.Wrap(err, "member")
+	}
+	if o.Power < 0 || o.Power > powerMost {
+		return o, errors.Errorf("member: a power of %g", o.Power)
+	}
+	return o, nil
+}
+
+// reject takes in a key that names no member, logged once for each change of it. The
+// caller holds m.mu.
+func (m *Members) reject(i hookhall.Item, why error, now time.Time) {
+	if _, listed := m.byKey[i.Key]; listed {
+		m.remove(i.Key, now)
+	}
+	if m.rejected[i.Key] == i.Revision {
+		return
+	}
+	if len(m.rejected) >= rejectedMost {
+		clear(m.rejected)
+	}
+	m.rejected[i.Key] = i.Revision
+	m.log.Warn("A key names no gateway.", "key", i.Key, "bytes", len(i.Value), "error", why.Error())
+}
+
 // remove takes a key off the list. The caller holds m.mu.
 func (m *Members) remove(key string, now time.Time) {
 	delete(m.byKey, key)
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -36,6 +36,10 @@
 	newcomerMost = 3 * time.Second
 	// suspectFor is how long a peer that did not answer is left out.
 	suspectFor = 1500 * time.Millisecond
+	// powerMost bounds the power that a member may tell: its square has to be a number.
+	powerMost = 1e6
+	// rejectedMost bounds the keys that are remembered as naming no member.
+	rejectedMost = 1024
 	// leastPower stands for members that don't tell theirs.
 	leastPower = 0.05
 	// bearerShare is the part of the strongest member's power that a member needs
@@ -72,6 +76,7 @@
 	mu       sync.Mutex // for what follows
 	byKey    map[string]listing
 	gone     map[string]time.Time // keys that went, and when
+	rejected map[string]uint64    // keys that name no member, with their revisions
 	left     map[string]time.Time // addresses that left the list, and when
 	met      bool                 // a list is known, from the store or a peer
 	revision uint64               // the store's, as of the list; 0 before it was read
@@ -83,7 +88,7 @@
 func New(self hookhall.Member, s hookhall.Store, l *log.Logger) *Members {
 	m := &Members{
 		self: self, store: s, log: l, Leads: func() bool { return true },
-		byKey: map[string]listing{}, gone: map[string]time.Time{}, left: map[string]time.Time{},
+		byKey: map[string]listing{}, gone: map[string]time.Time{}, rejected: map[string]uint64{}, left: map[string]time.Time{},
 	}
 	m.publish()
 	return m
