crashes: many targets that end at once are no proof against what many clients ask

Cause: a content that many clients send alike runs at many targets at once. When a fifth of all targets ends, more than three of them run it, and it was refused at all gateways until an answer under way cleared it.

Change: each gateway remembers what it served in the last 10 to 20 s. Ends within a second under such a content count once.

Ruled out: ends at one moment counting once for all contents, since the platform counts each target that one request ends.

--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -11,8 +11,7 @@
 	"github.com/hookhall/hookhall/internal/state/crashes"
 )
 
-// digest names the request's content. It is made when it is first needed: most requests
-// never need it.
+// digest names the request's content. It is made when it is first needed.
 func (r *request) digest() crashes.Digest {
 	if r.content == (crashes.Digest{}) {
 		r.content = crashes.Sum(r.accountName(), r.call.Host, r.call.URI, r.call.Body)
--- a/internal/coordination/quarantine/finding.go
+++ b/internal/coordination/quarantine/finding.go
@@ -39,7 +39,7 @@
 
 // Broke takes in that t's answer to a content broke off.
 func (q *Quarantine) Broke(content crashes.Digest, account string, t hookhall.Target) {
-	e := crashes.End{Content: content, Account: account, Life: t.Life(), Software: t.Software()}
+	e := crashes.End{Content: content, Account: account, Life: t.Life(), Software: t.Software(), Served: q.recent.Has(content, clock.Now())}
 	f := q.find(e.Life, t)
 	go func() {
 		<-f.done
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -70,6 +70,7 @@
 
 	mu       sync.Mutex // for what follows
 	findings map[hookhall.Life]*finding
+	recent   *crashes.Recent
 	outbox   []crashes.End
 	refused  map[crashes.Digest]bool // those whose refusal was logged
 	wake     chan struct{}           // the store is to be written
@@ -80,7 +81,7 @@
 	return &Quarantine{
 		Ledger: crashes.NewLedger(Limits()), prober: p, catalog: c, store: s, log: l,
 		Leads: func() bool { return false }, Tell: func([]crashes.End) {},
-		findings: map[hookhall.Life]*finding{}, refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
+		findings: map[hookhall.Life]*finding{}, recent: crashes.NewRecent(clock.Now()), refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -109,6 +110,7 @@
 // Served takes in that a target gave a whole answer to a request's content: then it does
 // not end the targets that run it, and what ended some had another cause.
 func (q *Quarantine) Served(content func() crashes.Digest) {
+	q.recent.Add(content(), clock.Now())
 	if q.Standing(content).Ends == 0 {
 		return
 	}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -139,19 +140,45 @@
 	})
 }
 
-// TestNoDigest: while nothing is held against any content, none is made.
+// TestNoDigest: while nothing is held against any content, none is made to ask for it.
 func TestNoDigest(t *testing.T) {
 	q, _ := newQuarantine(&prober{}, lives{})
 	content := func() crashes.Digest {
 		t.Error("a digest was made")
 		return crashes.Digest{}
 	}
-	q.Served(content)
 	if q.Standing(content).Refused() {
 		t.Error("refused")
 	}
 }
 
+// TestRecord: what is written is read as it was, but for its age.
+func TestRecord(t *testing.T) {
+	now := time.Now()
+	var ends []crashes.End
+	for n := range 3 {
+		ends = append(ends, crashes.End{
+			Content: crashes.Digest{1}, Account: "a", Life: hookhall.Life{ID: "t", Born: int64(n)}, Software: "s v1",
+			Served: n == 0, Cleared: n == 1, At: now.Add(time.Duration(n) * time.Second),
+		})
+	}
+	value, err := json.Marshal(newRecord(ends))
+	if err != nil {
+		t.Fatal(err)
+	}
+	later := now.Add(time.Minute)
+	got, err := readRecord(hookhall.Item{Value: value}, later)
+	if err != nil || len(got) != 3 {
+		t.Fatalf("%v, %v", got, err)
+	}
+	for n, e := range ends {
+		e.At = later.Add(time.Duration(n-2) * time.Second)
+		if got[n] != e {
+			t.Errorf("%+v became %+v", e, got[n])
+		}
+	}
+}
+
 // TestReadRecord: records that can't be read are no records.
 func TestReadRecord(t *testing.T) {
 	now := time.Now()
--- a/internal/coordination/quarantine/stored.go
+++ b/internal/coordination/quarantine/stored.go
@@ -41,13 +41,16 @@
 	Born   int64  `json:"born,omitempty"`
 	// Software is the target's service and the version of that.
 	Software string `json:"software,omitempty"`
-	Cleared  bool   `json:"cleared,omitempty"`
+	// AfterMS is when the end came after the first of the record.
+	AfterMS int64 `json:"after_ms,omitempty"`
+	Served  bool  `json:"served,omitempty"`
+	Cleared bool  `json:"cleared,omitempty"`
 }
 
 // stored is what this process knows to be in the store of one content.
 type stored struct {
 	lease uint64 // 0 when another process wrote it
-	open  int    // ends that are not cleared
+	ends  int    // how many counted
 }
 
 // writer keeps the store's records.
@@ -97,7 +100,7 @@
 			continue
 		}
 		w.Learn(ends, "store")
-		w.stored[ends[0].Content] = summary(ends, 0)
+		w.note(ends[0].Content, 0)
 	}
 	return nil
 }
@@ -122,12 +125,12 @@
 func (w *writer) changed() map[crashes.Digest]bool {
 	differ := map[crashes.Digest]bool{}
 	for d, s := range w.Ledger.Refused() {
-		if was, ok := w.stored[d]; !ok || was.open != s.Ends {
+		if was, ok := w.stored[d]; !ok || was.ends != s.Ends {
 			differ[d] = true
 		}
 	}
 	for d, was := range w.stored {
-		if w.Ledger.Standing(d).Ends != was.open && len(w.Ledger.Of(d)) > 0 {
+		if w.Ledger.Standing(d).Ends != was.ends && len(w.Ledger.Of(d)) > 0 {
 			differ[d] = true
 		}
 	}
@@ -154,29 +157,32 @@
 	if err != nil {
 		return err
 	}
-	w.stored[d] = summary(ends, lease)
+	w.note(d, lease)
 	return nil
 }
 
-func summary(ends []crashes.End, lease uint64) stored {
-	s := stored{lease: lease}
-	for _, e := range ends {
-		if !e.Cleared {
-			s.open++
-		}
-	}
-	return s
+// note takes in that the store has what is known of a content.
+func (w *writer) note(d crashes.Digest, lease uint64) {
+	w.stored[d] = stored{lease, w.Ledger.Standing(d).Ends}
 }
 
 func newRecord(ends []crashes.End) record {
 	r := record{Content: ends[0].Content.String(), Account: ends[0].Account}
+	first := ends[0].At
 	for _, e := range ends {
-		r.Ends = append(r.Ends, recordEnd{e.Life.ID, e.Life.Born, e.Software, e.Cleared})
+		if e.At.Before(first) {
+			first = e.At
+		}
+	}
+	for _, e := range ends {
+		r.Ends = append(r.Ends, recordEnd{
+			Target: e.Life.ID, Born: e.Life.Born, Software: e.Software, AfterMS: e.At.Sub(first).Milliseconds(), Served: e.Served, Cleared: e.Cleared,
+		})
 	}
 	return r
 }
 
-// readRecord reads a record. It says nothing of when its ends came: they count from now
+// readRecord reads a record. It does not say how old its ends are: the last counts from now
 // on, and no longer than the record's lease and the ledger's time together.
 func readRecord(i hookhall.Item, now time.Time) ([]crashes.End, error) {
 	var r record
@@ -189,11 +195,16 @@
 		return nil, errors.Errorf("%s: %q with %d ends is no record", i.Key, r.Content, len(r.Ends))
 	}
 	copy(content[:], b)
+	last := int64(0)
+	for _, e := range r.Ends {
+		last = max(last, e.AfterMS)
+	}
 	var ends []crashes.End
 	for _, e := range r.Ends {
 		ends = append(ends, crashes.End{
 			Content: content, Account: r.Account, Life: hookhall.Life{ID: e.Target, Born: e.Born},
-			Software: e.Software, Cleared: e.Cleared, At: now,
+			Software: e.Software, Served: e.Served, Cleared: e.Cleared,
+			At: now.Add(-time.Duration(min(last-e.AfterMS, int64(keep/time.Millisecond))) * time.Millisecond),
 		})
 	}
 	return ends, nil
--- a/internal/state/crashes/end.go
+++ b/internal/state/crashes/end.go
@@ -19,6 +19,9 @@
 	Life    hookhall.Life
 	// Software is what the target ran: its service and the version of that.
 	Software string
+	// Served is set when whoever reported it had served the content a moment before: then
+	// it does not end each target that runs it.
+	Served bool
 	// Cleared is set once a target gave a whole answer to the content.
 	Cleared bool
 	// At is when it was first reported, by this process's clock.
--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -241,6 +241,13 @@
 	b.publish(d)
 }
 
+// sorted are the ends in the order of their reports.
+func (c *content) sorted() []*End {
+	list := slices.Collect(maps.Values(c.ends))
+	slices.SortFunc(list, func(a, b *End) int { return a.At.Compare(b.At) })
+	return list
+}
+
 // open is how many ends are not cleared.
 func (c *content) open() int {
 	n := 0
@@ -276,14 +283,23 @@
 	}
 }
 
+// oneMoment is within which time ends under a content that was served a moment before
+// count as one: many targets that end at once, while each runs what many clients ask
+// alike, have another cause.
+const oneMoment = time.Second
+
 // standing sums up what is held against a content.
 func (b *Ledger) standing(c *content) Standing {
 	var s Standing
-	for _, e := range c.ends {
+	var counted time.Time // when the last end came that counts
+	for _, e := range c.sorted() {
 		if e.Cleared {
 			continue
 		}
-		s.Ends++
+		if !e.Served || counted.IsZero() || e.At.Sub(counted) >= oneMoment {
+			s.Ends++
+			counted = e.At
+		}
 		if s.Since.IsZero() || e.At.Before(s.Since) {
 			s.Since = e.At
 		}
--- a/internal/state/crashes/ledger_test.go
+++ b/internal/state/crashes/ledger_test.go
@@ -90,6 +90,62 @@
 	}
 }
 
+// TestOneMoment: ends at one moment under a content that was served before count once; under
+// one that was not, each counts.
+func TestOneMoment(t *testing.T) {
+	for name, c := range map[string]struct {
+		served  bool
+		apart   time.Duration
+		ends    int
+		refused bool
+	}{
+		"at once, never served":       {false, 0, 3, true},
+		"at once, served before":      {true, 0, 1, false},
+		"in one moment, served":       {true, 100 * time.Millisecond, 1, false},
+		"one after the other, served": {true, oneMoment, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(limits)
+			for n := range 3 {
+				e := end(1, n)
+				e.Served = c.served
+				e.At = start.Add(time.Duration(n) * c.apart)
+				l.Learn([]End{e}, e.At)
+			}
+			wantStanding(t, l, 1, c.ends, c.refused)
+		})
+	}
+}
+
+// TestRecent: what was served is remembered for a while, and not for long.
+func TestRecent(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  bool
+	}{
+		"at once":              {0, true},
+		"within its time":      {recentTime - time.Second, true},
+		"in the next":          {recentTime + time.Second, true},
+		"after both":           {2 * recentTime, false},
+		"after a long silence": {time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRecent(start)
+			r.Add(Digest{1}, start)
+			if got := r.Has(Digest{1}, start.Add(c.after)); got != c.want || r.Has(Digest{2}, start) {
+				t.Errorf("remembered: %v", got)
+			}
+		})
+	}
+	r := NewRecent(start)
+	for n := range 3 * recentMost {
+		r.Add(Digest{byte(n), byte(n >> 8)}, start)
+	}
+	if n := r.current.Load().count.Load(); n > recentMost {
+		t.Errorf("%d contents are remembered", n)
+	}
+}
+
 // TestClear: a whole answer clears what came before, not what comes after.
 func TestClear(t *testing.T) {
 	l := NewLedger(limits)
--- a/internal/transport/fleet/ends.go
+++ b/internal/transport/fleet/ends.go
@@ -121,7 +121,7 @@
 	for _, e := range ends {
 		list = append(list, &pb.End{
 			Content: e.Content[:], Account: e.Account, Target: e.Life.ID, Born: e.Life.Born, Software: e.Software,
-			Cleared: e.Cleared, AgeMs: ageMS(now.Sub(e.At)),
+			Served: e.Served, Cleared: e.Cleared, AgeMs: ageMS(now.Sub(e.At)),
 		})
 	}
 	return list
@@ -144,7 +144,7 @@
 		}
 		ends = append(ends, crashes.End{
 			Content: crashes.Digest(e.GetContent()), Account: e.GetAccount(), Life: hookhall.Life{ID: e.GetTarget(), Born: e.GetBorn()},
-			Software: e.GetSoftware(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
+			Software: e.GetSoftware(), Served: e.GetServed(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
 		})
 	}
 	return ends
@@ -156,7 +156,7 @@
 	for _, e := range list {
 		aged = append(aged, &pb.End{
 			Content: e.GetContent(), Account: e.GetAccount(), Target: e.GetTarget(), Born: e.GetBorn(), Software: e.GetSoftware(),
-			Cleared: e.GetCleared(), AgeMs: e.GetAgeMs() + ageMS(held),
+			Served: e.GetServed(), Cleared: e.GetCleared(), AgeMs: e.GetAgeMs() + ageMS(held),
 		})
 	}
 	return aged
