--- a/internal/coordination/quarantine/finding.go
+++ b/internal/coordination/quarantine/finding.go
@@ -37,8 +37,12 @@
 	at      time.Time     // when it began
 }
 
-// Broke takes in that t's answer to a content broke off.
+// Broke takes in that t's answer to a content broke off. Work of a gateway that does not tell
+// its content, as one of an earlier version, has the zero digest, which stands for nothing.
 func (q *Quarantine) Broke(content crashes.Digest, account string, t hookhall.Target) {
+	if content == (crashes.Digest{}) {
+		return
+	}
 	e := crashes.End{Content: content, Account: account, Life: t.Life(), Software: t.Software(), Served: q.recent.Has(content, clock.Now())}
 	f := q.find(e.Life, t)
 	go func() {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -74,8 +74,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := &prober{refuses: c.refuses}
 				q, told := newQuarantine(p, c.lives)
+				q.Broke(crashes.Digest{}, "", target("t")) // told by nobody
 				for n := range 5 {
-					q.Broke(crashes.Digest{byte(n)}, "a", target("t"))
+					q.Broke(crashes.Digest{byte(n + 1)}, "a", target("t"))
 				}
 				time.Sleep(settled)
 				synctest.Wait()
--- a/internal/transport/fleet/ends.go
+++ b/internal/transport/fleet/ends.go
@@ -144,7 +144,7 @@
 		}
 		ends = append(ends, crashes.End{
 			Content: crashes.Digest(e.GetContent()), Account: e.GetAccount(), Life: hookhall.Life{ID: e.GetTarget(), Born: e.GetBorn()},
-			Software: e.GetSoftware(), Served: e.GetServed(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(e.GetAgeMs())),
+			Software: e.GetSoftware(), Served: e.GetServed(), Cleared: e.GetCleared(), At: came.Add(-milliseconds(max(e.GetAgeMs(), 0))),
 		})
 	}
 	return ends
