forward, budget: a failed send tells the account of the service's repeats

No line told why a repeat was granted: how many a process had granted, how many were allowed, by how many processes the constant is divided, how old the process is, and how long after the grant the repeat was sent. Without these the hypotheses on repeats beyond the budget can't be told apart.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -111,6 +111,10 @@
 	}
 	r.sends++
 	r.target = t
+	if !r.granted.IsZero() {
+		r.repeatWait = max(r.repeatWait, now.Sub(r.granted))
+		r.granted = time.Time{}
+	}
 	defer r.releaseEarly()()
 	reply, err := r.Sender.Send(ctx, r.call, hookhall.Attempt{
 		Target: t, Account: r.accountName(), Left: clock.Until(r.end), Urgency: r.urgency(), Inputs: r.results.Handles(),
@@ -169,7 +173,20 @@
 func (r *request) logSend(a *attempt, t hookhall.Target, next string) {
 	r.Log.Warn("A send failed.", "request", r.call.ID, "content", r.digest(), "bytes", len(r.call.Body), "service", r.service, "target", t.ID, "send", r.sends,
 		"took_ms", clock.Since(a.began).Milliseconds(), "verdict", a.err.Verdict.String(), "cause", string(a.err.Cause),
-		"detail", a.err.Detail, "next", next)
+		"detail", a.err.Detail, "next", next, "repeats", r.budget.Repeats, "repeats_allowed", r.budget.Allowed,
+		"sharers", r.budget.Members, "process_age_ms", r.budget.Age.Milliseconds())
+}
+
+// repeat takes a further send out of the retry budget, if there is one left.
+func (r *request) repeat() bool {
+	now := clock.Now()
+	r.budget = r.Budget.Spend(r.service, r.Sharers(now), now)
+	if !r.budget.Granted {
+		return false
+	}
+	r.granted = now
+	r.Meter.Repeated(r.service)
+	return true
 }
 
 // next decides what follows a failed send: true for another one.
@@ -195,14 +212,13 @@
 		why = "its results were lost too often"
 	case r.sends >= mostSends:
 		why = "offered too often"
-	case !r.Budget.Spend(r.service, r.Sharers(clock.Now()), clock.Now()):
+	case !r.repeat():
 		why = "the retry budget is spent"
 	}
 	if why != "" {
 		r.logSend(a, t, why)
 		return false
 	}
-	r.Meter.Repeated(r.service)
 	r.logSend(a, t, "another target")
 	if a.err.Cause == hookhall.CauseRefused && len(r.tried) >= len(r.Catalog.Targets(r.service)) {
 		clear(r.tried)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -240,7 +240,7 @@
 	fields := []any{
 		"request", r.call.ID, "route", route, "service", r.service, "outcome", cause, "took_ms", took.Milliseconds(),
 		"stages_ms", r.staged.Milliseconds(), "first_ms", r.first.Milliseconds(), "gap_ms", r.gap.Milliseconds(),
-		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "target", r.target.ID, "status", r.status,
+		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "repeat_wait_ms", r.repeatWait.Milliseconds(), "target", r.target.ID, "status", r.status,
 	}
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -77,12 +77,11 @@
 	if a.reply.Status < http.StatusInternalServerError || !r.route.Repeatable() || ctx.Err() != nil {
 		return false
 	}
-	if r.runs+1 >= r.route.MaxAttempts || !r.Budget.Spend(r.service, r.Sharers(clock.Now()), clock.Now()) {
+	if r.runs+1 >= r.route.MaxAttempts || !r.repeat() {
 		return false
 	}
 	r.runs++
 	r.tried[r.target.ID] = true
-	r.Meter.Repeated(r.service)
 	return true
 }
 
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -11,6 +11,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
@@ -53,11 +54,17 @@
 	lost    bool            // a target lacked a result
 	remade  int             // how often stages were made again
 	sends   int
-	runs    int // targets that may have run it
-	target  hookhall.Target
-	placed  placement.Placement
-	status  int
-	cutBy   string
+	// budget is the service's account of repeats when the last one was asked for.
+	budget budget.Account
+	// granted is when a repeat was granted that is not sent yet, and repeatWait the
+	// longest time between the two.
+	granted    time.Time
+	repeatWait time.Duration
+	runs       int // targets that may have run it
+	target     hookhall.Target
+	placed     placement.Placement
+	status     int
+	cutBy      string
 	// content is the digest of what the client asks, zero before it was needed.
 	content crashes.Digest
 }
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -125,19 +125,29 @@
 	return share * b.limits.Slack / float64(members)
 }
 
+// Account is what stands in the account of a service when a repeat is asked for.
+type Account struct {
+	Granted bool    // a repeat
+	Repeats float64 // within the window, with this one
+	Allowed float64 // within the window
+	Members int     // that share the slack, 0 when that is not known
+	Age     time.Duration
+}
+
 // Spend takes one repeat out of the budget, or tells that there is none left.
 // members is how many processes share the slack, 0 when that is not known.
-func (b *Budget) Spend(service string, members int, now time.Time) bool {
+func (b *Budget) Spend(service string, members int, now time.Time) Account {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.ring(service, now)
 	// The oldest part may lie outside of the window: its requests don't count,
 	// its repeats do.
 	oldest := r.requests[(r.at+1)%(parts+1)]
-	allowed := b.limits.Ratio*(sum(r.requests)-oldest) + b.slack(members, now)
-	if sum(r.repeats)+1 > allowed {
-		return false
+	a := Account{Members: members, Age: now.Sub(b.began), Repeats: sum(r.repeats)}
+	a.Allowed = b.limits.Ratio*(sum(r.requests)-oldest) + b.slack(members, now)
+	if a.Granted = a.Repeats+1 <= a.Allowed; a.Granted {
+		r.repeats[r.at%(parts+1)]++
+		a.Repeats++
 	}
-	r.repeats[r.at%(parts+1)]++
-	return true
+	return a
 }
--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -18,7 +18,7 @@
 		spend := func(n int, now time.Time) int {
 			got := 0
 			for range n {
-				if b.Spend("s", 3, now) {
+				if b.Spend("s", 3, now).Granted {
 					got++
 				}
 			}
@@ -34,17 +34,17 @@
 			So(spend(100, start), ShouldEqual, 13)
 		})
 		Convey("a process that does not know the others has no part of the slack", func() {
-			So(b.Spend("s", 0, start), ShouldBeFalse)
+			So(b.Spend("s", 0, start).Granted, ShouldBeFalse)
 			for range 10 {
 				b.Request("s", start)
 			}
-			So(b.Spend("s", 0, start), ShouldBeTrue)
-			So(b.Spend("s", 0, start), ShouldBeTrue)
-			So(b.Spend("s", 0, start), ShouldBeFalse)
+			So(b.Spend("s", 0, start).Granted, ShouldBeTrue)
+			So(b.Spend("s", 0, start).Granted, ShouldBeTrue)
+			So(b.Spend("s", 0, start).Granted, ShouldBeFalse)
 		})
 		Convey("another service has its own", func() {
 			So(spend(10, start), ShouldEqual, 3)
-			So(b.Spend("other", 3, start), ShouldBeTrue)
+			So(b.Spend("other", 3, start).Granted, ShouldBeTrue)
 		})
 		Convey("what was spent comes back after the window", func() {
 			So(spend(10, start), ShouldEqual, 3)
@@ -66,7 +66,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				b.Request("s", now)
 				asked = append(asked, now)
-			} else if b.Spend("s", 1, now) {
+			} else if b.Spend("s", 1, now).Granted {
 				spent = append(spent, now)
 			}
 			in := func(list []time.Time) (n int) {
@@ -112,7 +112,7 @@
 					list[i].Request("s", now)
 					asked = append(asked, now)
 				}
-				for list[i].Spend("s", fleet, now) {
+				for list[i].Spend("s", fleet, now).Granted {
 					spent = append(spent, now)
 				}
 			}
