--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -134,3 +134,71 @@
 	}
 	return n
 }
+
+// TestFleetOverKills: processes that save up what their requests earn, spend all of it
+// once targets refuse, and are killed and started again any number of times, keep the
+// operators' bound in every window. Each process killed in its turn had spent what a
+// window of requests had earned, and its successor spent what its own had, within one
+// window: a fleet of eight granted 168 repeats where 161 are allowed.
+func TestFleetOverKills(t *testing.T) {
+	const (
+		window = 10 * time.Second
+		step   = 100 * time.Millisecond
+		fleet  = 6
+		slack  = 30.0
+		ratio  = 0.2
+		// perStep is how many requests a process gets in a step, by chance.
+		perStep = 2
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		list := make([]*Budget, fleet)
+		for i := range list {
+			list[i] = New(Limits{Ratio: ratio, Window: window, Slack: slack}, start.Add(-time.Hour))
+		}
+		refusing := false
+		var spent, asked []time.Time
+		for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(step) {
+			if rapid.IntRange(0, 40).Draw(t, "turns") == 0 {
+				refusing = !refusing
+			}
+			killed := 0
+			if rapid.IntRange(0, 30).Draw(t, "kills") == 0 {
+				killed = rapid.IntRange(1, fleet).Draw(t, "killed")
+			}
+			for i := range list {
+				if i < killed {
+					list[i] = New(Limits{Ratio: ratio, Window: window, Slack: slack}, now)
+				}
+				for range rapid.IntRange(0, perStep).Draw(t, "requests") {
+					list[i].Request("s", now)
+					asked = append(asked, now)
+				}
+				for refusing && list[i].Spend("s", fleet, now).Granted {
+					spent = append(spent, now)
+				}
+			}
+			first := now.Add(step - window) // of the window whose last step this is
+			n, allowed := between(spent, first, window), ratio*float64(most(asked, first, window))+slack
+			if float64(n) > allowed {
+				t.Fatalf("%d repeats, %.1f allowed", n, allowed)
+			}
+		}
+	})
+}
+
+// most is the number of requests that earn the repeats of a window: those of that
+// window, of the one before it or of the one half a window before it.
+func most(asked []time.Time, first time.Time, window time.Duration) int {
+	return max(between(asked, first, window), between(asked, first.Add(-window/2), window), between(asked, first.Add(-window), window))
+}
+
+// between counts the times in a window.
+func between(list []time.Time, first time.Time, window time.Duration) (n int) {
+	for _, at := range list {
+		if !at.Before(first) && at.Before(first.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
