front, forward: a stop answers the requests that still wait when its time is over

Cause: shortly before the kill a gateway ended with whatever was in progress.

Change: the contexts of requests end with ErrStopping 350 ms before the kill. What has not run is refused with 503 and a time to come back, what may have run gets 502; only answers that have begun are cut.

TestStopAnswersWhatWaits: EOF in four of four cases before.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -62,8 +62,11 @@
 	// lastCalls is how long requests on kept connections are taken after the
 	// notice; later ones could not be ended before the kill.
 	lastCalls = 300 * time.Millisecond
-	// killMargin is how long before the kill a stop ends what is left.
-	killMargin = 350 * time.Millisecond
+	// killMargin is how long before the kill a stop ends what is left, and lastAnswers how
+	// long that may take: requests that still wait are told so, and the answers are some
+	// milliseconds on their way.
+	killMargin  = 350 * time.Millisecond
+	lastAnswers = 150 * time.Millisecond
 	// idleTime is how long a client's connection may rest.
 	idleTime = 75 * time.Second
 	// readHeaderTime is how long a client may take for a head.
@@ -282,9 +285,14 @@
 	g.drain.Close()
 	g.clientsAt.StopAccepting()
 	retry.Sleep(ctx, lastCalls)
-	if left := g.drain.Finish(ctx); left > 0 {
-		g.log.Warn("Requests were cut off.", "count", left, "after", clock.Since(began))
+	left := g.drain.Finish(ctx)
+	if left == 0 {
+		return
 	}
+	last, done := context.WithTimeout(context.Background(), lastAnswers)
+	defer done()
+	cut := g.drain.End(last)
+	g.log.Warn("The time for a stop is over.", "in_progress", left, "cut", cut, "after", clock.Since(began))
 }
 
 // watchClock writes a line on each suspension of the instance.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -27,6 +27,9 @@
 	defaultWait = 30 * time.Second
 	// comeBack is when a refused client should come back, unless more is known.
 	comeBack = 300 * time.Millisecond
+	// elsewhere is when a client should come back that this instance leaves because it
+	// stops: at once, since a new connection goes to another instance.
+	elsewhere = 50 * time.Millisecond
 	// outageLeast and outageMost bound when a client should come back that was
 	// refused for want of a table: the store is away, since a gateway reads it in a
 	// few milliseconds otherwise, and outages that short are rare.
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -48,7 +48,13 @@
 	if r.route.Repeatable() {
 		return context.WithCancel(ctx)
 	}
-	return clock.WithDeadline(context.WithoutCancel(ctx), r.end)
+	kept, cancel := clock.WithDeadline(context.WithoutCancel(ctx), r.end)
+	stop := context.AfterFunc(ctx, func() {
+		if stopping(ctx) {
+			cancel()
+		}
+	})
+	return kept, func() { stop(); cancel() }
 }
 
 // readWhole reads an answer to its end.
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -15,6 +15,7 @@
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -229,9 +230,14 @@
 	return ""
 }
 
+// stopping tells whether ctx ended because this process is about to.
+func stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), hookhall.ErrStopping) }
+
 // giveUp makes the final answer of a request that could not be served.
 func (r *request) giveUp(ctx context.Context, e *hookhall.Error) error {
-	if ctx.Err() != nil && clock.Now().Before(r.end) {
+	if stopping(ctx) {
+		e = hookhall.Errorf(e.Verdict, hookhall.CauseStopping, "this instance stops: %s", e.Detail).After(elsewhere)
+	} else if ctx.Err() != nil && clock.Now().Before(r.end) {
 		e = hookhall.Errorf(e.Verdict, hookhall.CauseCanceled, "the client has gone: %s", e.Detail)
 	} else if ctx.Err() != nil {
 		e = hookhall.Errorf(e.Verdict, hookhall.CauseDeadline, "out of time: %s", e.Detail)
@@ -239,7 +245,10 @@
 	if r.runs > 0 {
 		e.Verdict = hookhall.MayHaveRun
 	}
-	if e.Verdict == hookhall.NotRun && e.RetryAfter == 0 && e.Cause != hookhall.CauseCrashes {
+	switch {
+	case e.Verdict != hookhall.NotRun:
+		e.RetryAfter = 0
+	case e.RetryAfter == 0 && e.Cause != hookhall.CauseCrashes:
 		e.RetryAfter = comeBack
 	}
 	return e
--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -31,6 +31,8 @@
 // could not end.
 type Drain struct {
 	next     http.Handler
+	ending   context.Context // ends when requests have to
+	end      context.CancelFunc
 	refuse   func(w http.ResponseWriter, e *hookhall.Error)
 	inflight atomic.Int64
 	closing  atomic.Bool // answers ask the client to close
@@ -39,7 +41,9 @@
 
 // NewDrain puts a Drain before next. refuse answers what comes in the end.
 func NewDrain(next http.Handler, refuse func(w http.ResponseWriter, e *hookhall.Error)) *Drain {
-	return &Drain{next: next, refuse: refuse}
+	d := &Drain{next: next, refuse: refuse}
+	d.ending, d.end = context.WithCancel(context.Background())
+	return d
 }
 
 // InFlight is how many requests are in progress.
@@ -58,7 +62,11 @@
 		d.refuse(w, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops").After(stopRetry))
 		return
 	}
-	d.next.ServeHTTP(w, r)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(d.ending, func() { cancel(hookhall.ErrStopping) })
+	defer stop()
+	d.next.ServeHTTP(w, r.WithContext(ctx))
 }
 
 // Close asks clients to close behind their answers, from now on.
@@ -68,6 +76,19 @@
 // or until ctx ends. It returns how many requests are left.
 func (d *Drain) Finish(ctx context.Context) int64 {
 	d.refusing.Store(true)
+	return d.wait(ctx)
+}
+
+// End has what is in progress answered now, as far as it is not an answer that has begun:
+// a request that waits has not run, and its client can go elsewhere. It waits for that
+// until ctx ends, and returns how many requests are left.
+func (d *Drain) End(ctx context.Context) int64 {
+	d.end()
+	return d.wait(ctx)
+}
+
+// wait waits until nothing is in progress, or until ctx ends.
+func (d *Drain) wait(ctx context.Context) int64 {
 	tick := time.NewTicker(drainLook)
 	defer tick.Stop()
 	for ctx.Err() == nil && d.inflight.Load() > 0 {
--- a/verdict.go
+++ b/verdict.go
@@ -74,6 +74,10 @@
 	CauseCrashes      Cause = "crashes-targets"
 )
 
+// ErrStopping is the cause of a context that ends because this process is about to: its
+// requests get their final answers now.
+var ErrStopping = errors.New("this instance stops")
+
 // Error is the one error type of the request path.
 type Error struct {
 	// Verdict is set by whoever holds the evidence, never guessed upward.
