--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/hookhall/hookhall/internal/app/metrics"
 	"github.com/hookhall/hookhall/internal/app/settings"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
+	"github.com/hookhall/hookhall/internal/coordination/eras"
 	"github.com/hookhall/hookhall/internal/coordination/forward"
 	"github.com/hookhall/hookhall/internal/coordination/members"
 	"github.com/hookhall/hookhall/internal/coordination/outage"
@@ -99,6 +100,7 @@
 	out      *logging.Async
 
 	metrics     *metrics.Metrics
+	eras        *eras.Store
 	gate        *outage.Gate
 	catalog     *catalog.Catalog
 	members     *members.Members
@@ -158,7 +160,8 @@
 func (g *Gateway) build() {
 	s := g.settings
 	self := hookhall.Member{ID: s.Gateway.Instance, Instance: s.Gateway.Instance, Hall: s.Gateway.Hall, Address: g.peersAt.Addr().String(), Power: s.Gateway.Power()}
-	g.gate = outage.NewGate(g.adapters.Store)
+	g.eras = eras.New(g.adapters.Store, g.metrics, g.logger(logging.Catalog))
+	g.gate = outage.NewGate(g.eras)
 	g.gate.Pace = g.outagePace
 	g.catalog = catalog.New(g.gate, g.adapters.Platform, g.logger(logging.Catalog))
 	g.members = members.New(self, g.gate, g.logger(logging.Members))
@@ -167,6 +170,7 @@
 	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog, Ends: g.quarantine}
 	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Ends: g.quarantine, Log: g.logger(logging.Catalog), Began: clock.Now()}
 	g.quarantine.Leads = func() bool { return g.catalog.Rank() == 0 }
+	g.quarantine.Era = g.eras.Era
 	g.quarantine.Tell = g.broadcaster.Report
 	g.quarantine.Meter = g.metrics
 	g.broadcaster.Start = g.starter
@@ -344,9 +348,10 @@
 	Instance string                    `json:"instance"`
 	Stopping bool                      `json:"stopping"`
 	InFlight int64                     `json:"in_flight"`
+	Era      uint64                    `json:"store_era"`
 	Table    int64                     `json:"table"`
-	TableRev uint64                    `json:"table_revision"`
-	Targets  uint64                    `json:"targets_revision"`
+	TableRev hookhall.Revision         `json:"table_revision"`
+	Targets  hookhall.Revision         `json:"targets_revision"`
 	AgeMS    int64                     `json:"targets_age_ms"`
 	Halls    catalog.Halls             `json:"halls"`
 	Rejected []string                  `json:"keys_of_no_target"`
@@ -365,6 +370,7 @@
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
 		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
 		Refused: g.refusedContents(now), Rejected: g.catalog.Rejected(),
+		Era:     g.eras.Era(),
 		Repeats: g.forward.Budget.Status(now),
 	}
 	if t := g.catalog.Table(); t != nil {
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -97,6 +97,12 @@
 	m.scope.Tagged(map[string]string{"service": service}).Counter("repeats").Inc(1)
 }
 
+// Restored counts a return of the platform's store from an older copy.
+func (m *Metrics) Restored(era uint64) {
+	m.scope.Counter("store_restored").Inc(1)
+	m.scope.Gauge("store_era").Update(float64(era))
+}
+
 // TargetEnded counts a target's end while it ran a request, found by this process.
 func (m *Metrics) TargetEnded(software string) {
 	m.scope.Tagged(map[string]string{"software": software}).Counter("target_ends").Inc(1)
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,6 +98,15 @@
 	lapseEnds time.Time
 	// returned is when halls that were evacuated were taken back.
 	returned map[string]time.Time
+	// toldHalls are the evacuated halls as last told, and heldHalls those that stay so, until
+	// when, after the store came back from a copy.
+	toldHalls []string
+	heldHalls map[string]time.Time
+	// base is the store's revision when this process first read all targets after the store
+	// had come back from a copy, and copiedEra the era of that in which the copy had an older
+	// table than the one in force.
+	base      hookhall.Revision
+	copiedEra uint64
 
 	failing  atomic.Bool               // the last call of the store failed
 	answered atomic.Pointer[time.Time] // when the store last answered, or the start
@@ -106,7 +115,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -60,24 +60,24 @@
 type fakeStore struct {
 	hookhall.Store
 	mu      sync.Mutex
-	at      uint64
+	at      hookhall.Revision
 	table   hookhall.Item
-	halls   map[string]uint64 // evacuated, with their keys' revisions
-	events  []hookhall.Item   // of the operators' keys
+	halls   map[string]hookhall.Revision // evacuated, with their keys' revisions
+	events  []hookhall.Item              // of the operators' keys
 	targets map[string]string
 	down    bool
-	horizon uint64 // history before it is gone
+	horizon hookhall.Revision // history before it is gone
 	gets    int
 	ranges  int               // readings of the targets themselves
 	copied  map[string]string // what a copy has of them
 	forgot  int
-	seen    map[uint64]map[string]string // the targets at revisions that were told
-	watches int                          // of the targets
+	seen    map[hookhall.Revision]map[string]string // the targets at revisions that were told
+	watches int                                     // of the targets
 	changed chan struct{}
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{targets: map[string]string{}, halls: map[string]uint64{}, seen: map[uint64]map[string]string{}, changed: make(chan struct{})}
+	return &fakeStore{targets: map[string]string{}, halls: map[string]hookhall.Revision{}, seen: map[hookhall.Revision]map[string]string{}, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) change(f func()) {
@@ -108,7 +108,7 @@
 	})
 }
 
-func (s *fakeStore) Range(_ context.Context, prefix string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Range(_ context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if prefix == "op/" {
@@ -120,7 +120,7 @@
 }
 
 // operators lists their keys. The caller holds s.mu.
-func (s *fakeStore) operators() ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) operators() ([]hookhall.Item, hookhall.Revision, error) {
 	s.gets++
 	if s.down {
 		return nil, 0, hookhall.ErrUnavailable
@@ -137,7 +137,7 @@
 
 // since lists the events of the operators' keys after a revision. The caller holds
 // s.mu.
-func (s *fakeStore) since(revision uint64) []hookhall.Item {
+func (s *fakeStore) since(revision hookhall.Revision) []hookhall.Item {
 	var list []hookhall.Item
 	for _, i := range s.events {
 		if i.Revision > revision {
@@ -148,13 +148,13 @@
 }
 
 // RangeStale brings what the store had before its last change.
-func (s *fakeStore) RangeStale(context.Context, string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) RangeStale(context.Context, string) ([]hookhall.Item, hookhall.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.list(s.copied, max(s.at, 1)-1)
 }
 
-func (s *fakeStore) list(targets map[string]string, at uint64) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) list(targets map[string]string, at hookhall.Revision) ([]hookhall.Item, hookhall.Revision, error) {
 	if s.down {
 		return nil, 0, hookhall.ErrUnavailable
 	}
@@ -167,7 +167,7 @@
 
 // targetsSince lists how the targets differ from those at a revision that was told.
 // The caller holds s.mu.
-func (s *fakeStore) targetsSince(revision uint64) []hookhall.Item {
+func (s *fakeStore) targetsSince(revision hookhall.Revision) []hookhall.Item {
 	var list []hookhall.Item
 	old := s.seen[revision]
 	for id, v := range s.targets {
@@ -184,7 +184,7 @@
 	return list
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, prefix string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -346,7 +346,7 @@
 }
 
 func TestMissingTargets(t *testing.T) {
-	read := func(c *Catalog, at uint64, ids ...string) {
+	read := func(c *Catalog, at hookhall.Revision, ids ...string) {
 		r := Reading{Revision: at, Began: time.Now()}
 		for _, id := range ids {
 			key, value := id, "ready"
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -46,7 +46,7 @@
 	changed time.Time
 	// revision is the store's at the key's last change that is known, 0 when whoever told
 	// of it did not say.
-	revision uint64
+	revision hookhall.Revision
 	// left is set once its present life said that it leaves.
 	left bool
 	// coldUntil is until when it is cold by its own word, counted from when this
@@ -119,6 +119,9 @@
 		c.reject(i, e, err, from, now)
 		return
 	}
+	if c.copied(e, t, i.Revision, now) {
+		return
+	}
 	delete(c.rejected, i.Key)
 	if e == nil {
 		e = c.add(i.Key, t, from, now)
@@ -213,9 +216,10 @@
 	return now.Add(t.ColdLeft)
 }
 
-// miss takes in targets that are not listed any more, as of a revision. The caller holds
-// c.mu.
-func (c *Catalog) miss(lost []*entry, revision uint64, from string, now time.Time) {
+// miss takes in targets that are not listed any more, as of a revision. restored tells that
+// the store has come back from a copy, which lacks those that started later. The caller
+// holds c.mu.
+func (c *Catalog) miss(lost []*entry, revision hookhall.Revision, restored bool, from string, now time.Time) {
 	if len(lost) == 0 {
 		return
 	}
@@ -229,7 +233,7 @@
 			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
 		}
 	}
-	lapse := len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed)
+	lapse := restored || (len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed))
 	for _, e := range lost {
 		if lapse {
 			e.lapsed = now.Add(lapseFor)
@@ -240,7 +244,7 @@
 }
 
 // drop takes a target off the list, as of a revision. The caller holds c.mu.
-func (c *Catalog) drop(e *entry, revision uint64, from string, now time.Time) {
+func (c *Catalog) drop(e *entry, revision hookhall.Revision, from string, now time.Time) {
 	e.missing, e.changed = now, now
 	e.revision = max(e.revision, revision)
 	c.toggle(e, e.sum)
--- a/internal/coordination/catalog/follow_test.go
+++ b/internal/coordination/catalog/follow_test.go
@@ -117,7 +117,7 @@
 				t.Fatal("the digests are not those of what is listed")
 			}
 		}
-		for at := uint64(2); at < 12; at++ {
+		for at := hookhall.Revision(2); at < 12; at++ {
 			r := Reading{Revision: at, Began: time.Now()}
 			for i := range rapid.IntRange(0, 200).Draw(t, "targets") {
 				value := rapid.SampledFrom([]string{"ready", "leaving", "cold 1 2000", "cold 2 0"}).Draw(t, "value")
@@ -176,9 +176,9 @@
 			for i := 0; b.Loop(); i++ {
 				value := []string{"leaving", "ready"}[i%2]
 				began := time.Now()
-				reader.Follow([]hookhall.Item{{Key: "t/target-7", Value: []byte(value)}}, uint64(i+2), began)
+				reader.Follow([]hookhall.Item{{Key: "t/target-7", Value: []byte(value)}}, hookhall.Revision(i+2), began)
 				changed := hookhall.Item{Key: "t/target-7", Value: []byte(value)}
-				follower.LearnNews(News{Revision: uint64(i + 2), Began: began, Digest: reader.Picture().Digest, Changed: []hookhall.Item{changed}}, "reader")
+				follower.LearnNews(News{Revision: hookhall.Revision(i + 2), Began: began, Digest: reader.Picture().Digest, Changed: []hookhall.Item{changed}}, "reader")
 			}
 		})
 	}
--- a/internal/coordination/catalog/halls.go
+++ b/internal/coordination/catalog/halls.go
@@ -21,7 +21,7 @@
 type Halls struct {
 	// Revision is the store's at the reading, not that of a key: a hall that is
 	// taken back leaves no key behind.
-	Revision uint64 `json:"revision"`
+	Revision hookhall.Revision `json:"revision"`
 	// Evacuated lists them, sorted. Their targets get nothing new.
 	Evacuated []string `json:"evacuated"`
 }
@@ -54,16 +54,19 @@
 }
 
 // followHalls takes in events of the operators' keys up to a revision of the store.
-func (c *Catalog) followHalls(events []hookhall.Item, revision uint64) bool {
+func (c *Catalog) followHalls(events []hookhall.Item, revision hookhall.Revision) bool {
 	evacuated := map[string]bool{}
-	for _, hall := range c.Halls().Evacuated {
+	c.mu.Lock()
+	for _, hall := range c.toldHalls {
 		evacuated[hall] = true
 	}
 	for _, i := range events {
 		if hall, ok := c.platform.EvacuatedHall(i.Key); ok {
 			evacuated[hall] = !i.Gone
+			delete(c.heldHalls, hall)
 		}
 	}
+	c.mu.Unlock()
 	maps.DeleteFunc(evacuated, func(_ string, on bool) bool { return !on })
 	return c.LearnHalls(Halls{revision, slices.Sorted(maps.Keys(evacuated))}, "store")
 }
@@ -78,6 +81,12 @@
 	if old != nil && h.Revision < old.Revision {
 		return false
 	}
+	now := clock.Now()
+	if old != nil && h.Revision.Era() > old.Revision.Era() {
+		c.holdHalls(*old, now)
+	}
+	c.toldHalls = h.Evacuated
+	h.Evacuated = c.withHeld(h.Evacuated, now)
 	c.halls.Store(&h)
 	if old != nil && slices.Equal(old.Evacuated, h.Evacuated) {
 		return false
--- a/internal/coordination/catalog/halls_test.go
+++ b/internal/coordination/catalog/halls_test.go
@@ -107,7 +107,7 @@
 			time.Sleep(time.Second)
 			s.mu.Lock()
 			s.at++ // changes that no watch hears of
-			s.halls = map[string]uint64{"south": s.at}
+			s.halls = map[string]hookhall.Revision{"south": s.at}
 			s.horizon, s.events = s.at, nil
 			s.mu.Unlock()
 			time.Sleep(time.Second)
@@ -164,7 +164,7 @@
 func TestColdTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCatalog(newFakeStore())
-		revision := uint64(0)
+		revision := hookhall.Revision(0)
 		learn := func(values map[string]string) {
 			revision++
 			r := Reading{Revision: revision, Began: time.Now()}
--- a/internal/coordination/catalog/life_test.go
+++ b/internal/coordination/catalog/life_test.go
@@ -13,7 +13,7 @@
 )
 
 // word is what the target t/a says of itself at a revision: its start, and how it is.
-func word(revision uint64, value string) hookhall.Item {
+func word(revision hookhall.Revision, value string) hookhall.Item {
 	return hookhall.Item{Key: "t/a", Value: []byte(value), Revision: revision}
 }
 
@@ -62,7 +62,7 @@
 					catalog := newCatalog(newFakeStore())
 					catalog.Learn(Reading{Revision: 1, Began: time.Now()}, "store")
 					for n, value := range c.words {
-						learn(catalog, word(uint64(n+2), value))
+						learn(catalog, word(hookhall.Revision(n+2), value))
 					}
 					if listed, cold := usable(catalog); listed != c.listed || cold != c.cold {
 						t.Errorf("listed %v, cold %v; want %v, %v", listed, cold, c.listed, c.cold)
@@ -84,7 +84,7 @@
 		c.Learn(Reading{Revision: 1, Began: time.Now()}, "store")
 		var list []News
 		for n, value := range words[:last] {
-			news := News{Revision: uint64(n + 2), Began: time.Now(), Digest: 1} // always a gap
+			news := News{Revision: hookhall.Revision(n + 2), Began: time.Now(), Digest: 1} // always a gap
 			if value == "" {
 				news.Gone = []string{"t/a"}
 			} else {
--- a/internal/coordination/catalog/news.go
+++ b/internal/coordination/catalog/news.go
@@ -38,7 +38,7 @@
 // News is what a reading of the targets changed lately. A process that has all
 // earlier changes gets to the same list, which the digest proves.
 type News struct {
-	Revision uint64
+	Revision hookhall.Revision
 	Began    time.Time // when the reading began, by this process's steady clock
 	Digest   uint64
 	Changed  []hookhall.Item
@@ -88,7 +88,7 @@
 			lost = append(lost, e)
 		}
 	}
-	c.miss(lost, n.Revision, from, now)
+	c.miss(lost, n.Revision, c.restored(n.Revision), from, now)
 	if c.buckets.whole() == n.Digest {
 		c.publish(n.Revision, n.Began, now)
 		return true, false
@@ -177,7 +177,7 @@
 		c.take(i, from, now)
 		listed[i.Key] = true
 	}
-	c.miss(c.unlisted(listed, r.Revision, func(key string) bool { return told[bucketOf(key)] }), r.Revision, from, now)
+	c.miss(c.unlisted(listed, r.Revision, func(key string) bool { return told[bucketOf(key)] }), r.Revision, c.restored(r.Revision), from, now)
 	if c.buckets.whole() != r.Digest {
 		c.publish(p.Revision, p.Began, now)
 		return false
@@ -189,7 +189,7 @@
 
 // unlisted are the targets with certain keys that are listed here, and were already at a
 // revision, but not in a reading of that. The caller holds c.mu.
-func (c *Catalog) unlisted(listed map[string]bool, revision uint64, which func(key string) bool) []*entry {
+func (c *Catalog) unlisted(listed map[string]bool, revision hookhall.Revision, which func(key string) bool) []*entry {
 	var lost []*entry
 	for key, e := range c.known {
 		if !listed[key] && e.missing.IsZero() && e.revision <= revision && which(key) {
--- a/internal/coordination/catalog/news_test.go
+++ b/internal/coordination/catalog/news_test.go
@@ -16,7 +16,7 @@
 )
 
 // reading lists targets, all ready.
-func reading(at uint64, ids ...string) Reading {
+func reading(at hookhall.Revision, ids ...string) Reading {
 	r := Reading{Revision: at, Began: time.Now()}
 	for _, id := range ids {
 		r.Items = append(r.Items, hookhall.Item{Key: "t/" + id, Value: []byte("ready")})
@@ -79,7 +79,7 @@
 		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
 		reader.Learn(reading(1, "x0"), "store")
 		follower.Learn(reading(1, "x0"), "store")
-		for at := uint64(2); at < 30; at++ {
+		for at := hookhall.Revision(2); at < 30; at++ {
 			var ids []string
 			for i := range 6 {
 				if rapid.Bool().Draw(t, "listed") {
--- /dev/null
+++ b/internal/coordination/catalog/restored_test.go
@@ -0,0 +1,241 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"pgregory.net/rapid"
+)
+
+// in is a revision of an era.
+func in(era, count uint64) hookhall.Revision {
+	r, err := hookhall.NewRevision(era, count)
+	if err != nil {
+		panic(err) // the tests' own numbers
+	}
+	return r
+}
+
+// learnTable has a catalog learn a table of a version.
+func learnTable(c *Catalog, version int64, at hookhall.Revision) {
+	value, err := json.Marshal(hookhall.Routing{Version: version})
+	if err != nil {
+		panic(err) // of plain numbers
+	}
+	c.LearnTable(value, at, "store", time.Now())
+}
+
+// quietCatalog makes one that logs nothing.
+func quietCatalog() *Catalog { return New(newFakeStore(), fakePlatform{}, log.New(io.Discard)) }
+
+// TestRestoredTable: the table of a later era counts, but for one that is older than the one
+// in force, whatever the revisions.
+func TestRestoredTable(t *testing.T) {
+	for name, c := range map[string]struct {
+		version int64
+		at      hookhall.Revision
+		want    int64
+	}{
+		"the same table, at an earlier count": {7, in(2, 3), 7},
+		"a later table, at an earlier count":  {8, in(2, 3), 8},
+		"the copy's older table":              {6, in(2, 90), 7},
+		"an older era's later table":          {9, in(0, 200), 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			catalog := quietCatalog()
+			learnTable(catalog, 7, in(1, 100))
+			learnTable(catalog, c.version, c.at)
+			if v := catalog.Table().Version(); v != c.want {
+				t.Errorf("version %d, not %d", v, c.want)
+			}
+			learnTable(catalog, 9, in(2, 95))
+			if v := catalog.Table().Version(); v != 9 {
+				t.Errorf("version %d after operators wrote 9", v)
+			}
+		})
+	}
+}
+
+// TestRestoredAge: while the store has an older table the one in force is confirmed, since
+// there is none newer: nobody reads for want of a newer word.
+func TestRestoredAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quietCatalog()
+		learnTable(c, 7, in(1, 100))
+		time.Sleep(time.Minute)
+		learnTable(c, 6, in(2, 90))
+		if _, age := c.TableAge(time.Now()); age != 0 {
+			t.Errorf("the table is %s old", age)
+		}
+	})
+}
+
+// TestRestoredTargets: what the copy says of a target counts only where it is news.
+func TestRestoredTargets(t *testing.T) {
+	type say struct {
+		at    hookhall.Revision
+		value string // "" for a reading without the target
+	}
+	for name, c := range map[string]struct {
+		says []say
+		want bool // it is used
+	}{
+		"listed in both":                            {[]say{{in(1, 10), "born 5 ready"}, {in(2, 4), "born 5 ready"}}, true},
+		"leaving since the copy":                    {[]say{{in(1, 10), "born 5 leaving"}, {in(2, 4), "born 5 ready"}}, false},
+		"gone since the copy":                       {[]say{{in(1, 10), "born 5 ready"}, {in(1, 11), ""}, {in(2, 4), "born 5 ready"}}, false},
+		"gone since, and written again":             {[]say{{in(1, 10), "born 5 ready"}, {in(1, 11), ""}, {in(2, 4), "born 5 ready"}, {in(2, 9), "born 5 ready"}}, true},
+		"gone since, and back in another life":      {[]say{{in(1, 10), "born 5 ready"}, {in(1, 11), ""}, {in(2, 4), "born 9 ready"}}, true},
+		"left in its second life, the copy's first": {[]say{{in(1, 10), "born 5 ready"}, {in(1, 11), "born 9 leaving"}, {in(2, 4), "born 5 ready"}}, false},
+		"started since the copy":                    {[]say{{in(1, 10), "born 5 ready"}, {in(2, 4), ""}}, true},
+		"an answer that was under way":              {[]say{{in(1, 10), "born 5 ready"}, {in(2, 4), "born 5 leaving"}, {in(1, 11), "born 5 ready"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			catalog := quietCatalog()
+			for _, s := range c.says {
+				r := Reading{Revision: s.at, Began: time.Now()}
+				if s.value != "" {
+					r.Items = []hookhall.Item{word(s.at, s.value)}
+				}
+				catalog.Learn(r, "store")
+			}
+			if listed, _ := usable(catalog); listed != c.want {
+				t.Errorf("used: %v", listed)
+			}
+		})
+	}
+}
+
+// TestRestoredHalls: halls that were evacuated stay so until operators had the time to
+// write it again, or have taken them back.
+func TestRestoredHalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quietCatalog()
+		hold := func(when string, want ...string) {
+			t.Helper()
+			if got := c.Halls().Evacuated; !slices.Equal(got, want) {
+				t.Errorf("%s: %v, not %v", when, got, want)
+			}
+		}
+		c.LearnHalls(Halls{Revision: in(1, 10), Evacuated: []string{"north", "south"}}, "store")
+		c.LearnHalls(Halls{Revision: in(2, 4), Evacuated: []string{"south"}}, "store")
+		hold("the copy lacks one", "north", "south")
+		c.followHalls([]hookhall.Item{{Key: "op/out/south", Revision: in(2, 5), Gone: true}}, in(2, 5))
+		hold("operators take one back", "north")
+		time.Sleep(rewriteTime + time.Millisecond)
+		c.followHalls(nil, in(2, 5))
+		hold("operators have not written the other again")
+	})
+}
+
+// TestRestoresInAnyOrder draws schedules of two restores, changes by operators and of a
+// target, and readings by three gateways whose answers come late and in any order. No
+// gateway's table goes back, none uses a target in a life that it knows has left, and all agree with
+// the store once what it lacks is written again.
+func TestRestoresInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type state struct {
+			version int64
+			born    int
+			leaving bool
+		}
+		type answer struct {
+			at    hookhall.Revision // the store's
+			state state
+			wrote [2]hookhall.Revision // of the table and the target
+		}
+		latest := state{version: 1, born: 1} // by those who wrote it
+		stored, copied := latest, latest
+		era, count, copiedCount := uint64(1), uint64(2), uint64(2)
+		wrote := [2]hookhall.Revision{in(1, 1), in(1, 2)}
+		copiedWrote := wrote
+		catalogs := []*Catalog{quietCatalog(), quietCatalog(), quietCatalog()}
+		under := make([][]answer, len(catalogs)) // way
+		versions := make([]int64, len(catalogs))
+		left := make([]int, len(catalogs)) // the latest life that a gateway knows to have left
+		read := func(i int) { under[i] = append(under[i], answer{in(era, count), stored, wrote}) }
+		deliver := func(i int, a answer) {
+			c := catalogs[i]
+			learnTable(c, a.state.version, a.wrote[0])
+			value := fmt.Sprintf("born %d ready", a.state.born)
+			if a.state.leaving {
+				value = fmt.Sprintf("born %d leaving", a.state.born)
+			}
+			newer := c.Learn(Reading{Revision: a.at, Items: []hookhall.Item{word(a.wrote[1], value)}, Began: time.Now()}, "store")
+			if newer && a.state.leaving {
+				left[i] = max(left[i], a.state.born)
+			}
+			if v := c.Table().Version(); v < versions[i] {
+				t.Fatalf("gateway %d went from table %d back to %d", i, versions[i], v)
+			}
+			versions[i] = c.Table().Version()
+			for _, target := range c.Targets("pool") {
+				if int(target.Born) <= left[i] {
+					t.Fatalf("gateway %d uses life %d, and knows that %d has left", i, target.Born, left[i])
+				}
+			}
+		}
+		change := func() {
+			count++
+			stored = latest
+			wrote = [2]hookhall.Revision{in(era, count), in(era, count)}
+		}
+		restores := 0
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0:
+				latest.version++
+				change()
+			case 1:
+				latest.leaving = true
+				change()
+			case 2:
+				latest.born, latest.leaving = latest.born+1, false
+				change()
+			case 3:
+				copied, copiedCount, copiedWrote = stored, count, wrote
+			case 4:
+				if restores < 2 && rapid.IntRange(0, 9).Draw(t, "restored") == 0 {
+					restores++
+					era++
+					stored, count = copied, copiedCount
+					wrote = [2]hookhall.Revision{in(era, copiedWrote[0].Count()), in(era, copiedWrote[1].Count())}
+				}
+			case 5:
+				change() // written again
+			default:
+				i := rapid.IntRange(0, len(catalogs)-1).Draw(t, "gateway")
+				if len(under[i]) > 0 && rapid.Bool().Draw(t, "answered") {
+					n := rapid.IntRange(0, len(under[i])-1).Draw(t, "answer")
+					a := under[i][n]
+					under[i] = slices.Delete(under[i], n, n+1)
+					deliver(i, a)
+				} else {
+					read(i)
+				}
+			}
+		}
+		change()
+		for i := range catalogs {
+			read(i)
+			for _, a := range under[i] {
+				deliver(i, a)
+			}
+			if v := catalogs[i].Table().Version(); v != latest.version {
+				t.Fatalf("gateway %d has table %d, and the store %d", i, v, latest.version)
+			}
+			if listed, _ := usable(catalogs[i]); listed == latest.leaving {
+				t.Fatalf("gateway %d uses the target: %v, and it leaves: %v", i, listed, latest.leaving)
+			}
+		}
+	})
+}
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -16,7 +16,7 @@
 
 type tableState struct {
 	table    *routetable.Table
-	revision uint64
+	revision hookhall.Revision
 	// packed is the table's value as it goes to peers: a large one takes its time
 	// on a small link. Whoever gets it from a peer passes the same bytes on.
 	packed []byte
@@ -28,7 +28,7 @@
 var errNoTable = errors.New("the store has no table yet")
 
 // PackedTable is the table's value, compressed, with its revision, for peers.
-func (c *Catalog) PackedTable() ([]byte, uint64) {
+func (c *Catalog) PackedTable() ([]byte, hookhall.Revision) {
 	if s := c.table.Load(); s != nil {
 		return s.packed, s.revision
 	}
@@ -39,7 +39,7 @@
 // others have not confirmed it for a while.
 func (c *Catalog) followTable(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
-	at := uint64(0)
+	at := hookhall.Revision(0)
 	for ctx.Err() == nil {
 		if s := c.table.Load(); s != nil && c.Rank() > 0 && !c.due(s.confirmed, clock.Now()) {
 			at = 0 // whoever was told by others may be ahead of an old watch
@@ -84,7 +84,7 @@
 }
 
 // readTable reads the table and returns the revision to watch from.
-func (c *Catalog) readTable(ctx context.Context) (uint64, error) {
+func (c *Catalog) readTable(ctx context.Context) (hookhall.Revision, error) {
 	began := clock.Now()
 	items, at, err := c.store.Range(ctx, c.platform.OperatorPrefix())
 	if err != nil {
@@ -104,7 +104,7 @@
 	return at, nil
 }
 
-func (c *Catalog) watchTable(ctx context.Context, since uint64) (uint64, error) {
+func (c *Catalog) watchTable(ctx context.Context, since hookhall.Revision) (hookhall.Revision, error) {
 	began := clock.Now()
 	events, at, err := c.store.Watch(ctx, c.platform.OperatorPrefix(), since, watchTime)
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // ConfirmTable takes in that a revision was still the newest at a time. It tells
 // whether this process has that revision.
-func (c *Catalog) ConfirmTable(revision uint64, at time.Time) bool {
+func (c *Catalog) ConfirmTable(revision hookhall.Revision, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.table.Load()
@@ -163,7 +163,7 @@
 }
 
 // TableAge is the table's revision, and for how long it has not been confirmed.
-func (c *Catalog) TableAge(now time.Time) (revision uint64, age time.Duration) {
+func (c *Catalog) TableAge(now time.Time) (revision hookhall.Revision, age time.Duration) {
 	if s := c.table.Load(); s != nil {
 		return s.revision, now.Sub(s.confirmed)
 	}
@@ -172,7 +172,7 @@
 
 // LearnTable takes in a table that was read at revision in a call that began at a
 // time. It tells whether the table was newer.
-func (c *Catalog) LearnTable(value []byte, revision uint64, from string, began time.Time) bool {
+func (c *Catalog) LearnTable(value []byte, revision hookhall.Revision, from string, began time.Time) bool {
 	if c.ConfirmTable(revision, began) {
 		return false
 	}
@@ -185,7 +185,7 @@
 }
 
 // LearnPacked is LearnTable of what a peer's PackedTable gave.
-func (c *Catalog) LearnPacked(packed []byte, revision uint64, from string, began time.Time) bool {
+func (c *Catalog) LearnPacked(packed []byte, revision hookhall.Revision, from string, began time.Time) bool {
 	if c.ConfirmTable(revision, began) {
 		return false
 	}
@@ -197,7 +197,7 @@
 	return c.learn(value, packed, revision, from, began)
 }
 
-func (c *Catalog) learn(value, packed []byte, revision uint64, from string, began time.Time) bool {
+func (c *Catalog) learn(value, packed []byte, revision hookhall.Revision, from string, began time.Time) bool {
 	r, err := c.platform.ReadRouting(value)
 	if err != nil {
 		c.log.Error("The table can't be read; the one in force stays.", "revision", revision, "error", err.Error())
@@ -206,7 +206,12 @@
 	compiled := routetable.Compile(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.table.Load(); s != nil && s.revision >= revision {
+	s := c.table.Load()
+	if s != nil && s.revision >= revision {
+		return false
+	}
+	if c.copiedTable(s, r.Version, revision) {
+		c.noteCopiedTable(s, r.Version, revision, began)
 		return false
 	}
 	c.table.Store(&tableState{table: compiled, revision: revision, packed: packed, confirmed: began})
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -17,7 +17,7 @@
 
 // Reading is one list of targets as the store had it.
 type Reading struct {
-	Revision uint64
+	Revision hookhall.Revision
 	Items    []hookhall.Item
 	// Began is when the reading began, by this process's steady clock.
 	Began time.Time
@@ -26,7 +26,7 @@
 // Picture is what is believed of the targets. It never changes; one that follows
 // another shares the pools in which nothing changed.
 type Picture struct {
-	Revision uint64
+	Revision hookhall.Revision
 	Began    time.Time
 	// ByPool has the usable targets by service, sorted by id; leaving ones and those
 	// of evacuated halls are not in it.
@@ -73,9 +73,9 @@
 type targetsFollower struct {
 	*Catalog
 	pause *retry.Pause
-	first time.Time // when the copy that this process began with was made, at least
-	at    uint64    // the revision to watch from, 0 to read all targets
-	read  time.Time // when all were last read
+	first time.Time         // when the copy that this process began with was made, at least
+	at    hookhall.Revision // the revision to watch from, 0 to read all targets
+	read  time.Time         // when all were last read
 	// gather is set when a watch told of changes: others may come with them.
 	gather bool
 }
@@ -180,12 +180,16 @@
 		return false
 	}
 	now := clock.Now()
+	restored := c.restored(r.Revision)
+	if restored {
+		c.base = r.Revision
+	}
 	listed := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
 		c.take(i, from, now)
 		listed[i.Key] = true
 	}
-	c.miss(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, from, now)
+	c.miss(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, restored, from, now)
 	if c.picture.Load() == nil {
 		c.log.Info("The targets are known.", "count", len(c.known), "revision", r.Revision, "from", from)
 	}
@@ -195,7 +199,7 @@
 
 // Follow takes in what a watch of the targets told, up to a revision. It tells whether
 // that was newer.
-func (c *Catalog) Follow(events []hookhall.Item, revision uint64, began time.Time) bool {
+func (c *Catalog) Follow(events []hookhall.Item, revision hookhall.Revision, began time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.picture.Load() == nil || c.older(revision, began) {
@@ -214,20 +218,27 @@
 			c.take(i, "store", now)
 		}
 	}
-	c.miss(lost, revision, "store", now)
+	c.miss(lost, revision, false, "store", now)
 	c.publish(revision, began, now)
 	return true
 }
 
+// restored tells whether a revision is of a later era of the store than what is known. The
+// caller holds c.mu.
+func (c *Catalog) restored(revision hookhall.Revision) bool {
+	p := c.picture.Load()
+	return p != nil && revision.Era() > p.Revision.Era()
+}
+
 // older tells whether what was read at a revision is no news.
-func (c *Catalog) older(revision uint64, began time.Time) bool {
+func (c *Catalog) older(revision hookhall.Revision, began time.Time) bool {
 	p := c.picture.Load()
 	return p != nil && (revision < p.Revision || (revision == p.Revision && !began.After(p.Began)))
 }
 
 // publish makes the picture of what is known, as confirmed at a revision. The
 // caller holds c.mu.
-func (c *Catalog) publish(revision uint64, began, now time.Time) {
+func (c *Catalog) publish(revision hookhall.Revision, began, now time.Time) {
 	p := &Picture{Revision: revision, Began: began, Digest: c.buckets.whole()}
 	old := c.picture.Load()
 	if old == nil || c.lapsing(old.Began) {
--- a/internal/coordination/members/follow.go
+++ b/internal/coordination/members/follow.go
@@ -19,8 +19,11 @@
 // follow keeps the list: by watches, or by what others tell.
 func (m *Members) follow(ctx context.Context) {
 	pause := retry.Between(pauseFirst, pauseMost)
-	at := uint64(0)
+	at := hookhall.Revision(0)
 	for ctx.Err() == nil {
+		if m.settled(clock.Now()) {
+			at = 0 // whoever has not registered again is gone
+		}
 		if m.told(clock.Now()) {
 			at = 0 // news may be ahead of an old watch
 			retry.Sleep(ctx, look)
@@ -47,7 +50,7 @@
 // seconds ago will do, but for those that tell all others: membership only divides
 // work, and news or a watch brings what the copy lacks. Six pages for each of the
 // 604 starts of a day of 295 gateways were a third of its 10,215 calls.
-func (m *Members) read(ctx context.Context) (uint64, error) {
+func (m *Members) read(ctx context.Context) (hookhall.Revision, error) {
 	list := m.store.RangeStale
 	if m.Met() && m.Leads() {
 		list = m.store.Range
@@ -66,13 +69,16 @@
 	if m.revision == 0 {
 		learned = time.Time{} // what is news to a newcomer is none to the others
 	}
+	if m.revision > 0 && at.Era() > m.revision.Era() {
+		m.restored, m.restoredAt = now, at
+	}
 	listed := map[string]bool{}
 	for _, i := range items {
 		m.take(i, learned)
 		listed[i.Key] = true
 	}
 	for key := range m.byKey {
-		if !listed[key] {
+		if !listed[key] && m.restored.IsZero() {
 			m.remove(key, now)
 		}
 	}
@@ -83,7 +89,27 @@
 	return at, nil
 }
 
-func (m *Members) watch(ctx context.Context, since uint64) (uint64, error) {
+// copied tells whether what a later era of the store says of a member is the copy's word.
+// The caller holds m.mu.
+func (m *Members) copied(was listing, i hookhall.Item) bool {
+	return !m.restored.IsZero() && i.Revision <= m.restoredAt && was.item.Revision.Era() < i.Revision.Era()
+}
+
+// settled tells, once, that all that live have had the time to register again since the
+// store came back from a copy. Until then nobody is taken off the list: work would change
+// hands for the restore alone, and those that are gone don't answer.
+func (m *Members) settled(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.restored.IsZero() || now.Sub(m.restored) < ttl {
+		return false
+	}
+	m.restored = time.Time{}
+	m.gap = true
+	return true
+}
+
+func (m *Members) watch(ctx context.Context, since hookhall.Revision) (hookhall.Revision, error) {
 	events, at, err := m.store.Watch(ctx, prefix, since, watchTime)
 	if err != nil {
 		return since, err
@@ -96,7 +122,7 @@
 }
 
 // change takes in what a watch told, as of a revision of the store.
-func (m *Members) change(events []hookhall.Item, at uint64) {
+func (m *Members) change(events []hookhall.Item, at hookhall.Revision) {
 	now := clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -117,6 +143,10 @@
 	}
 	was, listed := m.byKey[i.Key]
 	switch {
+	case listed && m.copied(was, i):
+		// It registers again, with what is true now.
+	case i.Gone && listed && !m.restored.IsZero():
+		// Its lease is gone with what the store has lost, and it registers again.
 	case i.Gone && listed:
 		m.remove(i.Key, now)
 	case !i.Gone && (!listed || was.item.Revision < i.Revision):
--- a/internal/coordination/members/foreign_test.go
+++ b/internal/coordination/members/foreign_test.go
@@ -29,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := New(hookhall.Member{Instance: "1", Address: "10.0.0.1:1"}, nil, log.New(io.Discard))
-			word := func(revision uint64, value string) int {
+			word := func(revision hookhall.Revision, value string) int {
 				m.change([]hookhall.Item{{Key: prefix + "2", Value: []byte(value), Revision: revision}}, revision)
 				return m.Count()
 			}
--- a/internal/coordination/members/lag.go
+++ b/internal/coordination/members/lag.go
@@ -87,10 +87,10 @@
 		m.log.Info("This process is in time again and may own work.", "late", mean)
 	}
 	lease := m.lease.Load()
-	if lease == 0 {
+	if lease == nil {
 		return // not registered: the key will say it
 	}
-	if err := m.write(ctx, lease); err != nil {
+	if err := m.write(ctx, *lease); err != nil {
 		m.log.Warn("The others can't be told; they are when the lease is renewed.", "resting", resting, "error", err.Error())
 	}
 }
--- a/internal/coordination/members/lag_test.go
+++ b/internal/coordination/members/lag_test.go
@@ -72,7 +72,7 @@
 	away   bool
 }
 
-func (s *keyStore) Put(_ context.Context, key string, value []byte, _ uint64) error {
+func (s *keyStore) Put(_ context.Context, key string, value []byte, _ hookhall.Lease) error {
 	if s.away {
 		return hookhall.ErrUnavailable
 	}
@@ -84,7 +84,7 @@
 	return nil
 }
 
-func (s *keyStore) Renew(context.Context, uint64) error {
+func (s *keyStore) Renew(context.Context, hookhall.Lease) error {
 	if s.away {
 		return hookhall.ErrUnavailable
 	}
@@ -97,7 +97,7 @@
 		m := fleetOf(1, 1, 1, 1)
 		s := &keyStore{values: map[string]hookhall.Member{}}
 		m.store = s
-		m.lease.Store(7)
+		m.lease.Store(&hookhall.Lease{Number: 7})
 		return m, s
 	}
 	key := prefix + member(1).Instance
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -65,10 +65,10 @@
 	list     atomic.Pointer[roster]
 	suspects sync.Map // address to time.Time
 	stopping atomic.Bool
-	resting  atomic.Bool // this process asks to own no work
-	said     atomic.Bool // what its key says of that
-	lease    atomic.Uint64
-	since    sync.Map // address to when it was first listed; self: registered
+	resting  atomic.Bool                    // this process asks to own no work
+	said     atomic.Bool                    // what its key says of that
+	lease    atomic.Pointer[hookhall.Lease] // nil for none
+	since    sync.Map                       // address to when it was first listed; self: registered
 
 	// Leads tells whether this process follows the store for others. Set before
 	// Run.
@@ -76,21 +76,25 @@
 
 	mu       sync.Mutex // for what follows
 	byKey    map[string]listing
-	gone     map[string]time.Time // keys that went, and when
-	rejected map[string]uint64    // keys that name no member, with their revisions
-	left     map[string]time.Time // addresses that left the list, and when
-	met      bool                 // a list is known, from the store or a peer
-	metAt    time.Time            // when the first one became known
-	revision uint64               // the store's, as of the list; 0 before it was read
-	heard    time.Time            // when the list was last read, or confirmed by news
-	gap      bool                 // news did not fit: the list is to be read
+	gone     map[string]time.Time         // keys that went, and when
+	rejected map[string]hookhall.Revision // keys that name no member, with their revisions
+	left     map[string]time.Time         // addresses that left the list, and when
+	met      bool                         // a list is known, from the store or a peer
+	metAt    time.Time                    // when the first one became known
+	// restored is when this process read the list first after the store had come back from a
+	// copy, zero once that has settled, and restoredAt the store's revision then.
+	restored   time.Time
+	restoredAt hookhall.Revision
+	revision   hookhall.Revision // the store's, as of the list; 0 before it was read
+	heard      time.Time         // when the list was last read, or confirmed by news
+	gap        bool              // news did not fit: the list is to be read
 }
 
 // New makes a Members that knows only this process.
 func New(self hookhall.Member, s hookhall.Store, l *log.Logger) *Members {
 	m := &Members{
 		self: self, store: s, log: l, Leads: func() bool { return true },
-		byKey: map[string]listing{}, gone: map[string]time.Time{}, rejected: map[string]uint64{}, left: map[string]time.Time{},
+		byKey: map[string]listing{}, gone: map[string]time.Time{}, rejected: map[string]hookhall.Revision{}, left: map[string]time.Time{},
 	}
 	m.publish()
 	return m
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -33,7 +33,7 @@
 }
 
 // registered is the key that a member wrote, as of a revision.
-func registered(o hookhall.Member, revision uint64) hookhall.Item {
+func registered(o hookhall.Member, revision hookhall.Revision) hookhall.Item {
 	value, err := json.Marshal(o)
 	if err != nil {
 		panic(err)
--- a/internal/coordination/members/news.go
+++ b/internal/coordination/members/news.go
@@ -26,7 +26,7 @@
 // earlier changes gets to the same list, which the digest proves.
 type News struct {
 	// Revision is the store's, as of the list.
-	Revision uint64
+	Revision hookhall.Revision
 	Digest   uint64
 	Changed  []hookhall.Item
 	Gone     []string // keys
@@ -41,7 +41,7 @@
 
 // digest of one key; a member that registers anew has another one.
 func (l listing) digest() uint64 {
-	return xxhash.Sum64String(l.item.Key + "\x00" + l.member.Address + "\x00" + strconv.FormatUint(l.item.Revision, 36))
+	return xxhash.Sum64String(l.item.Key + "\x00" + l.member.Address + "\x00" + strconv.FormatUint(uint64(l.item.Revision), 36))
 }
 
 // digest of the whole list. The caller holds m.mu.
--- a/internal/coordination/members/news_test.go
+++ b/internal/coordination/members/news_test.go
@@ -23,7 +23,7 @@
 type fakeStore struct {
 	hookhall.Store
 	mu       sync.Mutex
-	revision uint64
+	revision hookhall.Revision
 	items    map[string]hookhall.Item
 	events   []hookhall.Item
 	calls    map[string]int
@@ -52,7 +52,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Range(context.Context, string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Range(context.Context, string) ([]hookhall.Item, hookhall.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["range"]++
@@ -64,7 +64,7 @@
 }
 
 // RangeStale brings what the store had two changes ago.
-func (s *fakeStore) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
 	s.mu.Lock()
 	s.calls["stale"]++
 	old := max(s.revision, 2) - 2
@@ -78,7 +78,7 @@
 }
 
 // asOf are the keys as of a revision. The caller holds s.mu.
-func (s *fakeStore) asOf(revision uint64) []hookhall.Item {
+func (s *fakeStore) asOf(revision hookhall.Revision) []hookhall.Item {
 	was := map[string]hookhall.Item{}
 	for _, i := range s.events {
 		if i.Revision > revision {
@@ -92,7 +92,7 @@
 	return slices.Collect(maps.Values(was))
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, since uint64, most time.Duration) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, since hookhall.Revision, most time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
 	end := time.After(most)
 	s.mu.Lock()
 	s.calls["watch"]++
@@ -125,9 +125,11 @@
 	return s.calls[call]
 }
 
-func (s *fakeStore) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
-func (s *fakeStore) Renew(context.Context, uint64) error                  { return nil }
-func (s *fakeStore) Put(_ context.Context, _ string, _ []byte, _ uint64) error {
+func (s *fakeStore) Grant(context.Context, time.Duration) (hookhall.Lease, error) {
+	return hookhall.Lease{Number: 1}, nil
+}
+func (s *fakeStore) Renew(context.Context, hookhall.Lease) error { return nil }
+func (s *fakeStore) Put(_ context.Context, _ string, _ []byte, _ hookhall.Lease) error {
 	return nil
 }
 
@@ -182,7 +184,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		leader, other := listed(1), listed(1)
 		now := time.Now()
-		for at := uint64(2); at < 40; at++ {
+		for at := hookhall.Revision(2); at < 40; at++ {
 			o := member(rapid.IntRange(2, 6).Draw(t, "member"))
 			i := registered(o, at)
 			i.Gone = rapid.Bool().Draw(t, "gone")
--- a/internal/coordination/outage/gate.go
+++ b/internal/coordination/outage/gate.go
@@ -80,15 +80,15 @@
 type answer struct {
 	item  hookhall.Item
 	items []hookhall.Item
-	at    uint64
-	lease uint64
+	at    hookhall.Revision
+	lease hookhall.Lease
 }
 
 // ask is one call of the store. probe tells that others wait for it.
 type ask func(ctx context.Context, probe bool) (answer, error)
 
 // Get implements hookhall.Store.
-func (g *Gate) Get(ctx context.Context, key string) (hookhall.Item, uint64, error) {
+func (g *Gate) Get(ctx context.Context, key string) (hookhall.Item, hookhall.Revision, error) {
 	a, err := g.call(ctx, func(ctx context.Context, _ bool) (a answer, err error) {
 		a.item, a.at, err = g.store.Get(ctx, key)
 		return a, err
@@ -97,7 +97,7 @@
 }
 
 // Range implements hookhall.Store.
-func (g *Gate) Range(ctx context.Context, prefix string) ([]hookhall.Item, uint64, error) {
+func (g *Gate) Range(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
 	a, err := g.call(ctx, func(ctx context.Context, _ bool) (a answer, err error) {
 		a.items, a.at, err = g.store.Range(ctx, prefix)
 		return a, err
@@ -106,7 +106,7 @@
 }
 
 // RangeStale implements hookhall.Store.
-func (g *Gate) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, uint64, error) {
+func (g *Gate) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
 	a, err := g.call(ctx, func(ctx context.Context, _ bool) (a answer, err error) {
 		a.items, a.at, err = g.store.RangeStale(ctx, prefix)
 		return a, err
@@ -116,7 +116,7 @@
 
 // Watch implements hookhall.Store. While the store is away it does not wait: the
 // others want to know soon whether it answers.
-func (g *Gate) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
+func (g *Gate) Watch(ctx context.Context, prefix string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
 	a, err := g.call(ctx, func(ctx context.Context, probe bool) (a answer, err error) {
 		most := wait
 		if probe {
@@ -129,7 +129,7 @@
 }
 
 // Put implements hookhall.Store.
-func (g *Gate) Put(ctx context.Context, key string, value []byte, lease uint64) error {
+func (g *Gate) Put(ctx context.Context, key string, value []byte, lease hookhall.Lease) error {
 	_, err := g.call(ctx, func(ctx context.Context, _ bool) (answer, error) {
 		return answer{}, g.store.Put(ctx, key, value, lease)
 	})
@@ -138,7 +138,7 @@
 
 // Grant implements hookhall.Store. Of two calls on behalf of all, one lease may be
 // left to run out.
-func (g *Gate) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+func (g *Gate) Grant(ctx context.Context, ttl time.Duration) (hookhall.Lease, error) {
 	a, err := g.call(ctx, func(ctx context.Context, _ bool) (a answer, err error) {
 		a.lease, err = g.store.Grant(ctx, ttl)
 		return a, err
@@ -147,7 +147,7 @@
 }
 
 // Renew implements hookhall.Store.
-func (g *Gate) Renew(ctx context.Context, lease uint64) error {
+func (g *Gate) Renew(ctx context.Context, lease hookhall.Lease) error {
 	_, err := g.call(ctx, func(ctx context.Context, _ bool) (answer, error) {
 		return answer{}, g.store.Renew(ctx, lease)
 	})
@@ -156,7 +156,9 @@
 
 // Revoke implements hookhall.Store. It is tried at once, whatever others met: it is
 // the last call of a process that stops.
-func (g *Gate) Revoke(ctx context.Context, lease uint64) error { return g.store.Revoke(ctx, lease) }
+func (g *Gate) Revoke(ctx context.Context, lease hookhall.Lease) error {
+	return g.store.Revoke(ctx, lease)
+}
 
 // call makes a call, or shares the outcome of the one that is made for all.
 func (g *Gate) call(ctx context.Context, do ask) (answer, error) {
--- a/internal/coordination/outage/gate_test.go
+++ b/internal/coordination/outage/gate_test.go
@@ -48,27 +48,27 @@
 	return calls
 }
 
-func (s *fakeStore) Get(ctx context.Context, key string) (hookhall.Item, uint64, error) {
+func (s *fakeStore) Get(ctx context.Context, key string) (hookhall.Item, hookhall.Revision, error) {
 	return hookhall.Item{Key: key}, 1, s.answer(ctx)
 }
-func (s *fakeStore) Range(ctx context.Context, _ string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Range(ctx context.Context, _ string) ([]hookhall.Item, hookhall.Revision, error) {
 	return nil, 1, s.answer(ctx)
 }
-func (s *fakeStore) RangeStale(ctx context.Context, _ string) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) RangeStale(ctx context.Context, _ string) ([]hookhall.Item, hookhall.Revision, error) {
 	return nil, 1, s.answer(ctx)
 }
-func (s *fakeStore) Watch(ctx context.Context, _ string, since uint64, wait time.Duration) ([]hookhall.Item, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
 	s.waited = wait
 	return nil, since, s.answer(ctx)
 }
-func (s *fakeStore) Put(ctx context.Context, _ string, _ []byte, _ uint64) error {
+func (s *fakeStore) Put(ctx context.Context, _ string, _ []byte, _ hookhall.Lease) error {
 	return s.answer(ctx)
 }
-func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
-	return 1, s.answer(ctx)
+func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (hookhall.Lease, error) {
+	return hookhall.Lease{Number: 1}, s.answer(ctx)
 }
-func (s *fakeStore) Renew(ctx context.Context, _ uint64) error  { return s.answer(ctx) }
-func (s *fakeStore) Revoke(ctx context.Context, _ uint64) error { return s.answer(ctx) }
+func (s *fakeStore) Renew(ctx context.Context, _ hookhall.Lease) error  { return s.answer(ctx) }
+func (s *fakeStore) Revoke(ctx context.Context, _ hookhall.Lease) error { return s.answer(ctx) }
 
 // bench is a gate with three users that call it again 50 ms after each outcome.
 type bench struct {
@@ -212,7 +212,7 @@
 			b.after(time.Minute)
 			b.store.set(false)
 			began := time.Now()
-			if err := b.gate.Revoke(t.Context(), 1); err != nil || time.Since(began) > 0 {
+			if err := b.gate.Revoke(t.Context(), hookhall.Lease{Number: 1}); err != nil || time.Since(began) > 0 {
 				t.Errorf("%v after %v", err, time.Since(began))
 			}
 		})
@@ -224,7 +224,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			began := time.Now()
-			if err := b.gate.Renew(ctx, 1); !errors.Is(err, hookhall.ErrUnavailable) || time.Since(began) > time.Second {
+			if err := b.gate.Renew(ctx, hookhall.Lease{Number: 1}); !errors.Is(err, hookhall.ErrUnavailable) || time.Since(began) > time.Second {
 				t.Errorf("%v after %v", err, time.Since(began))
 			}
 		})
@@ -244,7 +244,7 @@
 		watch(probeWait) // it is not known yet whether the store answers
 		watch(8 * time.Second)
 		s.set(true)
-		if err := g.Renew(t.Context(), 1); !errors.Is(err, hookhall.ErrUnavailable) {
+		if err := g.Renew(t.Context(), hookhall.Lease{Number: 1}); !errors.Is(err, hookhall.ErrUnavailable) {
 			t.Fatal(err)
 		}
 		s.set(false)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -59,6 +59,8 @@
 	Ledger *crashes.Ledger
 	// Leads tells whether this process writes to the store for all.
 	Leads func() bool
+	// Era is how often the store has come back from an older copy.
+	Era func() uint64
 	// Tell tells all other gateways, without waiting for them.
 	Tell  func(ends []crashes.End)
 	Meter Meter // nil counts nothing
@@ -80,7 +82,7 @@
 func New(p hookhall.Prober, c Catalog, s hookhall.Store, l *log.Logger) *Quarantine {
 	return &Quarantine{
 		Ledger: crashes.NewLedger(Limits()), prober: p, catalog: c, store: s, log: l,
-		Leads: func() bool { return false }, Tell: func([]crashes.End) {},
+		Leads: func() bool { return false }, Era: func() uint64 { return 0 }, Tell: func([]crashes.End) {},
 		findings: map[hookhall.Life]*finding{}, recent: crashes.NewRecent(clock.Now()), refused: map[crashes.Digest]bool{}, wake: make(chan struct{}, 1),
 	}
 }
--- a/internal/coordination/quarantine/stored.go
+++ b/internal/coordination/quarantine/stored.go
@@ -49,8 +49,9 @@
 
 // stored is what this process knows to be in the store of one content.
 type stored struct {
-	lease uint64 // 0 when another process wrote it
-	ends  int    // how many counted
+	lease hookhall.Lease // 0 when another process wrote it
+	ends  int            // how many counted
+	era   uint64         // of the store, when that was so
 }
 
 // writer keeps the store's records.
@@ -100,7 +101,7 @@
 			continue
 		}
 		w.Learn(ends, "store")
-		w.note(ends[0].Content, 0)
+		w.note(ends[0].Content, hookhall.Lease{})
 	}
 	return nil
 }
@@ -121,16 +122,16 @@
 }
 
 // changed are the contents whose record is not what is known here: those that are
-// refused, and those that were.
+// refused, and those that were. A store that came back from a copy may have lost any.
 func (w *writer) changed() map[crashes.Digest]bool {
 	differ := map[crashes.Digest]bool{}
 	for d, s := range w.Ledger.Refused() {
-		if was, ok := w.stored[d]; !ok || was.ends != s.Ends {
+		if was, ok := w.stored[d]; !ok || was.ends != s.Ends || was.era < w.Era() {
 			differ[d] = true
 		}
 	}
 	for d, was := range w.stored {
-		if w.Ledger.Standing(d).Ends != was.ends && len(w.Ledger.Of(d)) > 0 {
+		if (w.Ledger.Standing(d).Ends != was.ends || was.era < w.Era()) && len(w.Ledger.Of(d)) > 0 {
 			differ[d] = true
 		}
 	}
@@ -145,7 +146,10 @@
 		return errors.Wrap(err, "record")
 	}
 	lease := w.stored[d].lease
-	if lease == 0 {
+	if lease.Era < w.Era() {
+		lease = hookhall.Lease{} // it went with what the store has lost
+	}
+	if lease.Number == 0 {
 		if lease, err = w.store.Grant(ctx, keep); err != nil {
 			return err
 		}
@@ -162,8 +166,8 @@
 }
 
 // note takes in that the store has what is known of a content.
-func (w *writer) note(d crashes.Digest, lease uint64) {
-	w.stored[d] = stored{lease, w.Ledger.Standing(d).Ends}
+func (w *writer) note(d crashes.Digest, lease hookhall.Lease) {
+	w.stored[d] = stored{lease, w.Ledger.Standing(d).Ends, w.Era()}
 }
 
 func newRecord(ends []crashes.End) record {
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -72,11 +72,11 @@
 		return err
 	}
 	if b.GetHallsRevision() > 0 {
-		s.Catalog.LearnHalls(catalog.Halls{Revision: b.GetHallsRevision(), Evacuated: b.GetEvacuated()}, instance(seed))
+		s.Catalog.LearnHalls(catalog.Halls{Revision: hookhall.Revision(b.GetHallsRevision()), Evacuated: b.GetEvacuated()}, instance(seed))
 	}
 	s.Ends.Learn(readEnds(b.GetEnds().GetEnds(), clock.Now()), instance(seed))
-	s.Catalog.LearnPacked(b.GetTable().GetPacked(), b.GetTable().GetRevision(), instance(seed), began)
-	r := catalog.Reading{Revision: b.GetTargetsRevision(), Began: began.Add(-milliseconds(b.GetAgeMs()))}
+	s.Catalog.LearnPacked(b.GetTable().GetPacked(), hookhall.Revision(b.GetTable().GetRevision()), instance(seed), began)
+	r := catalog.Reading{Revision: hookhall.Revision(b.GetTargetsRevision()), Began: began.Add(-milliseconds(b.GetAgeMs()))}
 	if r.Items, _, err = unpackBulk(b.GetTargets()); err != nil {
 		return err
 	}
@@ -106,11 +106,11 @@
 		return nil, errNothingYet
 	}
 	out := &pb.Beliefs{
-		Table:           &pb.Table{Packed: packed, Revision: revision},
-		TargetsRevision: r.Revision, AgeMs: ageMS(clock.Since(r.Began)),
+		Table:           &pb.Table{Packed: packed, Revision: uint64(revision)},
+		TargetsRevision: uint64(r.Revision), AgeMs: ageMS(clock.Since(r.Began)),
 	}
 	h := b.Catalog.Halls()
-	out.HallsRevision, out.Evacuated = h.Revision, h.Evacuated
+	out.HallsRevision, out.Evacuated = uint64(h.Revision), h.Evacuated
 	out.Ends = &pb.Ends{Ends: wireEnds(b.Ends.All(), clock.Now())}
 	var err error
 	if out.Targets, err = packBulk(r.Items, nil); err != nil {
--- a/internal/transport/fleet/bulk.go
+++ b/internal/transport/fleet/bulk.go
@@ -19,10 +19,10 @@
 	}
 	b := &pb.Bulk{}
 	for _, i := range targets {
-		b.Targets = append(b.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		b.Targets = append(b.Targets, &pb.TargetNews{Key: i.Key, Value: i.Value, Revision: uint64(i.Revision)})
 	}
 	for _, i := range members {
-		b.Members = append(b.Members, &pb.MemberNews{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		b.Members = append(b.Members, &pb.MemberNews{Key: i.Key, Value: i.Value, Revision: uint64(i.Revision)})
 	}
 	value, err := proto.Marshal(b)
 	if err != nil {
@@ -45,10 +45,10 @@
 		return nil, nil, errors.Wrap(err, "bulk")
 	}
 	for _, t := range b.GetTargets() {
-		targets = append(targets, hookhall.Item{Key: t.GetKey(), Value: t.GetValue(), Revision: t.GetRevision()})
+		targets = append(targets, hookhall.Item{Key: t.GetKey(), Value: t.GetValue(), Revision: hookhall.Revision(t.GetRevision())})
 	}
 	for _, m := range b.GetMembers() {
-		members = append(members, hookhall.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision()})
+		members = append(members, hookhall.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: hookhall.Revision(m.GetRevision())})
 	}
 	return targets, members, nil
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -138,7 +138,7 @@
 	if revision == 0 {
 		return nil, errNothingYet
 	}
-	return &pb.Table{Packed: packed, Revision: revision}, nil
+	return &pb.Table{Packed: packed, Revision: uint64(revision)}, nil
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/transport/fleet/invite_test.go
+++ b/internal/transport/fleet/invite_test.go
@@ -40,11 +40,11 @@
 // silentStore answers nothing.
 type silentStore struct{ hookhall.Store }
 
-func (silentStore) RangeStale(context.Context, string) ([]hookhall.Item, uint64, error) {
+func (silentStore) RangeStale(context.Context, string) ([]hookhall.Item, hookhall.Revision, error) {
 	return nil, 0, hookhall.ErrUnavailable
 }
 
-func (silentStore) Range(context.Context, string) ([]hookhall.Item, uint64, error) {
+func (silentStore) Range(context.Context, string) ([]hookhall.Item, hookhall.Revision, error) {
 	return nil, 0, hookhall.ErrUnavailable
 }
 
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -85,14 +85,14 @@
 	n := s.Catalog.News(now)
 	revision, age := s.Catalog.TableAge(now)
 	m := &pb.News{
-		Reader: s.Peers.Self().Address, TargetsRevision: n.Revision, Digest: n.Digest, Gone: n.Gone,
-		AgeMs: ageMS(now.Sub(n.Began)), ConfigRevision: revision, ConfigAgeMs: ageMS(age),
+		Reader: s.Peers.Self().Address, TargetsRevision: uint64(n.Revision), Digest: n.Digest, Gone: n.Gone,
+		AgeMs: ageMS(now.Sub(n.Began)), ConfigRevision: uint64(revision), ConfigAgeMs: ageMS(age),
 	}
 	h := s.Catalog.Halls()
-	m.HallsRevision, m.Evacuated = h.Revision, h.Evacuated
+	m.HallsRevision, m.Evacuated = uint64(h.Revision), h.Evacuated
 	m.EndsSum = s.Ends.Sum(now)
 	p := s.Peers.News(now)
-	m.MembersRevision, m.MembersDigest, m.MembersGone = p.Revision, p.Digest, p.Gone
+	m.MembersRevision, m.MembersDigest, m.MembersGone = uint64(p.Revision), p.Digest, p.Gone
 	var err error
 	if m.Bulk, err = packBulk(n.Changed, p.Changed); err != nil {
 		s.Clients.Log.Error("News can't be packed; who lacks it reads for itself.", "error", err.Error())
@@ -179,15 +179,15 @@
 		return
 	}
 	s.Peers.LearnNews(members.News{
-		Revision: m.GetMembersRevision(), Digest: m.GetMembersDigest(), Changed: changed, Gone: m.GetMembersGone(),
+		Revision: hookhall.Revision(m.GetMembersRevision()), Digest: m.GetMembersDigest(), Changed: changed, Gone: m.GetMembersGone(),
 	}, came)
 	n := catalog.News{
-		Revision: m.GetTargetsRevision(), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(),
+		Revision: hookhall.Revision(m.GetTargetsRevision()), Began: came.Add(-milliseconds(m.GetAgeMs())), Digest: m.GetDigest(),
 		Changed: targets, Gone: m.GetGone(),
 	}
 	from := instance(m.GetReader())
 	// Before the table, which is confirmed by the same news.
-	hallsChanged := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: m.GetHallsRevision(), Evacuated: m.GetEvacuated()}, from)
+	hallsChanged := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: hookhall.Revision(m.GetHallsRevision()), Evacuated: m.GetEvacuated()}, from)
 	s.compareEnds(m, came)
 	fresh, gap := s.Catalog.LearnNews(n, from)
 	if gap && m.GetFrom() != "" {
@@ -196,7 +196,7 @@
 	if fresh && s.Heard != nil {
 		s.Heard(n.Began)
 	}
-	told := m.GetConfigRevision()
+	told := hookhall.Revision(m.GetConfigRevision())
 	if told > 0 && !s.Catalog.ConfirmTable(told, came.Add(-milliseconds(m.GetConfigAgeMs()))) {
 		if s.fetching.CompareAndSwap(false, true) {
 			go s.fetch(proto.Clone(m).(*pb.News), came)
@@ -226,9 +226,9 @@
 	if err != nil {
 		return // the store, or the next news, will bring it
 	}
-	if s.Catalog.LearnPacked(t.GetPacked(), t.GetRevision(), instance(m.GetFrom()), began) {
+	if s.Catalog.LearnPacked(t.GetPacked(), hookhall.Revision(t.GetRevision()), instance(m.GetFrom()), began) {
 		revision, age := s.Catalog.TableAge(clock.Now())
-		m.ConfigRevision, m.ConfigAgeMs = revision, ageMS(age)
+		m.ConfigRevision, m.ConfigAgeMs = uint64(revision), ageMS(age)
 		m.AgeMs += ageMS(clock.Since(came))
 		s.relay(m, clock.Now())
 	}
--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -37,7 +38,7 @@
 			s.Clients.Log.Error("A peer's list can't be unpacked.", "peer", peer, "error", err.Error())
 			return
 		}
-		r := catalog.Repair{Reading: catalog.Reading{Revision: t.GetRevision(), Items: items, Began: came.Add(-milliseconds(t.GetAgeMs()))}, Digest: t.GetDigest()}
+		r := catalog.Repair{Reading: catalog.Reading{Revision: hookhall.Revision(t.GetRevision()), Items: items, Began: came.Add(-milliseconds(t.GetAgeMs()))}, Digest: t.GetDigest()}
 		for _, b := range t.GetBuckets() {
 			r.Buckets = append(r.Buckets, int(b))
 		}
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &pb.Targets{Revision: d.Revision, AgeMs: ageMS(clock.Since(d.Began)), Digest: d.Digest, Items: items}
+	out := &pb.Targets{Revision: uint64(d.Revision), AgeMs: ageMS(clock.Since(d.Began)), Digest: d.Digest, Items: items}
 	for _, b := range d.Buckets {
 		out.Buckets = append(out.Buckets, int32(b))
 	}
--- a/internal/transport/fleet/repair_test.go
+++ b/internal/transport/fleet/repair_test.go
@@ -19,7 +19,7 @@
 )
 
 // serving is a gateway's server with a catalog that has n targets as of a revision.
-func serving(t *testing.T, n int, revision uint64) (*Broadcaster, string) {
+func serving(t *testing.T, n int, revision hookhall.Revision) (*Broadcaster, string) {
 	t.Helper()
 	b := &Broadcaster{Peers: newPeers(1), Clients: NewClients(log.New(io.Discard)), Catalog: readyCatalog(t), Ends: quarantine.New(nil, nil, nil, log.New(io.Discard))}
 	r := catalog.Reading{Revision: revision, Began: time.Now()}
--- a/store.go
+++ b/store.go
@@ -16,7 +16,7 @@
 	Value []byte
 	// Revision is the store's count of changes at this key's last one; 0 when
 	// the key does not exist.
-	Revision uint64
+	Revision Revision
 	// Gone is set in events: the key was removed.
 	Gone bool
 }
@@ -38,23 +38,23 @@
 type Store interface {
 	// Get reads a key, and the store's revision; a missing key is an Item with
 	// Revision 0.
-	Get(ctx context.Context, key string) (item Item, at uint64, err error)
+	Get(ctx context.Context, key string) (item Item, at Revision, err error)
 	// Range reads all keys with a prefix, and the store's revision before the
 	// first page.
-	Range(ctx context.Context, prefix string) (items []Item, at uint64, err error)
+	Range(ctx context.Context, prefix string) (items []Item, at Revision, err error)
 	// RangeStale is Range from a copy that may be some seconds old, at a tenth of
 	// the cost to the store.
-	RangeStale(ctx context.Context, prefix string) (items []Item, at uint64, err error)
+	RangeStale(ctx context.Context, prefix string) (items []Item, at Revision, err error)
 	// Watch waits for changes after a revision; none within wait is no error.
-	Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (events []Item, at uint64, err error)
-	// Put writes a key under a lease (0 for none).
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	Watch(ctx context.Context, prefix string, since Revision, wait time.Duration) (events []Item, at Revision, err error)
+	// Put writes a key under a lease (its zero value for none).
+	Put(ctx context.Context, key string, value []byte, lease Lease) error
 	// Grant makes a lease.
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
+	Grant(ctx context.Context, ttl time.Duration) (lease Lease, err error)
 	// Renew extends a lease.
-	Renew(ctx context.Context, lease uint64) error
+	Renew(ctx context.Context, lease Lease) error
 	// Revoke ends a lease and removes its keys.
-	Revoke(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease Lease) error
 }
 
 // Platform tells where things lie in a store and how they are read.
