forward: a request whose time is over ends with its deadline, whichever timer was first

Cause: work that may run only once is sent under a deadline of its own, at the same moment as the request's.

Change: what ends at or after the request's time, and was broken off here, is out of time. TestGiveUpAtTheDeadline: canceled before, deadline now.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -235,11 +235,14 @@
 
 // giveUp makes the final answer of a request that could not be served.
 func (r *request) giveUp(ctx context.Context, e *hookhall.Error) error {
-	if stopping(ctx) {
+	late := !clock.Now().Before(r.end)
+	switch {
+	case stopping(ctx):
 		e = hookhall.Errorf(e.Verdict, hookhall.CauseStopping, "this instance stops: %s", e.Detail).After(elsewhere)
-	} else if ctx.Err() != nil && clock.Now().Before(r.end) {
+	case ctx.Err() != nil && !late:
 		e = hookhall.Errorf(e.Verdict, hookhall.CauseCanceled, "the client has gone: %s", e.Detail)
-	} else if ctx.Err() != nil {
+	case ctx.Err() != nil, late && e.Cause == hookhall.CauseCanceled:
+		// A send may have a deadline of its own, at the same moment, that ends first.
 		e = hookhall.Errorf(e.Verdict, hookhall.CauseDeadline, "out of time: %s", e.Detail)
 	}
 	if r.runs > 0 {
