batch: a call costs the same whatever the number of targets

Cause: each call of a pool went through all of its targets several times: the list was taken in anew, free ones were sorted, and each of them was offered to each job though no piece waited any more; each released result was looked for at every target.

Change: the list is taken in when it has changed; free targets are a heap, from which as many are taken as there is work for; results are found by an index, and halls with targets that work, and bytes, are counted as they change. Decisions are the same (the order of targets and jobs is unchanged).

--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -70,6 +70,9 @@
 	mu    sync.Mutex
 	queue *batch.Queue
 	timer bool // a later look is due
+	// spec and targets are what the queue was last configured with.
+	spec    hookhall.PoolSpec
+	targets []hookhall.Target
 }
 
 func (b *Broker) queue(service string) *serviceQueue {
@@ -221,7 +224,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.queue.Configure(spec, q.broker.directory.Targets(q.service))
+	q.configure(spec, q.broker.directory.Targets(q.service))
 	if q.broker.directory.Evacuated(q.service) {
 		q.queue.Abandon()
 	}
@@ -234,6 +237,18 @@
 	}
 }
 
+// configure passes on what has changed. The directory's lists are immutable, and looking
+// through thousands of targets for each call would take most of a broker's time. The
+// caller holds q.mu.
+func (q *serviceQueue) configure(spec hookhall.PoolSpec, targets []hookhall.Target) {
+	same := len(targets) == len(q.targets) && (len(targets) == 0 || &targets[0] == &q.targets[0])
+	if same && spec == q.spec {
+		return
+	}
+	q.spec, q.targets = spec, targets
+	q.queue.Configure(spec, targets)
+}
+
 func (q *serviceQueue) look() {
 	q.mu.Lock()
 	q.timer = false
--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -3,27 +3,49 @@
 
 package batch
 
-import (
-	"sort"
-	"time"
-)
-
-// open lists the workers that may get a call, the best first: quick ones, those in
-// the hall of the most urgent job, those with more room.
-func (q *Queue) open(now time.Time) []*worker {
-	first := q.first()
-	if first == nil {
-		return nil
-	}
-	var list []*worker
-	for _, s := range q.workers {
+import "time"
+
+// openWorkers is a heap of the workers that may get a call, the best first: quick ones,
+// those in the hall of the most urgent job, those with more room. Few of many get one,
+// so that they are not sorted.
+type openWorkers struct {
+	list  []*worker
+	first *Job // the most urgent
+}
+
+func (o *openWorkers) Len() int      { return len(o.list) }
+func (o *openWorkers) Swap(i, j int) { o.list[i], o.list[j] = o.list[j], o.list[i] }
+func (o *openWorkers) Push(s any)    { o.list = append(o.list, s.(*worker)) }
+
+func (o *openWorkers) Less(i, j int) bool {
+	return better(o.list[i], o.list[j], o.first)
+}
+
+func (o *openWorkers) Pop() any {
+	last := o.list[len(o.list)-1]
+	o.list = o.list[:len(o.list)-1]
+	return last
+}
+
+// open finds the workers that may get a call.
+func (q *Queue) open(now time.Time) *openWorkers {
+	o := &openWorkers{first: q.first()}
+	for _, s := range q.list {
 		if s.open(q.spec.Slots, now) {
-			s.expire(now)
-			list = append(list, s)
+			q.expire(s, now)
+			o.list = append(o.list, s)
+		}
+	}
+	return o
+}
+
+// expire drops what a pool has dropped itself.
+func (q *Queue) expire(s *worker, now time.Time) {
+	for h, r := range s.held {
+		if now.After(r.expiry) {
+			q.release(h)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return better(list[i], list[j], first) })
-	return list
 }
 
 // first is the most urgent job with pieces that wait.
@@ -51,27 +73,22 @@
 	return a.Target.ID < b.Target.ID
 }
 
-// halls are those with a target that works.
-func (q *Queue) halls() map[string]bool {
-	halls := map[string]bool{}
-	for _, s := range q.workers {
-		if !s.Target.Leaving && s.fails == 0 && s.pace < slowPace {
-			halls[s.Target.Hall] = true
-		}
-	}
-	return halls
-}
-
 // fill takes pieces for one call to s, nil when nothing fits. Jobs that fit
 // whole go first: the results of a part of a job take up room until the rest is
 // made, too. For the same reason no job is begun with what little room is left.
-func (q *Queue) fill(s *worker, halls map[string]bool, now time.Time) *Batch {
+func (q *Queue) fill(s *worker, now time.Time) *Batch {
 	b := &Batch{Target: s.Target, began: now}
 	most := max(q.spec.Batch, 1)
 	for _, whole := range []bool{true, false} {
 		for _, j := range q.jobs {
 			places := most - len(b.Pieces)
-			if whole && len(j.waiting) > places || !b.bears(j) || !q.suits(s, j, halls, now) {
+			if places == 0 {
+				break
+			}
+			if len(j.waiting) == 0 {
+				continue
+			}
+			if whole && len(j.waiting) > places || !b.bears(j) || !q.suits(s, j, now) {
 				continue
 			}
 			if !q.roomy(s, j, places) {
@@ -113,12 +130,12 @@
 // suits tells whether a job may go to a target: one that can still make its aim
 // does not go where the target's pace would cost it, and one whose data lies in
 // another hall waits for a target there while it has the time.
-func (q *Queue) suits(s *worker, j *Job, halls map[string]bool, now time.Time) bool {
+func (q *Queue) suits(s *worker, j *Job, now time.Time) bool {
 	if j.refusedBy(s.Target) {
 		return false
 	}
 	call := q.spec.CallTime + time.Duration(q.spec.Batch)*q.spec.ItemTime
-	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && halls[j.Hall] && !j.pressed(call, now) {
+	if j.Cross >= crossLeast && j.Hall != s.Target.Hall && q.working[j.Hall] > 0 && !j.pressed(call, now) {
 		return false
 	}
 	if s.pace < slowPace || j.late(now) {
@@ -139,7 +156,7 @@
 		if j.Hall == "" {
 			j.Hall = s.Target.Hall
 		}
-		s.bytes += j.Bytes
+		q.charge(s, j.Bytes)
 		b.Pieces = append(b.Pieces, j.piece(i, now))
 		b.jobs = append(b.jobs, j)
 		j.calls[i]++
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -4,6 +4,7 @@
 package batch
 
 import (
+	"container/heap"
 	"slices"
 	"sort"
 	"time"
@@ -44,6 +45,14 @@
 	spec    hookhall.PoolSpec
 	jobs    []*Job
 	workers map[hookhall.Life]*worker
+	// list has the workers in any order: all of them are looked at for each call, and a
+	// map takes several times as long.
+	list []*worker
+	// holders has the worker of each result that nobody has released.
+	holders map[string]*worker
+	// working counts the targets that work, by hall.
+	working map[string]int
+	bytes   float64   // those of all workers
 	short   time.Time // when work last found no room at a target with a free place
 	// unsure is until when targets may hold results of another, lost queue: one
 	// reported no room where this queue's account has some.
@@ -51,7 +60,9 @@
 }
 
 // NewQueue makes an empty queue.
-func NewQueue() *Queue { return &Queue{workers: map[hookhall.Life]*worker{}} }
+func NewQueue() *Queue {
+	return &Queue{workers: map[hookhall.Life]*worker{}, holders: map[string]*worker{}, working: map[string]int{}}
+}
 
 // Configure takes in what the operators say of the pool, and which targets may
 // get work. Targets that are not named get none, and their results are
@@ -61,19 +72,56 @@
 	current := map[hookhall.Life]bool{}
 	for _, t := range targets {
 		current[t.Life()] = true
-		if s := q.workers[t.Life()]; s != nil {
-			s.Target = t
-			continue
+		s := q.workers[t.Life()]
+		if s == nil {
+			s = newWorker(t)
+			q.workers[t.Life()] = s
 		}
-		q.workers[t.Life()] = newWorker(t)
+		s.Target = t
 	}
+	q.list = q.list[:0]
+	clear(q.working)
 	for l, s := range q.workers {
 		if !current[l] && s.busy == 0 {
-			delete(q.workers, l)
-		} else if !current[l] {
+			q.forget(l, s)
+			continue
+		}
+		if s.gone = !current[l]; s.gone {
 			s.Target.Leaving = true
 		}
+		q.list = append(q.list, s)
+		s.counted = false
+		q.count(s)
+	}
+}
+
+// forget drops what is known of a target that is gone, its results included.
+func (q *Queue) forget(l hookhall.Life, s *worker) {
+	for h := range s.held {
+		delete(q.holders, h)
 	}
+	q.bytes -= s.bytes
+	delete(q.workers, l)
+}
+
+// count keeps the account of the targets that work, by hall.
+func (q *Queue) count(s *worker) {
+	works := s.works()
+	if works == s.counted {
+		return
+	}
+	s.counted = works
+	if works {
+		q.working[s.Target.Hall]++
+	} else {
+		q.working[s.Target.Hall]--
+	}
+}
+
+// charge counts bytes at a worker.
+func (q *Queue) charge(s *worker, bytes float64) {
+	s.bytes += bytes
+	q.bytes += bytes
 }
 
 // Add queues a job.
@@ -171,14 +219,15 @@
 func (q *Queue) Next(now time.Time) []*Batch {
 	q.expireJobs(now)
 	q.refuse()
-	if len(q.jobs) == 0 {
+	if q.first() == nil {
 		return nil
 	}
 	sort.SliceStable(q.jobs, func(i, j int) bool { return q.jobs[i].before(q.jobs[j], now) })
-	halls := q.halls()
+	open := q.open(now)
+	heap.Init(open)
 	var batches []*Batch
-	for _, s := range q.open(now) {
-		if b := q.fill(s, halls, now); b != nil {
+	for open.Len() > 0 && q.first() != nil {
+		if b := q.fill(heap.Pop(open).(*worker), now); b != nil {
 			batches = append(batches, b)
 		}
 	}
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -4,6 +4,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -55,8 +56,9 @@
 	}
 	s.busy--
 	b.done = true
+	defer q.settle(s)
 	for i, j := range b.jobs {
-		s.bytes -= j.Bytes
+		q.charge(s, -j.Bytes)
 		j.calls[b.Pieces[i].Index]--
 	}
 	if len(results) != len(b.Pieces) {
@@ -79,6 +81,15 @@
 	return unwanted
 }
 
+// settle keeps the accounts of a worker after a call has ended there.
+func (q *Queue) settle(s *worker) {
+	q.count(s)
+	if s.gone && s.busy == 0 {
+		q.forget(s.Target.Life(), s)
+		q.list = slices.DeleteFunc(q.list, func(o *worker) bool { return o == s })
+	}
+}
+
 // take takes in one piece's result and returns its handle if nobody needs it.
 func (q *Queue) take(s *worker, j *Job, index int, r hookhall.PieceResult, now time.Time) string {
 	if r.Handle == "" {
@@ -91,7 +102,8 @@
 	j.drop(index)
 	j.inputsRead(index)
 	s.held[r.Handle] = held{j.Bytes, now.Add(q.spec.Keep)}
-	s.bytes += j.Bytes
+	q.holders[r.Handle] = s
+	q.charge(s, j.Bytes)
 	j.handles[index] = r.Handle
 	j.left--
 	if j.left == 0 {
@@ -133,15 +145,25 @@
 // Free takes released results off the account of room.
 func (q *Queue) Free(handles []string) {
 	for _, h := range handles {
-		for _, s := range q.workers {
-			if s.free(h) {
-				s.noRoom = time.Time{}
-				break
-			}
+		if s := q.release(h); s != nil {
+			s.noRoom = time.Time{}
 		}
 	}
 }
 
+// release takes one result off the account, and returns the worker that held it, nil
+// when none did.
+func (q *Queue) release(handle string) *worker {
+	s := q.holders[handle]
+	if s == nil {
+		return nil
+	}
+	q.charge(s, -s.held[handle].bytes)
+	delete(s.held, handle)
+	delete(q.holders, handle)
+	return s
+}
+
 // Handles are the results of j so far; after Drop the caller should release them.
 func (j *Job) Handles() []string {
 	var list []string
@@ -155,10 +177,4 @@
 
 // Held is how many bytes results take up at all targets, by the queue's account,
 // and how many results there are.
-func (q *Queue) Held() (bytes float64, results int) {
-	for _, s := range q.workers {
-		bytes += s.bytes
-		results += len(s.held)
-	}
-	return bytes, results
-}
+func (q *Queue) Held() (bytes float64, results int) { return q.bytes, len(q.holders) }
--- /dev/null
+++ b/internal/state/batch/scale_test.go
@@ -0,0 +1,132 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"pgregory.net/rapid"
+)
+
+// many are targets in five halls.
+func many(n int) []hookhall.Target {
+	var list []hookhall.Target
+	for i := range n {
+		id := fmt.Sprintf("t%05d", i)
+		list = append(list, hookhall.Target{ID: id, Address: id, Hall: fmt.Sprint("hall-", i%5)})
+	}
+	return list
+}
+
+// BenchmarkJob is a job of three pieces on its way through the queue of a pool, beside
+// forty whose pieces are at work.
+func BenchmarkJob(b *testing.B) {
+	for _, n := range []int{5, 100, 1358} {
+		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
+			q := NewQueue()
+			wide := hookhall.PoolSpec{Slots: 1, Batch: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond, Room: 41e6, Keep: 4 * time.Second}
+			q.Configure(wide, many(n))
+			now := start
+			add := func(call string) *Batch {
+				j := &Job{Call: call, Count: 3, Bytes: 3e6, Hall: "hall-1", Cross: 3e6, Due: now.Add(time.Second), End: now.Add(time.Hour), Finish: func(Outcome) {}}
+				q.Add(j)
+				calls := q.Next(now)
+				if len(calls) != 1 {
+					return nil
+				}
+				return calls[0]
+			}
+			for i := range min(40, n/10) {
+				add(fmt.Sprint("beside ", i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				c := add("measured")
+				if c == nil {
+					b.Fatal("no target takes the job")
+				}
+				q.Done(c, answer(c), now)
+				for _, r := range answer(c) {
+					q.Free([]string{r.Handle})
+				}
+			}
+		})
+	}
+}
+
+// TestAccounts: over any series of jobs, calls, answers and lists of targets, the sums
+// that the queue keeps are those of its workers.
+func TestAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue()
+		all := many(8)
+		now := start
+		var open []*Batch
+		var held []string
+		q.Configure(spec, all)
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				from := rapid.IntRange(0, 7).Draw(t, "first listed")
+				q.Configure(spec, all[from:])
+			case 1:
+				if len(open) > 0 {
+					results := answer(open[0])
+					for _, r := range results {
+						held = append(held, r.Handle)
+					}
+					if rapid.Bool().Draw(t, "failed") {
+						results = nil
+					}
+					q.Done(open[0], results, now)
+					open = open[1:]
+				}
+			case 2:
+				if len(held) > 0 {
+					q.Free(held[:1])
+					held = held[1:]
+				}
+			default:
+				j, _ := job(fmt.Sprint("j", step), rapid.IntRange(1, 6).Draw(t, "pieces"), 10000, 60000)
+				q.Add(j)
+			}
+			open = append(open, q.Next(now)...)
+			checkAccounts(t, q)
+		}
+	})
+}
+
+func checkAccounts(t *rapid.T, q *Queue) {
+	t.Helper()
+	bytes, results := 0.0, 0
+	working := map[string]int{}
+	for _, s := range q.workers {
+		bytes += s.bytes
+		results += len(s.held)
+		for h := range s.held {
+			if q.holders[h] != s {
+				t.Fatalf("%s is not found at %s", h, s.Target.ID)
+			}
+		}
+		if s.works() {
+			working[s.Target.Hall]++
+		}
+	}
+	if b, n := q.Held(); b != bytes || n != results {
+		t.Fatalf("%v bytes of %d results, not %v of %d", b, n, bytes, results)
+	}
+	if len(q.list) != len(q.workers) {
+		t.Fatalf("%d of %d workers are listed", len(q.list), len(q.workers))
+	}
+	for hall, n := range q.working {
+		if n != working[hall] {
+			t.Fatalf("%d targets work in %s, not %d", n, hall, working[hall])
+		}
+	}
+}
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -45,6 +45,10 @@
 	until  time.Time       // left alone until then: calls failed
 	fails  int
 	pace   float64 // its calls' time against what was expected, 1 being as expected
+	// gone is set while calls are at work at a target that is not named any more.
+	gone bool
+	// counted is set while the queue counts it among those that work.
+	counted bool
 }
 
 type held struct {
@@ -56,23 +60,8 @@
 	return &worker{Target: t, held: map[string]held{}, pace: 1}
 }
 
-// expire drops what the pool has dropped itself.
-func (s *worker) expire(now time.Time) {
-	for h, r := range s.held {
-		if now.After(r.expiry) {
-			s.free(h)
-		}
-	}
-}
-
-func (s *worker) free(handle string) bool {
-	r, ok := s.held[handle]
-	if ok {
-		s.bytes -= r.bytes
-		delete(s.held, handle)
-	}
-	return ok
-}
+// works tells whether calls may be expected to go well there.
+func (s *worker) works() bool { return !s.Target.Leaving && s.fails == 0 && s.pace < slowPace }
 
 // open tells whether the target may get a call.
 func (s *worker) open(slots int, now time.Time) bool {
