balance: of a large service a sample is compared

Cause: one process chooses the engines for all. It compared each request with every engine, and hashed the request's shared part with each: 2.6 ms and 5 MB for 5,715 engines, so that 244 placements a second took two thirds of a core of its 0.8. Those that were not answered within 120 ms chose by themselves, without knowing of each other: the busiest engine got 10 times the mean.

Change: of more than 256 targets a choice compares those that were sent the shared part lately (an index), the first by a ring of hashes, which is made once for each list, and 64 at random. When none of these may be used, all are compared. Services of up to 256 targets are compared as before.

Ruled out: rendezvous hashing over a window of the list by rank, whose windows all move when one target leaves.

--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -221,7 +221,7 @@
 		return ""
 	}
 	list := r.Catalog.Targets(r.service)
-	first := balance.First(r.wish.Shared, list)
+	first := r.Tracker.First(r.wish.Shared, list)
 	for _, t := range list {
 		if t.ID == first {
 			return t.Hall
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -43,7 +43,11 @@
 }
 
 // Tracker has the records of all targets' lives.
-type Tracker struct{ records sync.Map }
+type Tracker struct {
+	records sync.Map
+	holders holderIndex
+	rings   rings
+}
 
 // NewTracker makes an empty Tracker.
 func NewTracker() *Tracker { return &Tracker{} }
@@ -66,6 +70,7 @@
 		v.(*record).sweep(now)
 		return true
 	})
+	b.holders.sweep(now)
 }
 
 // Wish is what a call wants of its target.
@@ -109,14 +114,20 @@
 }
 
 func (b *Tracker) pick(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
-	open, full, ejected := b.candidates(targets, w, now)
+	var open, full, ejected []candidate
+	if len(targets) > scanMost {
+		open, _, _ = b.candidates(b.sample(targets, w), w, now)
+	}
+	if len(open) == 0 {
+		open, full, ejected = b.candidates(targets, w, now)
+	}
 	if len(open) == 0 {
 		open = full // all that work refuse: their pauses say nothing any more
 	}
 	if len(open) == 0 {
 		return soonest(ejected)
 	}
-	holder := holders(open, w, targets)
+	holder := b.holding(open, w, targets)
 	best := math.Inf(1)
 	for _, c := range open {
 		if s := score(c.target, c.figures, w, holder(c)); s < best {
@@ -177,11 +188,11 @@
 	return t, ok
 }
 
-// holders tells which candidates hold the wish's shared part: those that were
+// holding tells which candidates hold the wish's shared part: those that were
 // sent it lately, or, when there are none, the first by rendezvous hashing, so
 // that all processes send it to the same one. A target that is new and would be
 // the first is no reason to read the part anew.
-func holders(open []candidate, w Wish, targets []hookhall.Target) func(candidate) bool {
+func (b *Tracker) holding(open []candidate, w Wish, targets []hookhall.Target) func(candidate) bool {
 	for _, c := range open {
 		if c.holds {
 			return func(c candidate) bool { return c.holds }
@@ -189,7 +200,7 @@
 	}
 	first := ""
 	if w.Engine && w.Shared != "" {
-		first = First(w.Shared, targets)
+		first = b.First(w.Shared, targets)
 	}
 	return func(c candidate) bool { return c.target.ID == first }
 }
@@ -241,6 +252,15 @@
 	return ms
 }
 
+// First is the first of targets for a key, leaving ones left out: by rendezvous hashing
+// over all, or over a part of the ring of a large service.
+func (b *Tracker) First(key string, targets []hookhall.Target) string {
+	if len(targets) > scanMost {
+		return b.rings.of(targets).first(key)
+	}
+	return First(key, targets)
+}
+
 // First is the first of targets by rendezvous hashing of a key, leaving ones
 // left out.
 func First(key string, targets []hookhall.Target) string {
@@ -279,6 +299,9 @@
 		}
 	}
 	a.begin(u.unread, u.held, w.Parts, now)
+	if w.Engine {
+		b.holders.note(w.Shared, t.ID, now)
+	}
 	return u
 }
 
