catalog: a change of a target costs a copy of its service's list

Cause: each change had the list of its service made anew from a map, sorted, and all known targets looked through for those that are long gone.

Change: what changed is noted target by target, and the next list is the one before with these taken in; targets that are gone are looked for once a second; how many are listed is counted as it changes. Lists that time alone changes (keys that lapsed, halls that operators emptied) are made anew as before.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -86,10 +86,12 @@
 
 	mu    sync.Mutex        // held while pictures and tables change
 	known map[string]*entry // by key
-	// pools has them by service, and dirty the services whose part of the next
+	// pools has them by service, and dirty what changed in the services whose part of the next
 	// picture has to be made anew.
-	pools map[string]map[string]*entry
-	dirty map[string]bool
+	pools  map[string]map[string]*entry
+	dirty  map[string]*changes
+	listed int       // how many of known are listed
+	swept  time.Time // when those that are gone were last looked for
 	// rejected has the keys that name no target, with the hash of their values.
 	rejected map[string]uint64
 	// buckets sums up those that are listed.
@@ -115,7 +117,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]bool{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -22,9 +22,12 @@
 	// store was away rather than to targets that left.
 	massLoss  = 0.4
 	massLeast = 3
-	// forget is for how long a target that is gone is remembered, so that an
+	// forgetAfter is for how long a target that is gone is remembered, so that an
 	// older reading can't bring it back.
-	forget = 30 * time.Second
+	forgetAfter = 30 * time.Second
+	// sweepEvery is how often all targets are looked through for those: each change
+	// would be too often among thousands.
+	sweepEvery = time.Second
 	// rejectedMost bounds the keys that are remembered as naming no target, so that each
 	// is logged once: as many as targets.
 	rejectedMost = 4096
@@ -87,7 +90,7 @@
 func (c *Catalog) reject(i hookhall.Item, e *entry, why error, from string, now time.Time) {
 	if e != nil {
 		e.lapsed = time.Time{}
-		c.dirty[e.target.Pool] = true
+		c.touch(e)
 	}
 	if e != nil && e.missing.IsZero() {
 		c.drop(e, i.Revision, from, now)
@@ -153,11 +156,12 @@
 		c.begin(e, t, from)
 	}
 	if !e.missing.IsZero() {
+		c.listed++
 		c.toggle(e, sum)
-		c.dirty[t.Pool] = true
+		c.touch(e)
 	} else if sum != e.sum {
 		c.toggle(e, e.sum^sum)
-		c.dirty[t.Pool] = true
+		c.touch(e)
 		e.changed = now
 	}
 	e.missing, e.lapsed = time.Time{}, time.Time{}
@@ -172,7 +176,7 @@
 	}
 	if until := coldBy(t, now); !until.Equal(e.coldUntil) {
 		e.coldUntil = until
-		c.dirty[t.Pool] = true
+		c.touch(e)
 	}
 	e.target, e.sum, e.value = t, sum, value
 }
@@ -195,7 +199,7 @@
 		c.pools[e.target.Pool] = map[string]*entry{}
 	}
 	c.pools[e.target.Pool][e.key] = e
-	c.dirty[e.target.Pool] = true
+	c.touch(e)
 	c.hallAt.Store(e.target.Address, resident{e.target.Hall, e.key})
 }
 
@@ -205,7 +209,7 @@
 // unindex ends that. The caller holds c.mu.
 func (c *Catalog) unindex(e *entry) {
 	delete(c.pools[e.target.Pool], e.key)
-	c.dirty[e.target.Pool] = true
+	c.touch(e)
 }
 
 // coldBy is until when a target is cold that has just written its key.
@@ -223,17 +227,8 @@
 	if len(lost) == 0 {
 		return
 	}
-	listed := 0
-	for key, e := range c.known {
-		if e.missing.IsZero() {
-			listed++
-		} else if now.Sub(e.missing) > forget {
-			c.unindex(e)
-			delete(c.known, key)
-			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
-		}
-	}
-	lapse := restored || (len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(listed))
+	c.forget(now)
+	lapse := restored || (len(lost) >= massLeast && float64(len(lost)) > massLoss*float64(c.listed))
 	for _, e := range lost {
 		if lapse {
 			e.lapsed = now.Add(lapseFor)
@@ -243,11 +238,27 @@
 	}
 }
 
+// forget drops targets that have been gone for long. The caller holds c.mu.
+func (c *Catalog) forget(now time.Time) {
+	if now.Sub(c.swept) < sweepEvery {
+		return
+	}
+	c.swept = now
+	for key, e := range c.known {
+		if !e.missing.IsZero() && now.Sub(e.missing) > forgetAfter {
+			c.unindex(e)
+			delete(c.known, key)
+			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
+		}
+	}
+}
+
 // drop takes a target off the list, as of a revision. The caller holds c.mu.
 func (c *Catalog) drop(e *entry, revision hookhall.Revision, from string, now time.Time) {
+	c.listed--
 	e.missing, e.changed = now, now
 	e.revision = max(e.revision, revision)
 	c.toggle(e, e.sum)
-	c.dirty[e.target.Pool] = true
+	c.touch(e)
 	c.log.Info("A target is missing.", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", !e.lapsed.IsZero(), "left", e.left)
 }
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"sort"
 	"time"
 
@@ -248,40 +247,7 @@
 		p.ByPool, p.Evacuated = old.ByPool, old.Evacuated
 	}
 	if len(c.dirty) > 0 {
-		p.ByPool, p.Evacuated = maps.Clone(p.ByPool), maps.Clone(p.Evacuated)
-		if p.ByPool == nil {
-			p.ByPool, p.Evacuated = map[string][]hookhall.Target{}, map[string]bool{}
-		}
-		halls := c.Halls()
-		for pool := range c.dirty {
-			p.ByPool[pool], p.Evacuated[pool] = c.usable(pool, halls, now)
-		}
-		clear(c.dirty)
+		c.remake(p, now)
 	}
 	c.picture.Store(p)
 }
-
-// markAllDirty has all pools made anew. The caller holds c.mu.
-func (c *Catalog) markAllDirty() {
-	for pool := range c.pools {
-		c.dirty[pool] = true
-	}
-}
-
-// usable lists the usable targets of a pool, sorted by id, and tells whether an
-// evacuation keeps others out. The caller holds c.mu.
-func (c *Catalog) usable(pool string, halls Halls, now time.Time) (list []hookhall.Target, evacuated bool) {
-	for _, e := range c.pools[pool] {
-		switch {
-		case !e.usable(now):
-		case halls.has(e.target.Hall):
-			evacuated = true
-		default:
-			t := e.target
-			t.ColdUntil = c.coldUntil(e)
-			list = append(list, t)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list, evacuated
-}
