--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -46,6 +46,10 @@
 			retry.Sleep(ctx, look)
 			continue
 		}
+		if c.table.Load() == nil && c.Rank() > 0 && c.toldNoTable(clock.Now()) {
+			retry.Sleep(ctx, look)
+			continue
+		}
 		since := at
 		var err error
 		if at == 0 {
@@ -76,6 +80,19 @@
 	}
 }
 
+// LearnNoTable takes in that a peer which follows the store for all knew of no table at a
+// time: it will tell as soon as there is one, and a fleet that starts before the operators'
+// first table need not ask for it one by one.
+func (c *Catalog) LearnNoTable(at time.Time) {
+	c.noTable.Store(clock.Stamp(at))
+}
+
+// toldNoTable tells whether that was a moment ago.
+func (c *Catalog) toldNoTable(now time.Time) bool {
+	at := c.noTable.Load()
+	return at != 0 && clock.Stamp(now)-at < int64(noTableKeeps)
+}
+
 // noteNoTable writes one line while operators have not written a table.
 func (c *Catalog) noteNoTable() {
 	if !c.empty.Swap(true) {
