upstream: connections to a target are a part of what it bears from the fleet

Cause: a target takes so many connections from all gateways together and resets others; Service.MaxConns was read by nothing. Each gateway kept up to 8 idle ones to an address, 61 gateways before 100 places, and those that requests which may run only once had opened were kept though nobody asked for kept ones there. A reset that came behind the first bytes of such a request left it unknown whether it ran, and it ended 502.

Change: half of a target's connections may rest; each process works out its part by its place among the members (state/quota, of which the retry budget takes its sharers, too). A connection that was opened for a request that needs a new one is kept only if kept ones were asked for there in the last four seconds. Where a new connection was reset, new ones are watched for a reset, for about a round trip, before a request is written: then nothing has run.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -113,6 +113,7 @@
 	quarantine  *quarantine.Quarantine
 	forward     *forward.Forwarder
 	drain       *front.Drain
+	resting     atomic.Pointer[connectionSharers]
 	// Listeners; the first can stop accepting by itself.
 	clientsAt *front.Listener
 	readyAt   net.Listener
@@ -178,6 +179,7 @@
 	g.catalog.Read = g.broadcaster.Broadcast
 	g.catalog.Rank = g.readerRank
 	g.catalog.Fleet = g.members.Count
+	g.adapters.Connections.Resting = g.restingConnections
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
--- a/internal/app/gateway/places.go
+++ b/internal/app/gateway/places.go
@@ -4,11 +4,13 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/hookhall/hookhall/internal/state/balance"
-	"github.com/hookhall/hookhall/internal/state/budget"
+	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/quota"
 )
 
 // coldShare is how many requests in any second this process may send to a cold target
@@ -36,8 +38,45 @@
 	return halls
 }
 
-// sharers are the processes that share the slack of the retry budget.
-func (g *Gateway) sharers(now time.Time) budget.Sharers {
+// sharers are the processes that share what the whole fleet may hold or spend.
+func (g *Gateway) sharers(now time.Time) quota.Sharers {
 	count, place := g.members.Sharers(now)
-	return budget.Sharers{Count: count, Place: place}
+	return quota.Sharers{Count: count, Place: place}
+}
+
+const (
+	// idleShare is the part of a target's connections that may rest; the others are for
+	// requests in progress, and for those of killed processes, which the target notices
+	// late.
+	idleShare = 0.5
+	// sharersEvery is how often it is asked who shares connections: it takes a lock,
+	// and each answer of a target has it asked.
+	sharersEvery = 200 * time.Millisecond
+)
+
+// connectionSharers remembers for a moment who shares connections.
+type connectionSharers struct {
+	at      time.Time
+	sharers quota.Sharers
+}
+
+// restingConnections is how many idle connections to a target this process may keep,
+// so that the fleet together leaves the target room for others.
+func (g *Gateway) restingConnections(address string) int {
+	service := g.catalog.ServiceAt(address)
+	t := g.catalog.Table()
+	if t == nil || service == "" {
+		return 0
+	}
+	s := t.Service(service)
+	if s == nil || s.MaxConns <= 0 {
+		return math.MaxInt
+	}
+	now := clock.Now()
+	known := g.resting.Load()
+	if known == nil || now.Sub(known.at) >= sharersEvery {
+		known = &connectionSharers{now, g.sharers(now)}
+		g.resting.Store(known)
+	}
+	return known.sharers.Part(int(idleShare*float64(s.MaxConns)), address)
 }
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -168,6 +168,14 @@
 	return ""
 }
 
+// ServiceAt is the service of the target at an address, "" when none is known there.
+func (c *Catalog) ServiceAt(address string) string {
+	if t, ok := c.hallAt.Load(address); ok {
+		return t.(resident).pool
+	}
+	return ""
+}
+
 // Over tells whether what is listed shows that the life of a target is over: it lists
 // itself with another start, or another target has its address.
 func (c *Catalog) Over(t hookhall.Target) bool {
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -200,11 +200,13 @@
 	}
 	c.pools[e.target.Pool][e.key] = e
 	c.touch(e)
-	c.hallAt.Store(e.target.Address, resident{e.target.Hall, e.key})
+	c.hallAt.Store(e.target.Address, residentOf(e))
 }
 
 // resident is the target that was last listed at an address.
-type resident struct{ hall, key string }
+type resident struct{ hall, pool, key string }
+
+func residentOf(e *entry) resident { return resident{e.target.Hall, e.target.Pool, e.key} }
 
 // unindex ends that. The caller holds c.mu.
 func (c *Catalog) unindex(e *entry) {
@@ -248,7 +250,7 @@
 		if !e.missing.IsZero() && now.Sub(e.missing) > forgetAfter {
 			c.unindex(e)
 			delete(c.known, key)
-			c.hallAt.CompareAndDelete(e.target.Address, resident{e.target.Hall, key})
+			c.hallAt.CompareAndDelete(e.target.Address, residentOf(e))
 		}
 	}
 }
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -36,6 +36,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/hookhall/hookhall/internal/state/quota"
 )
 
 const (
@@ -54,21 +56,15 @@
 	Slack  float64 // of the whole fleet
 }
 
-// Sharers are the processes that share the slack.
-type Sharers struct {
-	Count int // 0 when it is not known
-	Place int // of this process in their order, from 0
-}
-
 // Budget counts for all services.
 type Budget struct {
 	limits  Limits
-	sharers func(now time.Time) Sharers
+	sharers func(now time.Time) quota.Sharers
 	began   time.Time // the process's start
 
 	mu     sync.Mutex
 	byName map[string]*bucket
-	known  Sharers
+	known  quota.Sharers
 	asked  time.Time // when known was
 }
 
@@ -80,7 +76,7 @@
 }
 
 // New makes the empty Budget of a process that began at a time.
-func New(l Limits, sharers func(now time.Time) Sharers, began time.Time) *Budget {
+func New(l Limits, sharers func(now time.Time) quota.Sharers, began time.Time) *Budget {
 	return &Budget{limits: l, sharers: sharers, began: began, byName: map[string]*bucket{}}
 }
 
--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -7,13 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/hookhall/hookhall/internal/state/quota"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
 
 // shared are so many processes, of which this one is the first.
-func shared(count int) func(time.Time) Sharers {
-	return func(time.Time) Sharers { return Sharers{Count: count} }
+func shared(count int) func(time.Time) quota.Sharers {
+	return func(time.Time) quota.Sharers { return quota.Sharers{Count: count} }
 }
 
 func TestBudget(t *testing.T) {
@@ -81,7 +82,7 @@
 	})
 	Convey("Given more processes than the slack has whole repeats, only the first ones have any", t, func() {
 		for place := range 5 {
-			b := New(Limits{Ratio: 0.2, Window: window, Slack: 3.5}, func(time.Time) Sharers { return Sharers{5, place} }, start)
+			b := New(Limits{Ratio: 0.2, Window: window, Slack: 3.5}, func(time.Time) quota.Sharers { return quota.Sharers{Count: 5, Place: place} }, start)
 			for range 100 {
 				b.Request("s", start)
 			}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -32,8 +35,9 @@
 	reader  *bufio.Reader
 	// written counts bytes that were handed to the kernel for this request.
 	written atomic.Int64
-	idle    time.Time
+	idle    time.Time // since when it rests, zero before its first request has ended
 	keep    time.Duration
+	opened  time.Duration // how long opening it took
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -58,6 +62,21 @@
 	return quiet(c.Conn)
 }
 
+// prove waits for a sign that the target does not take a new connection.
+func (c *conn) prove(wait time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	switch {
+	case err == nil:
+		return errors.New("bytes came before a request was sent")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
 // quiet looks at a socket without waiting.
 func quiet(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
--- a/internal/transport/upstream/doc.go
+++ b/internal/transport/upstream/doc.go
@@ -15,6 +15,11 @@
 // only when the request was written to its end, the answer was read to its
 // framed end, nothing lies behind it, and neither side asked to close.
 //
+// A target takes so many connections from all processes together and resets others. So
+// an idle one is kept only while somebody asks for kept ones, and within this process's
+// part of what may rest there. Where a new one was reset, the next are watched for a
+// reset for about a round trip before a request is written.
+//
 // # Invariants
 //
 //   - An error is NotRun only if not a byte of the request was written.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,12 +24,17 @@
 const (
 	// dialTime bounds a new connection: some thirty round trips between halls. A
 	// packet that opens one and is dropped is sent anew only after a second, so that
-	// longer waits bring nothing. At 700 ms, 131 requests to engines of a hall without
-	// power lost half of their aim of 1 to 1.6 s; six paired days gained 0.012 +- 0.009
-	// of their worth.
+	// longer waits bring nothing.
 	dialTime = 250 * time.Millisecond
 	// mostIdle bounds the idle connections to one address.
 	mostIdle = 8
+	// scarceFor is for how long new connections to a target are proved that reset one
+	// before it answered: its places are taken, and will be for a while.
+	scarceFor = 10 * time.Second
+	// proofLeast is what a target may take to turn a new connection away, beside the
+	// way there and back; proofMost bounds both.
+	proofLeast = 2 * time.Millisecond
+	proofMost  = 25 * time.Millisecond
 	// mostDropped bounds the answers of earlier requests that are skipped.
 	mostDropped = 4
 	// mostDrain bounds what is read of a dropped answer.
@@ -37,13 +43,22 @@
 
 // Pool has the connections of one process.
 type Pool struct {
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	dials atomic.Int64
+	// Resting is how many idle connections to an address may be kept, beside mostIdle:
+	// targets bear so many from all processes together. nil means any number. Set
+	// before the first request.
+	Resting func(address string) int
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	asked  map[string]time.Time // when a kept connection was last asked for, by address
+	scarce map[string]time.Time // when a new connection was last reset, by address
+	dials  atomic.Int64
 }
 
 // NewPool makes an empty Pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*conn{}, asked: map[string]time.Time{}, scarce: map[string]time.Time{}}
+}
 
 // Dials is how many connections were opened.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
@@ -75,6 +90,7 @@
 func (p *Pool) take(address string, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.asked[address] = now
 	list := p.idle[address]
 	for len(list) > 0 {
 		c := list[len(list)-1]
@@ -89,11 +105,24 @@
 	return nil
 }
 
+// wanted tells whether a kept connection to an address was asked for lately. One that
+// nobody asks for takes a place at its target for nothing.
+func (p *Pool) wanted(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.asked[address]
+	return ok && now.Sub(at) < keepDefault
+}
+
 func (p *Pool) put(c *conn, now time.Time) {
 	c.idle = now
+	most := mostIdle
+	if p.Resting != nil {
+		most = min(most, p.Resting(c.address))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= mostIdle {
+	if len(p.idle[c.address]) >= most {
 		_ = c.Close()
 		return
 	}
@@ -130,15 +159,49 @@
 		}
 		p.idle[a] = kept
 	}
+	maps.DeleteFunc(p.asked, func(_ string, at time.Time) bool { return now.Sub(at) >= keepDefault })
+	maps.DeleteFunc(p.scarce, func(_ string, at time.Time) bool { return now.Sub(at) >= scarceFor })
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dials.Add(1)
+	began := clock.Now()
 	c, err := sockets.Dialer(dialTime).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, address), nil
+	own := newConn(c, address)
+	own.opened = clock.Since(began)
+	return own, nil
+}
+
+// open makes a new connection. One to a target that has turned others away is proved:
+// a reset that comes before the request is written shows that nothing has run.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	c, err := p.dial(ctx, address)
+	if err != nil || !p.scarceAt(address, clock.Now()) {
+		return c, err
+	}
+	if err := c.prove(min(c.opened+proofLeast, proofMost)); err != nil {
+		_ = c.Close() // the target has closed it
+		p.noteScarce(address, clock.Now())
+		return nil, errors.Wrap(err, "the target turned the connection away")
+	}
+	return c, nil
+}
+
+func (p *Pool) scarceAt(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.scarce[address]
+	return ok && now.Sub(at) < scarceFor
+}
+
+// noteScarce takes in that a target reset a new connection.
+func (p *Pool) noteScarce(address string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scarce[address] = now
 }
 
 // Refuses implements hookhall.Prober. A connection that opens is closed again.
@@ -159,7 +222,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, r.Address); err != nil {
+		if c, err = p.open(ctx, r.Address); err != nil {
 			return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseConnection, "connect: %v", err)
 		}
 	}
@@ -183,6 +246,9 @@
 		stop()
 		_ = c.Close()
 		<-wrote
+		if c.idle.IsZero() && errors.Is(err, syscall.ECONNRESET) {
+			p.noteScarce(r.Address, clock.Now())
+		}
 		if !r.Fresh && !errors.Is(ctx.Err(), context.Canceled) {
 			p.Forget(r.Address)
 		}
@@ -195,8 +261,13 @@
 			_ = c.Close()
 			return
 		}
+		now := clock.Now()
+		if r.Fresh && !p.wanted(r.Address, now) {
+			_ = c.Close()
+			return
+		}
 		c.keep = keepAlive(head.Header)
-		p.put(c, clock.Now())
+		p.put(c, now)
 	}}
 	return resp, nil
 }
