rollouts: orders to move a service to another version are carried out

Cause: nothing read the operators' orders.

Change: hookhall.Rollout, read and told in platform/; state/rollout decides, without input and output: each request goes to a version on trial by a chance of half of the bound, drawn anew, so that no account is lost with a process; an owner compares what all processes have seen of both versions by route (a sequential ratio test of failures, means of times), rolls back or moves all, and completes once nothing runs at old targets. coordination/rollouts carries words and phases; the state is written under a condition (Store.Swap). The placer and the tracker take versions into account; brokers of stage pools count calls on trial.

Ruled out: an account of the whole fleet at the owner (a restart spends it again, or a lease is needed before each request); shares by member list (77 gateways with four requests a second have none of a twentieth each); a fixed number of failures (a service that fails one answer in seven would never be rolled out).

--- a/cmd/hookhall-gateway/main.go
+++ b/cmd/hookhall-gateway/main.go
@@ -51,7 +51,7 @@
 	pool := upstream.NewPool()
 	targets := platform.Targets{Pool: pool}
 	g, err := gateway.New(s, gateway.Adapters{
-		Store: platform.NewStore(s.Store.Address), Platform: platform.Keys{}, Dialect: platform.Dialect{},
+		Store: platform.NewStore(s.Store.Address), Platform: platform.Keys{}, Rollouts: platform.Keys{}, Dialect: platform.Dialect{},
 		Sender: targets, Pool: targets, Connections: pool,
 	}, os.Stdout)
 	if err != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -46,6 +46,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/quarantine"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/balance"
@@ -85,6 +86,7 @@
 type Adapters struct {
 	Store    hookhall.Store
 	Platform hookhall.Platform
+	Rollouts hookhall.RolloutKeys
 	Dialect  hookhall.Dialect
 	Sender   hookhall.Sender
 	Pool     hookhall.StagePool
@@ -111,6 +113,7 @@
 	broker      *stages.Broker
 	placer      *placement.Placer
 	quarantine  *quarantine.Quarantine
+	rollouts    *rollouts.Rollouts
 	forward     *forward.Forwarder
 	drain       *front.Drain
 	resting     atomic.Pointer[connectionSharers]
@@ -168,7 +171,12 @@
 	g.members = members.New(self, g.gate, g.logger(logging.Members))
 	g.clients = fleet.NewClients(g.logger(logging.Members))
 	g.quarantine = quarantine.New(g.adapters.Connections, g.catalog, g.gate, g.logger(logging.Crashes))
-	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog, Ends: g.quarantine}
+	g.rollouts = &rollouts.Rollouts{
+		Keys: g.adapters.Rollouts, Store: g.gate, Fleet: g.members, Directory: g.catalog, Share: s.Bounds.ExposeShare, Log: g.logger(logging.Rollout),
+		Remote: func(address string) rollouts.Remote { return g.clients.Client(address) },
+	}
+	g.catalog.Orders = g.rollouts.Read
+	g.broadcaster = &fleet.Broadcaster{Peers: g.members, Clients: g.clients, Catalog: g.catalog, Ends: g.quarantine, Rollouts: g.rollouts}
 	g.starter = &fleet.Starter{Clients: g.clients, Catalog: g.catalog, Members: g.members, Ends: g.quarantine, Log: g.logger(logging.Catalog), Began: clock.Now()}
 	g.quarantine.Leads = func() bool { return g.catalog.Rank() == 0 }
 	g.quarantine.Era = g.eras.Era
@@ -183,7 +191,7 @@
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.tracker = balance.NewTracker()
-	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.logger(logging.Stages))
+	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.rollouts, g.logger(logging.Stages))
 	cold := balance.ColdLimits{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack}
 	g.placer = placement.NewPlacer(g.catalog, cold)
 	runner := &stages.Runner{
@@ -196,7 +204,7 @@
 			Local: g.placer, Fleet: g.members,
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
 		},
-		Quarantine: g.quarantine, Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
+		Quarantine: g.quarantine, Rollouts: g.rollouts, Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
@@ -253,7 +261,7 @@
 		"metrics", g.metricsAt.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){g.watchClock, g.catalog.Run, g.members.Run, g.quarantine.Run, g.tidy, g.tellReady, g.askSeeds, (&fleet.Inviter{Broadcaster: g.broadcaster}).Run} {
+	for _, f := range []func(context.Context){g.watchClock, g.catalog.Run, g.members.Run, g.quarantine.Run, g.rollouts.Run, g.tidy, g.tellReady, g.askSeeds, (&fleet.Inviter{Broadcaster: g.broadcaster}).Run} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -361,6 +369,7 @@
 	Members  []hookhall.Member         `json:"members"`
 	Balance  map[string]balance.Status `json:"balance"`
 	Refused  []RefusedContent          `json:"refused_contents"`
+	Rollouts []rollouts.Standing       `json:"rollouts"`
 	Repeats  budget.Status             `json:"repeats"`
 	Dropped  int64                     `json:"log_lines_dropped"`
 }
@@ -372,8 +381,9 @@
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
 		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
 		Refused: g.refusedContents(now), Rejected: g.catalog.Rejected(),
-		Era:     g.eras.Era(),
-		Repeats: g.forward.Budget.Status(now),
+		Rollouts: g.rollouts.Orders().List,
+		Era:      g.eras.Era(),
+		Repeats:  g.forward.Budget.Status(now),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
--- a/internal/app/logging/logging.go
+++ b/internal/app/logging/logging.go
@@ -29,6 +29,7 @@
 	Catalog = "catalog"
 	Members = "members"
 	Crashes = "crashes"
+	Rollout = "rollout"
 )
 
 // New makes a logger of a part; level is one of debug, info, warn and error.
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -42,13 +42,14 @@
 	RetrySlack    float64 `toml:"retry_slack"`     // repeats beyond it, of the whole fleet
 	ColdOver      float64 `toml:"cold_over"`       // what a cold target may get, as a multiple of what it bears
 	ColdSlack     float64 `toml:"cold_slack"`      // requests a second beyond it
+	ExposeShare   float64 `toml:"expose_share"`    // of a service's requests, what a version that may be bad may get
 }
 
 // DefaultGateway has the defaults of all keys that have one.
 func DefaultGateway() Gateway {
 	return Gateway{
 		Gateway: GatewayPart{Cores: 1, LinkMbps: 1000, MemoryMB: 256},
-		Bounds:  BoundsPart{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1},
+		Bounds:  BoundsPart{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1, ExposeShare: 0.1},
 		Log:     LogPart{Level: "info"},
 	}
 }
@@ -82,6 +83,7 @@
 	if s.Bounds.ColdSlack < 0 {
 		c.add("bounds.cold_slack", "%v is not accepted; 0 or more is", s.Bounds.ColdSlack)
 	}
+	c.share("bounds.expose_share", s.Bounds.ExposeShare)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	return c.list
 }
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -86,6 +86,10 @@
 	// Read is called after this process has learned something from the store
 	// itself. Set before Run.
 	Read func()
+	// Orders takes in keys that operators have written, as of a revision of the store;
+	// whole tells that there are no others. It tells whether anything changed that others
+	// should know. Set before Run.
+	Orders func(items []hookhall.Item, at hookhall.Revision, whole bool) bool
 	// Reborn is told of a target whose life is over, as it was listed before. It must
 	// not block, nor call the catalog. Set before Run.
 	Reborn func(before hookhall.Target)
@@ -129,7 +133,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Reborn: func(hookhall.Target) {}, place: 1 - rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Orders: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, Reborn: func(hookhall.Target) {}, place: 1 - rand.Float64()}
 	c.noteAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -110,6 +110,7 @@
 	// The halls come first: a process is ready with its first table, and must not
 	// send anything into a hall that was evacuated before it started.
 	fresh := c.LearnHalls(Halls{at, c.readHalls(items)}, "store")
+	fresh = c.Orders(items, at, true) || fresh
 	found := c.learnStored(items, began)
 	if fresh {
 		c.Read()
@@ -128,7 +129,8 @@
 		// Whatever was missed is read whole.
 		return 0, err
 	}
-	if c.followHalls(events, at) {
+	changed := c.followHalls(events, at)
+	if changed = c.Orders(events, at, false) || changed; changed {
 		c.Read()
 	}
 	if c.learnStored(events, began) {
--- a/internal/coordination/eras/eras.go
+++ b/internal/coordination/eras/eras.go
@@ -114,6 +114,19 @@
 	return s.store.Put(ctx, key, value, lease)
 }
 
+// Swap implements hookhall.Store. What a condition of an earlier era was read from may have
+// changed unseen.
+func (s *Store) Swap(ctx context.Context, key string, value []byte, was hookhall.Revision) (hookhall.Revision, error) {
+	if was > 0 && was.Era() < s.Era() {
+		return 0, hookhall.ErrConflict
+	}
+	at, err := s.store.Swap(ctx, key, value, was)
+	if err == nil {
+		err = s.note(at.Era())
+	}
+	return at, err
+}
+
 // Grant implements hookhall.Store.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (hookhall.Lease, error) {
 	l, err := s.store.Grant(ctx, ttl)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
@@ -20,14 +21,18 @@
 	reply  *hookhall.Reply
 	use    *balance.Use
 	placed placement.Placement
-	err    *hookhall.Error
-	began  time.Time
+	// counted is set while the target's service moves to another version.
+	counted *rollouts.Use
+	err     *hookhall.Error
+	began   time.Time
 }
 
 // read counts the prompt as read: the answer has begun.
 func (a *attempt) read() {
 	a.use.Read()
-	a.use.Succeeded(clock.Since(a.began))
+	took := clock.Since(a.began)
+	a.use.Succeeded(took)
+	a.counted.Answered(took, false)
 	a.placed.Tell(placement.Read)
 }
 
@@ -43,6 +48,7 @@
 // end counts the attempt's end.
 func (a *attempt) end() {
 	a.use.End()
+	a.counted.End()
 	a.placed.Tell(placement.Ended)
 }
 
@@ -74,11 +80,12 @@
 	r.wish.Slack = max(clock.Until(r.aim), 0)
 	r.placed = placement.Placement{}
 	for {
+		r.wish.Versions = r.Rollouts.Versions(r.service, r.sends == 0)
 		targets := r.Catalog.Targets(r.service)
 		if r.wish.Engine || allCold(targets, clock.Now()) {
 			r.placed = r.Placement.Place(ctx, r.service, r.wish)
 			for _, t := range targets {
-				if t.ID == r.placed.Target {
+				if t.ID == r.placed.Target && r.wish.Allow(t) {
 					return t, nil
 				}
 			}
@@ -103,7 +110,7 @@
 // send offers the request to t. A refusal by the target is an error.
 func (r *request) send(ctx context.Context, t hookhall.Target, after string) *attempt {
 	now := clock.Now()
-	a := &attempt{use: r.Tracker.Begin(t, r.wish, now), placed: r.placed, began: now}
+	a := &attempt{use: r.Tracker.Begin(t, r.wish, now), placed: r.placed, counted: r.Rollouts.Begin(r.route.Name, t), began: now}
 	if ctx.Err() != nil {
 		a.err = hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "not sent: %v", ctx.Err())
 		a.end()
@@ -201,6 +208,17 @@
 	return true
 }
 
+// countFailure counts an answer that did not come, or not whole. One that nobody waits for
+// any longer was slow, whatever would have become of it.
+func (r *request) countFailure(ctx context.Context, a *attempt) {
+	switch {
+	case ctx.Err() == nil:
+		a.counted.Answered(clock.Since(a.began), true)
+	case a.reply == nil:
+		a.counted.Unanswered()
+	}
+}
+
 // next decides what follows a failed send: true for another one.
 func (r *request) next(ctx context.Context, a *attempt, t hookhall.Target) bool {
 	if !r.lost {
@@ -208,6 +226,7 @@
 	}
 	if a.err.Verdict != hookhall.NotRun {
 		r.runs++
+		r.countFailure(ctx, a)
 	}
 	if a.err.Verdict == hookhall.MayHaveRun && ctx.Err() == nil {
 		r.Quarantine.Broke(r.digest(), r.accountName(), t)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
@@ -78,6 +79,15 @@
 	Served(content func() crashes.Digest)
 }
 
+// Rollouts knows which versions of a service may run a request, and counts what their
+// answers show.
+type Rollouts interface {
+	// Versions are those that may run a request; first tells that no target had it yet.
+	Versions(service string, first bool) balance.Versions
+	// Begin counts a request that is sent to a target; nil when no order concerns it.
+	Begin(route string, t hookhall.Target) *rollouts.Use
+}
+
 // Meter counts.
 type Meter interface {
 	// Forwarded counts a request's end; cause is "answered" for a target's answer.
@@ -94,6 +104,7 @@
 	Placement Placement
 	// Quarantine keeps requests from targets that would end.
 	Quarantine Quarantine
+	Rollouts   Rollouts
 	Tracker    *balance.Tracker
 	Budget     *budget.Budget
 	// ColdShare is how many requests in any second this process may send to a cold
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -72,6 +72,7 @@
 	}
 	if a.reply.Status >= http.StatusInternalServerError {
 		a.failed(false)
+		a.counted.Answered(clock.Since(a.began), true)
 	} else {
 		a.read()
 	}
--- a/internal/coordination/outage/gate.go
+++ b/internal/coordination/outage/gate.go
@@ -136,6 +136,16 @@
 	return err
 }
 
+// Swap implements hookhall.Store. Of two calls on behalf of all, the second finds what the
+// first has written, which is a conflict: the caller reads what stands there.
+func (g *Gate) Swap(ctx context.Context, key string, value []byte, was hookhall.Revision) (hookhall.Revision, error) {
+	a, err := g.call(ctx, func(ctx context.Context, _ bool) (a answer, err error) {
+		a.at, err = g.store.Swap(ctx, key, value, was)
+		return a, err
+	})
+	return a.at, err
+}
+
 // Grant implements hookhall.Store. Of two calls on behalf of all, one lease may be
 // left to run out.
 func (g *Gate) Grant(ctx context.Context, ttl time.Duration) (hookhall.Lease, error) {
--- a/internal/coordination/outage/gate_test.go
+++ b/internal/coordination/outage/gate_test.go
@@ -64,6 +64,9 @@
 func (s *fakeStore) Put(ctx context.Context, _ string, _ []byte, _ hookhall.Lease) error {
 	return s.answer(ctx)
 }
+func (s *fakeStore) Swap(ctx context.Context, _ string, _ []byte, was hookhall.Revision) (hookhall.Revision, error) {
+	return was + 1, s.answer(ctx)
+}
 func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (hookhall.Lease, error) {
 	return hookhall.Lease{Number: 1}, s.answer(ctx)
 }
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/state/batch"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/crashes"
@@ -45,12 +47,26 @@
 	Ended(t hookhall.Target) bool
 }
 
+// Rollouts knows which targets may be used while a service moves to another version, and
+// counts what their answers show.
+type Rollouts interface {
+	// Usable are those of a service's targets that may be used, and the version among them
+	// that is on trial with its share of the calls, "" for none.
+	Usable(service string, targets []hookhall.Target) (list []hookhall.Target, trial string, share float64)
+	// Begin counts a call to a target; nil when no order concerns it.
+	Begin(route string, t hookhall.Target) *rollouts.Use
+}
+
+// stageCalls stands for a route where answers of stage pools are counted.
+const stageCalls = "(stage calls)"
+
 // Broker holds the queues of the services that this process brokers, by its own
 // list of members or by another process's.
 type Broker struct {
 	directory  Directory
 	pool       hookhall.StagePool
 	quarantine Quarantine
+	rollouts   Rollouts
 	log        *log.Logger
 
 	mu     sync.Mutex
@@ -58,8 +74,8 @@
 }
 
 // NewBroker makes a Broker without work.
-func NewBroker(d Directory, p hookhall.StagePool, q Quarantine, l *log.Logger) *Broker {
-	return &Broker{directory: d, pool: p, quarantine: q, log: l, queues: map[string]*serviceQueue{}}
+func NewBroker(d Directory, p hookhall.StagePool, q Quarantine, r Rollouts, l *log.Logger) *Broker {
+	return &Broker{directory: d, pool: p, quarantine: q, rollouts: r, log: l, queues: map[string]*serviceQueue{}}
 }
 
 // serviceQueue is one service's queue with its lock.
@@ -224,7 +240,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.configure(spec, q.broker.directory.Targets(q.service))
+	targets, trial, share := q.broker.rollouts.Usable(q.service, q.broker.directory.Targets(q.service))
+	q.configure(spec, targets)
+	q.queue.Try(trial, share)
 	if q.broker.directory.Evacuated(q.service) {
 		q.queue.Abandon()
 	}
@@ -261,10 +279,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience*b.Expected+callSlack)
 	patience := time.AfterFunc(b.Patience, func() { q.overdue(b) })
 	read := time.AfterFunc(b.ReadBy, func() { q.inputsRead(b) })
+	counted := q.broker.rollouts.Begin(stageCalls, b.Target)
 	results, err := q.broker.pool.Make(ctx, b.Target, b.Pieces)
+	counted.End()
 	read.Stop()
 	patience.Stop()
 	cancel()
+	if err == nil || hookhall.AsError(err).Verdict != hookhall.NotRun {
+		counted.Answered(clock.Since(began), err != nil || failed(results))
+	}
 	if err != nil {
 		results = nil
 		q.broker.log.Warn("A call of a stage pool failed.", "service", q.service, "target", b.Target.ID,
@@ -316,6 +339,11 @@
 	}
 }
 
+// failed tells whether a target failed with pieces for a reason of its own.
+func failed(results []hookhall.PieceResult) bool {
+	return slices.ContainsFunc(results, func(r hookhall.PieceResult) bool { return r.Failure == hookhall.PieceError })
+}
+
 // made counts the pieces that were made.
 func made(results []hookhall.PieceResult) int {
 	n := 0
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/state/batch"
 	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
@@ -157,7 +158,7 @@
 	table := routetable.Compile(r)
 	b := &bench{pool: &fakePool{held: map[string]bool{}, fails: map[hookhall.PieceFailure]int{}}, fleet: &fakeFleet{}}
 	quiet := log.New(io.Discard)
-	broker := NewBroker(fakeDirectory{table}, b.pool, openQuarantine{}, quiet)
+	broker := NewBroker(fakeDirectory{table}, b.pool, openQuarantine{}, &rollouts.Rollouts{}, quiet)
 	b.runner = &Runner{
 		Local: broker, Fleet: b.fleet, Log: quiet,
 		Remote: func(string) Remote { return silentRemote{} },
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -96,6 +96,7 @@
 	Exclude map[string]bool
 	// Halls are where the target may stand; none means anywhere.
 	Halls []string
+	Versions
 	// Cold tells how many requests in any second a cold target may get from this
 	// process; nil leaves cold targets out.
 	Cold func(target string) int
@@ -115,6 +116,7 @@
 
 func (b *Tracker) pick(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	var open, full, ejected []candidate
+	targets = w.among(targets)
 	if len(targets) > scanMost {
 		open, _, _ = b.candidates(b.sample(targets, w), w, now)
 	}
@@ -163,9 +165,10 @@
 	return open, full, ejected
 }
 
-// allows tells whether a target stands where the request may run.
+// allows tells whether a target stands where the request may run, and has a version that
+// may run it.
 func (w *Wish) allows(t hookhall.Target) bool {
-	return len(w.Halls) == 0 || slices.Contains(w.Halls, t.Hall)
+	return (len(w.Halls) == 0 || slices.Contains(w.Halls, t.Hall)) && w.Allow(t)
 }
 
 // bears tells whether a target may get another request now: one that is cold falls
--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -11,6 +11,7 @@
 type openWorkers struct {
 	list  []*worker
 	first *Job // the most urgent
+	trial *trial
 }
 
 func (o *openWorkers) Len() int      { return len(o.list) }
@@ -18,7 +19,11 @@
 func (o *openWorkers) Push(s any)    { o.list = append(o.list, s.(*worker)) }
 
 func (o *openWorkers) Less(i, j int) bool {
-	return better(o.list[i], o.list[j], o.first)
+	a, b := o.list[i], o.list[j]
+	if at, bt := o.trial.has(a), o.trial.has(b); at != bt {
+		return at // its turn has come
+	}
+	return better(a, b, o.first)
 }
 
 func (o *openWorkers) Pop() any {
@@ -29,9 +34,9 @@
 
 // open finds the workers that may get a call.
 func (q *Queue) open(now time.Time) *openWorkers {
-	o := &openWorkers{first: q.first()}
+	o := &openWorkers{first: q.first(), trial: &q.trial}
 	for _, s := range q.list {
-		if s.open(q.spec.Slots, now) {
+		if s.open(q.spec.Slots, now) && (q.trial.may() || !q.trial.has(s)) {
 			q.expire(s, now)
 			o.list = append(o.list, s)
 		}
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -52,7 +52,8 @@
 	holders map[string]*worker
 	// working counts the targets that work, by hall.
 	working map[string]int
-	bytes   float64   // those of all workers
+	bytes   float64 // those of all workers
+	trial   trial
 	short   time.Time // when work last found no room at a target with a free place
 	// unsure is until when targets may hold results of another, lost queue: one
 	// reported no room where this queue's account has some.
@@ -227,7 +228,12 @@
 	heap.Init(open)
 	var batches []*Batch
 	for open.Len() > 0 && q.first() != nil {
-		if b := q.fill(heap.Pop(open).(*worker), now); b != nil {
+		s := heap.Pop(open).(*worker)
+		if q.trial.has(s) && !q.trial.may() {
+			continue
+		}
+		if b := q.fill(s, now); b != nil {
+			q.trial.count(s)
 			batches = append(batches, b)
 		}
 	}
--- a/internal/state/batch/scale_test.go
+++ b/internal/state/batch/scale_test.go
@@ -130,3 +130,37 @@
 		}
 	}
 }
+
+// TestTrial: targets of a version on trial get their share of the calls, and no more,
+// however many they are and whoever else is busy.
+func TestTrial(t *testing.T) {
+	const share = 0.1
+	list := many(10)
+	for i := range list[:6] {
+		list[i].Version = "new"
+	}
+	q := NewQueue()
+	q.Configure(spec, list)
+	q.Try("new", share)
+	tried, calls := 0, 0
+	for i := range 400 {
+		j, _ := job(fmt.Sprint("job ", i), 4, 60000, 90000)
+		q.Add(j)
+		for _, b := range q.Next(at(i)) {
+			calls++
+			if b.Target.Version == "new" {
+				tried++
+			}
+			if float64(tried) > share*float64(calls) {
+				t.Fatalf("%d of %d calls", tried, calls)
+			}
+			if i%3 > 0 { // some stay at work
+				q.Done(b, answer(b), at(i))
+				q.Free(j.Handles())
+			}
+		}
+	}
+	if float64(tried) < share*float64(calls)-1 {
+		t.Errorf("%d of %d calls", tried, calls)
+	}
+}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -100,6 +100,7 @@
 	w := balance.Wish{
 		Engine: !r.GetPlain(), Halls: r.GetHalls(), Shared: r.GetShared(), SharedTokens: int(r.GetSharedTokens()), OwnTokens: int(r.GetOwnTokens()),
 		Parts: r.GetParts(), Near: r.GetNear(), Slack: milliseconds(r.GetSlackMs()), OutTokens: int(r.GetOutTokens()), Exclude: map[string]bool{},
+		Versions: balance.Versions{Only: r.GetOnlyVersion(), Not: r.GetNotVersion(), Among: int(r.GetAmong())},
 	}
 	for _, id := range r.GetExclude() {
 		w.Exclude[id] = true
@@ -222,6 +223,7 @@
 		Ticket: ticket, Service: service, Shared: w.Shared, SharedTokens: int64(w.SharedTokens), OwnTokens: int64(w.OwnTokens),
 		Parts: w.Parts, Near: w.Near, SlackMs: w.Slack.Milliseconds(),
 		OutTokens: int64(w.OutTokens), Plain: !w.Engine, Halls: w.Halls,
+		OnlyVersion: w.Only, NotVersion: w.Not, Among: int32(w.Among),
 	}
 	for id := range w.Exclude {
 		ask.Exclude = append(ask.Exclude, id)
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -14,6 +14,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/members"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +50,8 @@
 	Catalog *catalog.Catalog
 	// Ends knows which targets ended while they ran a request.
 	Ends Ends
+	// Rollouts knows the operators' orders to move services.
+	Rollouts Rollouts
 	// Start asks a peer while this process knows nothing; nil never does.
 	Start *Starter
 	// Heard is told when a call of the store began that somebody had an answer to;
@@ -91,6 +94,8 @@
 	h := s.Catalog.Halls()
 	m.HallsRevision, m.Evacuated = uint64(h.Revision), h.Evacuated
 	m.EndsSum = s.Ends.Sum(now)
+	o := s.Rollouts.Orders()
+	m.RolloutsRevision, m.Rollouts = uint64(o.Revision), wireOrders(o.List)
 	p := s.Peers.News(now)
 	m.MembersRevision, m.MembersDigest, m.MembersGone = uint64(p.Revision), p.Digest, p.Gone
 	var err error
@@ -156,6 +161,7 @@
 		Digest: m.GetDigest(), Bulk: m.GetBulk(), Gone: m.GetGone(),
 		MembersRevision: m.GetMembersRevision(), MembersDigest: m.GetMembersDigest(), MembersGone: m.GetMembersGone(),
 		HallsRevision: m.GetHallsRevision(), Evacuated: m.GetEvacuated(), EndsSum: m.GetEndsSum(),
+		RolloutsRevision: m.GetRolloutsRevision(), Rollouts: m.GetRollouts(),
 	}
 }
 
@@ -188,6 +194,7 @@
 	from := instance(m.GetReader())
 	// Before the table, which is confirmed by the same news.
 	hallsChanged := m.GetHallsRevision() > 0 && s.Catalog.LearnHalls(catalog.Halls{Revision: hookhall.Revision(m.GetHallsRevision()), Evacuated: m.GetEvacuated()}, from)
+	s.Rollouts.Learn(rollouts.Orders{Revision: hookhall.Revision(m.GetRolloutsRevision()), List: readOrders(m.GetRollouts())}, from)
 	s.compareEnds(m, came)
 	fresh, gap := s.Catalog.LearnNews(n, from)
 	if gap && m.GetFrom() != "" {
--- a/internal/transport/fleet/repair_test.go
+++ b/internal/transport/fleet/repair_test.go
@@ -14,6 +14,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/quarantine"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"google.golang.org/grpc"
 )
@@ -21,7 +22,7 @@
 // serving is a gateway's server with a catalog that has n targets as of a revision.
 func serving(t *testing.T, n int, revision hookhall.Revision) (*Broadcaster, string) {
 	t.Helper()
-	b := &Broadcaster{Peers: newPeers(1), Clients: NewClients(log.New(io.Discard)), Catalog: readyCatalog(t), Ends: quarantine.New(nil, nil, nil, log.New(io.Discard))}
+	b := &Broadcaster{Peers: newPeers(1), Clients: NewClients(log.New(io.Discard)), Catalog: readyCatalog(t), Ends: quarantine.New(nil, nil, nil, log.New(io.Discard)), Rollouts: &rollouts.Rollouts{}}
 	r := catalog.Reading{Revision: revision, Began: time.Now()}
 	for i := range n {
 		value := fmt.Sprintf(`{"service":"pool","address":"10.0.%d.%d:80","state":"ready"}`, i/250, i%250)
--- /dev/null
+++ b/internal/transport/fleet/rollouts.go
@@ -0,0 +1,101 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/rollouts"
+	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/rollout"
+)
+
+// Rollouts is what a process knows of the operators' orders to move services.
+type Rollouts interface {
+	Orders() rollouts.Orders
+	Learn(o rollouts.Orders, from string)
+	// Take takes in a process's word as the orders' owner.
+	Take(r rollouts.Report) []rollouts.Standing
+}
+
+// Tally implements the service.
+func (s *Server) Tally(_ context.Context, r *pb.RolloutReport) (*pb.RolloutReply, error) {
+	report := rollouts.Report{Reporter: r.GetReporter()}
+	for _, t := range r.GetTallies() {
+		report.Tallies = append(report.Tallies, readTally(t))
+	}
+	return &pb.RolloutReply{Orders: wireOrders(s.Broadcaster.Rollouts.Take(report))}, nil
+}
+
+// Tally implements rollouts.Remote.
+func (c *Client) Tally(ctx context.Context, r rollouts.Report) ([]rollouts.Standing, error) {
+	if c.err != nil {
+		return nil, c.err
+	}
+	ask := &pb.RolloutReport{Reporter: r.Reporter}
+	for _, t := range r.Tallies {
+		ask.Tallies = append(ask.Tallies, wireTally(t))
+	}
+	reply, err := c.rpc().Tally(ctx, ask)
+	c.note(err)
+	if err != nil {
+		return nil, err
+	}
+	return readOrders(reply.GetOrders()), nil
+}
+
+func wireOrders(list []rollouts.Standing) []*pb.RolloutOrder {
+	var out []*pb.RolloutOrder
+	for _, s := range list {
+		out = append(out, &pb.RolloutOrder{
+			Service: s.Service, Version: s.Version, TimeMs: s.Time.Milliseconds(), Revision: uint64(s.Revision),
+			AgeMs: s.Age.Milliseconds(), Phase: int32(s.Phase),
+		})
+	}
+	return out
+}
+
+func readOrders(list []*pb.RolloutOrder) []rollouts.Standing {
+	var out []rollouts.Standing
+	for _, o := range list {
+		out = append(out, readOrder(o))
+	}
+	return out
+}
+
+func readOrder(o *pb.RolloutOrder) rollouts.Standing {
+	return rollouts.Standing{
+		Rollout: hookhall.Rollout{
+			Service: o.GetService(), Version: o.GetVersion(), Time: milliseconds(o.GetTimeMs()), Revision: hookhall.Revision(o.GetRevision()),
+		},
+		Phase: min(max(rollout.Phase(o.GetPhase()), rollout.Unknown), rollout.RolledBack),
+		Age:   max(milliseconds(o.GetAgeMs()), 0),
+	}
+}
+
+func wireTally(t rollouts.Tally) *pb.RolloutTally {
+	out := &pb.RolloutTally{Order: wireOrders([]rollouts.Standing{t.Standing})[0], AtOld: int64(t.AtOld)}
+	for route, v := range t.Evidence {
+		out.Routes = append(out.Routes, &pb.RouteTally{Route: route, Old: wireVersion(v.Old), New: wireVersion(v.New)})
+	}
+	return out
+}
+
+func wireVersion(t rollout.Tally) *pb.VersionTally {
+	return &pb.VersionTally{Answers: int64(t.Answers), Bad: int64(t.Bad), TookUs: t.Took.Microseconds()}
+}
+
+func readTally(t *pb.RolloutTally) rollouts.Tally {
+	out := rollouts.Tally{Standing: readOrder(t.GetOrder()), AtOld: int(t.GetAtOld()), Evidence: rollout.Evidence{}}
+	for _, v := range t.GetRoutes() {
+		out.Evidence[v.GetRoute()] = rollout.Versions{Old: readVersion(v.GetOld()), New: readVersion(v.GetNew())}
+	}
+	return out
+}
+
+func readVersion(t *pb.VersionTally) rollout.Tally {
+	return rollout.Tally{Answers: int(t.GetAnswers()), Bad: int(t.GetBad()), Took: time.Duration(t.GetTookUs()) * time.Microsecond}
+}
--- a/store.go
+++ b/store.go
@@ -49,6 +49,9 @@
 	Watch(ctx context.Context, prefix string, since Revision, wait time.Duration) (events []Item, at Revision, err error)
 	// Put writes a key under a lease (its zero value for none).
 	Put(ctx context.Context, key string, value []byte, lease Lease) error
+	// Swap writes a key, without a lease, if its last change was at a revision (0: it must
+	// not exist), and returns that of the write; ErrConflict when it was not.
+	Swap(ctx context.Context, key string, value []byte, was Revision) (at Revision, err error)
 	// Grant makes a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease Lease, err error)
 	// Renew extends a lease.
