stages, forward: a target is looked up again right before it is sent to

Cause: a call of a stage pool begins in a goroutine of its own, and an engine is chosen by another process, which may take 120 ms.

Change: the broker asks before each call whether the target's present life may be used, and has the pieces wait for another call if not; the forwarder looks for the placed engine in the list as it is after the placer's answer.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -84,6 +84,7 @@
 		targets := r.Catalog.Targets(r.service)
 		if r.wish.Engine || allCold(targets, clock.Now()) {
 			r.placed = r.Placement.Place(ctx, r.service, r.wish)
+			targets = r.Catalog.Targets(r.service) // some may have left meanwhile
 			for _, t := range targets {
 				if t.ID == r.placed.Target && r.wish.Allow(t) {
 					return t, nil
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -274,7 +274,13 @@
 	q.kick()
 }
 
+// call makes a call, unless its target may not be used any more: a process that is short
+// of its processor begins a call long after it chose the target.
 func (q *serviceQueue) call(b *batch.Batch) {
+	if !q.usable(b.Target) {
+		q.withdraw(b)
+		return
+	}
 	began := clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience*b.Expected+callSlack)
 	patience := time.AfterFunc(b.Patience, func() { q.overdue(b) })
@@ -308,6 +314,21 @@
 	q.kick()
 }
 
+// usable tells whether a target's present life may get calls.
+func (q *serviceQueue) usable(t hookhall.Target) bool {
+	list, _, _ := q.broker.rollouts.Usable(q.service, q.broker.directory.Targets(q.service))
+	return slices.ContainsFunc(list, func(o hookhall.Target) bool { return o.ID == t.ID && o.Born == t.Born })
+}
+
+// withdraw has the pieces of a call that is not made wait for another one.
+func (q *serviceQueue) withdraw(b *batch.Batch) {
+	q.broker.log.Info("A call of a stage pool is not made; its target may not be used any more.", "service", q.service, "target", b.Target.ID, "pieces", len(b.Pieces))
+	q.mu.Lock()
+	q.queue.Withdraw(b)
+	q.mu.Unlock()
+	q.kick()
+}
+
 // broke takes in how a call ended, and tells whether its target has ended. Before that is
 // known the pieces are not asked for again.
 func (q *serviceQueue) broke(b *batch.Batch, err error) bool {
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -10,7 +10,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -383,3 +385,30 @@
 func (openQuarantine) Standing(func() crashes.Digest) crashes.Standing { return crashes.Standing{} }
 func (openQuarantine) Broke(crashes.Digest, string, hookhall.Target)   {}
 func (openQuarantine) Ended(hookhall.Target) bool                      { return false }
+
+// leavingDirectory has targets when a call is chosen, and none when it would begin.
+type leavingDirectory struct {
+	fakeDirectory
+	asked atomic.Int64
+}
+
+func (d *leavingDirectory) Targets(pool string) []hookhall.Target {
+	if d.asked.Add(1) > 1 {
+		return nil
+	}
+	return d.fakeDirectory.Targets(pool)
+}
+
+// TestTargetLeavesBeforeItsCall: a target that leaves between the choice of a call and its
+// start gets none.
+func TestTargetLeavesBeforeItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		d := &leavingDirectory{fakeDirectory: fakeDirectory{b.graph.Table}}
+		broker := NewBroker(d, b.pool, openQuarantine{}, &rollouts.Rollouts{}, log.New(io.Discard))
+		_, err := broker.Run(t.Context(), Work{Service: "large", Call: "call", Pieces: 1, Key: "key", Due: time.Now().Add(time.Second), End: time.Now().Add(2 * time.Second)})
+		if err == nil || len(b.pool.made) > 0 {
+			t.Errorf("%d pieces were made, error %v", len(b.pool.made), err)
+		}
+	})
+}
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -50,17 +50,8 @@
 // Done takes in a call's answers; a nil list means that the call failed. It
 // returns handles that nobody needs, for the caller to release.
 func (q *Queue) Done(b *Batch, results []hookhall.PieceResult, now time.Time) []string {
-	s := q.workers[b.Target.Life()]
-	if s == nil {
-		s = newWorker(b.Target)
-	}
-	s.busy--
-	b.done = true
+	s := q.over(b)
 	defer q.settle(s)
-	for i, j := range b.jobs {
-		q.charge(s, -j.Bytes)
-		j.calls[b.Pieces[i].Index]--
-	}
 	if len(results) != len(b.Pieces) {
 		s.failed(now)
 		q.Overdue(b)
@@ -81,6 +72,28 @@
 	return unwanted
 }
 
+// Withdraw takes back a call that was not made: its pieces wait for another one.
+func (q *Queue) Withdraw(b *Batch) {
+	s := q.over(b)
+	defer q.settle(s)
+	q.Overdue(b)
+}
+
+// over takes in that a call is no longer at work, and returns the worker that had it.
+func (q *Queue) over(b *Batch) *worker {
+	s := q.workers[b.Target.Life()]
+	if s == nil {
+		s = newWorker(b.Target)
+	}
+	s.busy--
+	b.done = true
+	for i, j := range b.jobs {
+		q.charge(s, -j.Bytes)
+		j.calls[b.Pieces[i].Index]--
+	}
+	return s
+}
+
 // settle keeps the accounts of a worker after a call has ended there.
 func (q *Queue) settle(s *worker) {
 	q.count(s)
--- a/internal/state/batch/scale_test.go
+++ b/internal/state/batch/scale_test.go
@@ -76,7 +76,10 @@
 				from := rapid.IntRange(0, 7).Draw(t, "first listed")
 				q.Configure(spec, all[from:])
 			case 1:
-				if len(open) > 0 {
+				if len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "withdrawn") == 0 {
+					q.Withdraw(open[0])
+					open = open[1:]
+				} else if len(open) > 0 {
 					results := answer(open[0])
 					for _, r := range results {
 						held = append(held, r.Handle)
