catalog: a start's copy is confirmed by a whole reading, as before

The copy that a fleet begins with is empty: its targets register within the ten seconds after. A watch from it brings thousands of changes in one answer.

--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -138,18 +138,17 @@
 	return f.Learn(r, "store"), nil
 }
 
-// wholeDue tells whether all targets are to be read. What is known, even by a copy, is a
-// list as of a revision, and what changed since then is one answer whatever their number.
-// Whoever reads for all makes sure now and then.
+// wholeDue tells whether all targets are to be read. What others have told, or a reading
+// before, is a list as of a revision, and what changed since then is one answer whatever
+// their number; a copy may be older than it says, and lacks thousands of targets that start
+// with this process. Whoever reads for all makes sure now and then.
 func (f *targetsFollower) wholeDue() bool {
 	switch {
-	case f.whole:
+	case f.whole || f.picture.Load().Began.Equal(f.first):
 		return true
 	case f.Rank() > 0:
 		f.read = time.Time{}
 		return false
-	case f.picture.Load().Began.Equal(f.first):
-		return true
 	case f.read.IsZero():
 		f.read = clock.Now()
 	}
