catalog: a few of those that read for themselves tell it to all

Cause: whoever read the store for itself told all others. At a start of 986 gateways none is told yet, each reads, and each reading is told along the tree to all, with the thousands of targets that have just registered: messages grew as the square of the fleet. A whole reading, of a second or more, had kept that slow; one call of a few milliseconds did not: gateways grew by 12 MB each within 50 s, until the machine was out of memory.

Change: of those that neither read for all nor stand by to, the twelve with the first turns tell what they have read.

TestTellers, TestNewsOfThousands.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -44,6 +44,9 @@
 	// spread keeps the readings few beyond that size, too.
 	fleetStep = 4 * time.Millisecond
 	fleetMost = 1200 * time.Millisecond
+	// tellersMost is how many of those tell others what they have read: the ones with the
+	// first turns, so that one of them does in time whoever is cut off.
+	tellersMost = 12
 	// staleMost is how old the copy of the targets may be that a process begins with.
 	staleMost = 3 * time.Second
 	// confirmWait is how long such a process waits for news to bring its beliefs up
@@ -243,6 +246,15 @@
 	return now.Sub(heard) >= most
 }
 
+// tell passes on what this process has read, if it is one of those that do. Each piece of
+// news goes to all: if all that read for themselves told it, as when thousands start and
+// none is told yet, messages would grow as the square of the fleet.
+func (c *Catalog) tell() {
+	if c.Rank() < rankMost || c.place*float64(c.Fleet()) <= tellersMost {
+		c.Read()
+	}
+}
+
 // turn is when one of n processes has its turn, as a part of the time over which turns are
 // spread, by its place in (0, 1]. Turns grow denser exponentially: n to the power of x
 // come in the first part x of the time, so that one comes at its start, and few more until
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -113,7 +113,7 @@
 	fresh = c.Orders(items, at, true) || fresh
 	found := c.learnStored(items, began)
 	if fresh {
-		c.Read()
+		c.tell()
 	}
 	if !found {
 		return 0, errNoTable
@@ -131,7 +131,7 @@
 	}
 	changed := c.followHalls(events, at)
 	if changed = c.Orders(events, at, false) || changed; changed {
-		c.Read()
+		c.tell()
 	}
 	if c.learnStored(events, began) {
 		return at, nil
@@ -159,7 +159,7 @@
 		return false
 	}
 	if c.LearnTable(newest.Value, newest.Revision, "store", began) {
-		c.Read()
+		c.tell()
 	}
 	return true
 }
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -109,7 +109,7 @@
 	}
 	f.pause.Reset()
 	if fresh && !began {
-		f.Read()
+		f.tell()
 	}
 	if f.gather {
 		retry.Sleep(ctx, gatherEvents)
--- a/internal/coordination/catalog/turn_test.go
+++ b/internal/coordination/catalog/turn_test.go
@@ -128,3 +128,49 @@
 		run.Wait()
 	})
 }
+
+// TestTellers: of all that read for themselves, a few tell it to everybody.
+func TestTellers(t *testing.T) {
+	const n = 986
+	for rank, want := range map[int]int{0: n, 1: n, rankMost: tellersMost} {
+		told := 0
+		for i := range n {
+			c := newCatalog(newFakeStore())
+			c.Rank, c.Fleet = func() int { return rank }, func() int { return n }
+			c.Read = func() { told++ }
+			c.place = float64(i+1) / n
+			c.tell()
+		}
+		if told != want {
+			t.Errorf("%d of %d with rank %d tell others, not %d", told, n, rank, want)
+		}
+	}
+}
+
+// TestNewsOfThousands: what changed by thousands is not told with the news, and its digest
+// shows others that they lack it.
+func TestNewsOfThousands(t *testing.T) {
+	s := newFakeStore()
+	c, other := newCatalog(s), newCatalog(s)
+	for _, x := range []*Catalog{c, other} {
+		x.Learn(Reading{Revision: 1, Began: time.Now()}, "store")
+	}
+	s.change(func() {
+		s.at = 5
+		for i := range newsMost + 1 {
+			s.targets[fmt.Sprint("more-", i)] = ""
+		}
+	})
+	c.Learn(readingOf(t, s), "store")
+	n := c.News(time.Now())
+	if len(n.Changed) > 0 {
+		t.Errorf("%d changes are told", len(n.Changed))
+	}
+	if _, gap := other.LearnNews(n, "reader"); !gap {
+		t.Error("the other does not see that it lacks something")
+	}
+	other.LearnRepair(c.Differing(other.Digests()), "reader")
+	if got := len(other.Targets("pool")); got != newsMost+1 {
+		t.Errorf("%d targets are known after the repair", got)
+	}
+}
