--- a/internal/coordination/rollouts/rollouts_test.go
+++ b/internal/coordination/rollouts/rollouts_test.go
@@ -308,10 +308,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(c.bad)
+				f.store.away = c.away
 				for i := range 40 {
 					f.start(fmt.Sprintf("10.0.0.%02d:1", i), Orders{})
 				}
-				f.store.away = c.away
 				for second := range 17 {
 					if second == 5 {
 						f.store.mu.Lock()
