--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -62,11 +62,13 @@
 	return quiet(c.Conn)
 }
 
+// past is a deadline that is over.
+var past = time.Unix(1, 0)
+
 // prove waits for a sign that the target does not take a new connection.
 func (c *conn) prove(wait time.Duration) error {
-	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
-		return err
-	}
+	over := time.AfterFunc(wait, func() { _ = c.SetReadDeadline(past) }) // a closed one needs none
+	defer over.Stop()
 	_, err := c.reader.Peek(1)
 	switch {
 	case err == nil:
