rollout, eras, docs: what the error of the test is, and what a write may not see

Read as a newcomer: the package said that a good version is taken for a bad one in at most one of 10,000 roll-outs. That holds for a known rate of failures; it is estimated. Comments and the page say so now; nothing decides otherwise.

A conditional write after a return of the store that nobody has heard of is noted as open.

--- a/internal/coordination/eras/eras.go
+++ b/internal/coordination/eras/eras.go
@@ -116,6 +116,9 @@
 
 // Swap implements hookhall.Store. What a condition of an earlier era was read from may have
 // changed unseen.
+//
+// TODO: a return of the store that no answer has told of yet is found out by the answer to the
+// write, which is done by then if another process has written the key at the same count.
 func (s *Store) Swap(ctx context.Context, key string, value []byte, was hookhall.Revision) (hookhall.Revision, error) {
 	if was > 0 && was.Era() < s.Era() {
 		return 0, hookhall.ErrConflict
--- a/internal/state/rollout/doc.go
+++ b/internal/state/rollout/doc.go
@@ -13,9 +13,10 @@
 //
 // What the answers show is gathered from all processes by version and route, and
 // compared with the old version at the same time on the same route. Failures are judged
-// by a sequential probability ratio test, which may be read after each answer: it takes
-// a version that fails no more often than the old one for a bad one in at most one of
-// 1/falseAlarm Rollouts. Slowness is judged by the mean time to an answer.
+// by a sequential probability ratio test, which may be read after each answer. Were the old
+// version's rate of failures known, falseAlarm would bound how often a version that fails no
+// more often is taken for a bad one; the rate is estimated from the answers, which makes that
+// somewhat more frequent. Slowness is judged by the mean time to an answer.
 //
 // A version that has shown nothing bad for a part of the Rollout's time gets all
 // requests, while it is still judged; once nothing runs at old targets, the Rollout is
--- a/internal/state/rollout/judge.go
+++ b/internal/state/rollout/judge.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// falseAlarm bounds the chance that a route of a good version looks bad.
+	// falseAlarm bounds the chance that a route of a good version looks bad, if the old
+	// version's rate of failures is known.
 	falseAlarm = 1e-4
 	// failsMore is by how much more often than the old version a bad one is supposed to
 	// fail. A larger true difference is found sooner, one below half of it never.
