advisories: what targets say of themselves in answers is read and logged

Three incidents have in common that a target said in its answers that it was leaving, that it takes so many requests a second, or that it wants a pause, and no line or figure told whether a gateway had read it, when, and from whom.

It logs each change with target, life, age and source, counts it (advisories by service and kind), and /state lists it under advised. Nothing acts on them yet.

--- a/cmd/hookhall-gateway/main.go
+++ b/cmd/hookhall-gateway/main.go
@@ -49,10 +49,10 @@
 	}
 	first, _ := cli.Signals()
 	pool := upstream.NewPool()
-	targets := platform.Targets{Pool: pool}
+	targets := &platform.Targets{Pool: pool}
 	g, err := gateway.New(s, gateway.Adapters{
 		Store: platform.NewStore(s.Store.Address), Platform: platform.Keys{}, Rollouts: platform.Keys{}, Dialect: platform.Dialect{},
-		Sender: targets, Pool: targets, Connections: pool,
+		Sender: targets, Pool: targets, Advisories: targets, Connections: pool,
 	}, os.Stdout)
 	if err != nil {
 		cli.Fail(p.Name, err, cli.ExitFailed)
--- a/forward.go
+++ b/forward.go
@@ -79,6 +79,8 @@
 	InputGone bool
 	// Load is the target's report, if one came.
 	Load LoadReport
+	// Advisory is what the target says about further requests.
+	Advisory Advisory
 }
 
 // Reply is a target's answer whose head has come.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/hookhall/hookhall/internal/app/logging"
 	"github.com/hookhall/hookhall/internal/app/metrics"
 	"github.com/hookhall/hookhall/internal/app/settings"
+	"github.com/hookhall/hookhall/internal/coordination/advisories"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/eras"
 	"github.com/hookhall/hookhall/internal/coordination/forward"
@@ -49,6 +50,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -90,6 +92,8 @@
 	Dialect  hookhall.Dialect
 	Sender   hookhall.Sender
 	Pool     hookhall.StagePool
+	// Advisories reads what targets say in answers; nil when nothing does.
+	Advisories hookhall.AdvisorySource
 	// Connections are swept now and then.
 	Connections *upstream.Pool
 }
@@ -113,6 +117,7 @@
 	broker      *stages.Broker
 	placer      *placement.Placer
 	quarantine  *quarantine.Quarantine
+	advisories  *advisories.Advisories
 	rollouts    *rollouts.Rollouts
 	forward     *forward.Forwarder
 	drain       *front.Drain
@@ -190,6 +195,10 @@
 	g.adapters.Connections.Resting = g.restingConnections
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
+	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised)}
+	if g.adapters.Advisories != nil {
+		g.adapters.Advisories.Observe(g.advisories)
+	}
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.rollouts, g.logger(logging.Stages))
 	cold := balance.ColdLimits{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack}
@@ -344,6 +353,7 @@
 			known := func(l hookhall.Life) bool { return targets[l.ID].Born == l.Born && targets[l.ID].ID != "" }
 			g.tracker.Keep(known, now)
 			g.placer.Tidy(known, now)
+			g.advisories.Book.Keep(known)
 		}
 		current := map[string]bool{}
 		for _, m := range g.members.List(now) {
@@ -355,23 +365,24 @@
 
 // State is a dump of what the process believes.
 type State struct {
-	Instance string                    `json:"instance"`
-	Stopping bool                      `json:"stopping"`
-	InFlight int64                     `json:"in_flight"`
-	Era      uint64                    `json:"store_era"`
-	Table    int64                     `json:"table"`
-	TableRev hookhall.Revision         `json:"table_revision"`
-	Targets  hookhall.Revision         `json:"targets_revision"`
-	AgeMS    int64                     `json:"targets_age_ms"`
-	Halls    catalog.Halls             `json:"halls"`
-	Rejected []string                  `json:"keys_of_no_target"`
-	Cold     []string                  `json:"cold_targets"`
-	Members  []hookhall.Member         `json:"members"`
-	Balance  map[string]balance.Status `json:"balance"`
-	Refused  []RefusedContent          `json:"refused_contents"`
-	Rollouts []rollouts.Standing       `json:"rollouts"`
-	Repeats  budget.Status             `json:"repeats"`
-	Dropped  int64                     `json:"log_lines_dropped"`
+	Instance string                     `json:"instance"`
+	Stopping bool                       `json:"stopping"`
+	InFlight int64                      `json:"in_flight"`
+	Era      uint64                     `json:"store_era"`
+	Table    int64                      `json:"table"`
+	TableRev hookhall.Revision          `json:"table_revision"`
+	Targets  hookhall.Revision          `json:"targets_revision"`
+	AgeMS    int64                      `json:"targets_age_ms"`
+	Halls    catalog.Halls              `json:"halls"`
+	Rejected []string                   `json:"keys_of_no_target"`
+	Cold     []string                   `json:"cold_targets"`
+	Members  []hookhall.Member          `json:"members"`
+	Balance  map[string]balance.Status  `json:"balance"`
+	Advised  map[string]advisory.Status `json:"advised"`
+	Refused  []RefusedContent           `json:"refused_contents"`
+	Rollouts []rollouts.Standing        `json:"rollouts"`
+	Repeats  budget.Status              `json:"repeats"`
+	Dropped  int64                      `json:"log_lines_dropped"`
 }
 
 // State reads the process's beliefs.
@@ -379,7 +390,7 @@
 	now := clock.Now()
 	s := State{
 		Instance: g.settings.Gateway.Instance, Stopping: g.stopping.Load(), InFlight: g.drain.InFlight(),
-		Members: g.members.List(now), Balance: map[string]balance.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
+		Members: g.members.List(now), Balance: map[string]balance.Status{}, Advised: map[string]advisory.Status{}, Dropped: g.out.Dropped(), Halls: g.catalog.Halls(),
 		Refused: g.refusedContents(now), Rejected: g.catalog.Rejected(),
 		Rollouts: g.rollouts.Orders().List,
 		Era:      g.eras.Era(),
@@ -393,6 +404,9 @@
 		s.Targets, s.AgeMS = p.Revision, p.Age(now).Milliseconds()
 		for id, t := range g.catalog.Known() {
 			s.Balance[id] = g.tracker.Status(t.Life(), now)
+			if a := g.advisories.Book.Status(t.Life()); a != (advisory.Status{}) {
+				s.Advised[id] = a
+			}
 		}
 		s.Cold = p.Cold(now)
 	}
--- a/internal/app/logging/logging.go
+++ b/internal/app/logging/logging.go
@@ -30,6 +30,7 @@
 	Members = "members"
 	Crashes = "crashes"
 	Rollout = "rollout"
+	Advised = "advised"
 )
 
 // New makes a logger of a part; level is one of debug, info, warn and error.
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -111,6 +111,11 @@
 // ContentsRefused is how many contents are refused since targets ended under them.
 func (m *Metrics) ContentsRefused(n int) { m.scope.Gauge("contents_refused").Update(float64(n)) }
 
+// Advised counts a change of what a target says about further requests.
+func (m *Metrics) Advised(service, kind string) {
+	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("advisories").Inc(1)
+}
+
 // AccountStats is what happened to an account's requests here.
 type AccountStats struct {
 	causes sync.Map // cause to *atomic.Int64
--- /dev/null
+++ b/internal/state/advisory/book.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package advisory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// Limit is a target's rate limit as it was last heard of.
+type Limit struct {
+	// Named is set while the target names a limit.
+	Named bool
+	// Rate is in requests a second, from all instances together.
+	Rate float64
+	// Heard is when the answer came that the limit was read from.
+	Heard time.Time
+}
+
+// Status is what a target has said about further requests.
+type Status struct {
+	Leaving bool
+	Limit   Limit
+	// PausedUntil is when the pause ends that the target asked this instance for.
+	PausedUntil time.Time
+}
+
+// Book keeps the advisories of targets by life. It is safe for concurrent use.
+type Book struct {
+	entries sync.Map // hookhall.Life to *entry
+	// size is the number of entries, so that a book without any costs one load.
+	size atomic.Int64
+}
+
+// entry is the state of one life of a target.
+type entry struct {
+	mu     sync.Mutex
+	status Status
+}
+
+// find returns the entry of a life, or nil.
+func (b *Book) find(l hookhall.Life) *entry {
+	if b.size.Load() == 0 {
+		return nil
+	}
+	if e, ok := b.entries.Load(l); ok {
+		return e.(*entry)
+	}
+	return nil
+}
+
+func (b *Book) findOrAdd(l hookhall.Life) *entry {
+	e, loaded := b.entries.LoadOrStore(l, &entry{})
+	if !loaded {
+		b.size.Add(1)
+	}
+	return e.(*entry)
+}
+
+// Record takes in the advisory of an answer that came at now to a call sent at sent. It
+// returns the status before and after.
+func (b *Book) Record(l hookhall.Life, a hookhall.Advisory, sent, now time.Time) (before, after Status) {
+	if a == (hookhall.Advisory{}) && b.find(l) == nil {
+		return Status{}, Status{}
+	}
+	e := b.findOrAdd(l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before = e.status
+	s := &e.status
+	s.Leaving = s.Leaving || a.Leaving
+	if a.Pause > 0 {
+		s.PausedUntil = later(s.PausedUntil, now.Add(a.Pause))
+	}
+	if a.Limited {
+		s.Limit = Limit{Named: true, Rate: a.Limit, Heard: now}
+	} else if s.Limit.Named && !sent.Before(s.Limit.Heard) {
+		s.Limit = Limit{Heard: now}
+	}
+	return before, e.status
+}
+
+// Status returns what a life of a target has said.
+func (b *Book) Status(l hookhall.Life) Status {
+	e := b.find(l)
+	if e == nil {
+		return Status{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status
+}
+
+// Keep forgets the entries of lives that are over.
+func (b *Book) Keep(current func(l hookhall.Life) bool) {
+	b.entries.Range(func(k, _ any) bool {
+		if !current(k.(hookhall.Life)) {
+			b.entries.Delete(k)
+			b.size.Add(-1)
+		}
+		return true
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
