advisories, placement, stages: rate limits that targets name in answers are kept

What callers saw: nothing at once. Engines that get more than they can take fall over later.

Cause: a gateway did not read the word at all. The class: what a target says of itself in an answer is not acted on, while the same word from the store is.

Change: one observer takes the word in on all paths; all gateways are told of a change. The rate is granted by one account for the fleet, a token bucket at the service's placer, or at a stage service's broker, which begins empty. Requests for which there is no token get a place in line within half of the time to their aim, go to other targets, or are refused at once with the time of the next turn. A grant is void 0.25 s after its turn.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -195,14 +195,17 @@
 	g.adapters.Connections.Resting = g.restingConnections
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
-	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised)}
+	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Tell: g.broadcaster.Advise}
+	g.broadcaster.Advisories = g.advisories
 	if g.adapters.Advisories != nil {
 		g.adapters.Advisories.Observe(g.advisories)
 	}
 	g.tracker = balance.NewTracker()
 	g.broker = stages.NewBroker(g.catalog, g.adapters.Pool, g.quarantine, g.rollouts, g.logger(logging.Stages))
+	g.broker.Grants = g.grants
 	cold := balance.ColdLimits{Over: s.Bounds.ColdOver, Slack: s.Bounds.ColdSlack}
 	g.placer = placement.NewPlacer(g.catalog, cold)
+	g.placer.Grants = func(service string) advisory.Grants { return g.grants(placement.Key(service)) }
 	runner := &stages.Runner{
 		Local: g.broker, Fleet: g.members, Log: g.logger(logging.Stages),
 		Remote: func(address string) stages.Remote { return g.clients.Client(address) },
@@ -214,6 +217,7 @@
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
 		},
 		Quarantine: g.quarantine, Rollouts: g.rollouts, Catalog: g.catalog, Stages: runner, Sender: g.adapters.Sender, Tracker: g.tracker,
+		Advisories: g.advisories.Book,
 		Budget: budget.New(budget.Limits{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
--- a/internal/app/gateway/places.go
+++ b/internal/app/gateway/places.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/quota"
@@ -26,6 +27,26 @@
 	return 0
 }
 
+// standInShare is the part of a target's rate limit that an instance grants which is asked
+// though it does not hold itself to be the owner: its list of members, or the asking
+// instance's, is out of date, and the owner grants the whole rate.
+const standInShare = 0.25
+
+// grants gives out the rates of limited targets whose owner a key names. An instance that
+// does not know all members yet grants nothing.
+func (g *Gateway) grants(key string) advisory.Grants {
+	now := clock.Now()
+	grants := advisory.Grants{Book: g.advisories.Book}
+	switch {
+	case grants.Book.Empty(), g.sharers(now).Count == 0:
+	case g.members.Owner(key, nil, now).Address == g.members.Self().Address:
+		grants.Share = 1
+	default:
+		grants.Share = standInShare
+	}
+	return grants
+}
+
 // hallsIn lists the halls of regions, sorted.
 func (g *Gateway) hallsIn(regions []string) []string {
 	var halls []string
--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -4,6 +4,9 @@
 package advisories
 
 import (
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,21 +33,64 @@
 // fromAnswer is the source of an advisory that this instance read itself.
 const fromAnswer = "answer"
 
+// gatherTime is how long changes are gathered before peers are told of them.
+const gatherTime = 10 * time.Millisecond
+
 // Advisories is a hookhall.AdvisoryObserver.
 type Advisories struct {
 	Book  *advisory.Book
 	Meter Meter
 	Log   *log.Logger
+	// Tell tells all other instances. It must not block.
+	Tell func(list []advisory.Report)
+
+	mu      sync.Mutex
+	pending map[hookhall.Life]advisory.Report // not told yet
 }
 
 // Advised implements hookhall.AdvisoryObserver.
 func (s *Advisories) Advised(t hookhall.Target, a hookhall.Advisory, sent time.Time) {
-	before, after := s.Book.Record(t.Life(), a, sent, clock.Now())
-	s.report(t, before, after, fromAnswer)
+	c := s.Book.Record(t.Life(), a, sent, clock.Now())
+	s.log(t, c, fromAnswer)
+	if c.Tell {
+		s.tell(advisory.Report{Target: t, Limit: c.After.Limit})
+	}
+}
+
+// Merge takes in what a peer told, and returns what was new.
+func (s *Advisories) Merge(list []advisory.Report, from string) (fresh []advisory.Report) {
+	for _, r := range list {
+		c := s.Book.Merge(r.Target.Life(), r.Limit)
+		s.log(r.Target, c, from)
+		if c.Tell {
+			fresh = append(fresh, r)
+		}
+	}
+	return fresh
+}
+
+// tell has peers told of a change, together with others that come at the same time.
+func (s *Advisories) tell(r advisory.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending == nil {
+		s.pending = map[hookhall.Life]advisory.Report{}
+		time.AfterFunc(gatherTime, s.flush)
+	}
+	s.pending[r.Target.Life()] = r
+}
+
+func (s *Advisories) flush() {
+	s.mu.Lock()
+	list := slices.Collect(maps.Values(s.pending))
+	s.pending = nil
+	s.mu.Unlock()
+	s.Tell(list)
 }
 
-// report logs and counts a change.
-func (s *Advisories) report(t hookhall.Target, before, after advisory.Status, from string) {
+// log logs and counts a change.
+func (s *Advisories) log(t hookhall.Target, c advisory.Change, from string) {
+	before, after := c.Before, c.After
 	if after == before {
 		return
 	}
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
@@ -75,32 +76,69 @@
 	}
 }
 
-// pick finds the next target. Engines are chosen by their placer, if it answers.
+// pick finds the next target. Engines, and targets of services in which some name a rate
+// limit, are chosen by their placer, if it answers.
 func (r *request) pick(ctx context.Context) (hookhall.Target, *hookhall.Error) {
 	r.wish.Slack = max(clock.Until(r.aim), 0)
 	r.placed = placement.Placement{}
 	for {
 		r.wish.Versions = r.Rollouts.Versions(r.service, r.sends == 0)
 		targets := r.Catalog.Targets(r.service)
-		if r.wish.Engine || allCold(targets, clock.Now()) {
-			r.placed = r.Placement.Place(ctx, r.service, r.wish)
-			targets = r.Catalog.Targets(r.service) // some may have left meanwhile
-			for _, t := range targets {
-				if t.ID == r.placed.Target && r.wish.Allow(t) {
-					return t, nil
-				}
+		limits, limited := r.Advisories.Reports(targets, clock.Now())
+		r.wish.Limiter = nil
+		if limited {
+			// Only the placer grants the rates of limited targets.
+			r.wish.Limiter = advisory.Grants{Book: r.Advisories}
+		}
+		if r.wish.Engine || limited || allCold(targets, clock.Now()) {
+			if t, ok := r.place(ctx, limits); ok {
+				return t, nil
 			}
-			r.placed.Tell(placement.Ended) // this process does not know it
-			r.placed = placement.Placement{}
+			targets = r.Catalog.Targets(r.service) // some may have left meanwhile
 		}
 		if t, ok := r.Tracker.Choose(targets, r.wish, clock.Now()); ok {
 			return t, nil
 		}
 		// Cold targets have had their most for this second.
 		if !allCold(targets, clock.Now()) || clock.Now().After(r.aim) || !retry.Sleep(ctx, coldPause) {
-			return hookhall.Target{}, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
+			e := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
+			return hookhall.Target{}, e.After(r.placed.RetryAfter)
+		}
+	}
+}
+
+// grantTime is how long a placement of a limited target may be used after its turn. One
+// that is used late would add to the requests of another window.
+const grantTime = 250 * time.Millisecond
+
+// sleepUntil waits until a time or the end of ctx.
+func (r *request) sleepUntil(ctx context.Context, t time.Time) {
+	for left := clock.Until(t); left > 0 && ctx.Err() == nil; left = clock.Until(t) {
+		retry.Sleep(ctx, left)
+	}
+}
+
+// place asks the placer for a target, and waits for the request's turn there.
+func (r *request) place(ctx context.Context, limits []advisory.Report) (hookhall.Target, bool) {
+	asked := clock.Now()
+	r.placed = r.Placement.Place(ctx, r.service, r.wish, limits)
+	if r.placed.Wait > 0 {
+		r.limitWait += r.placed.Wait
+		r.sleepUntil(ctx, asked.Add(r.placed.Wait))
+	}
+	late := clock.Since(asked) > r.placed.Wait+grantTime
+	for _, t := range r.Catalog.Targets(r.service) {
+		if t.ID != r.placed.Target || !r.wish.Allow(t) {
+			continue
+		}
+		if late && r.Advisories.Status(t.Life()).Limit.Named {
+			break
 		}
+		return t, true
 	}
+	r.placed.Tell(placement.Ended) // this process does not know it, or its turn is over
+	r.placed = placement.Placement{Choice: placement.Choice{RetryAfter: r.placed.RetryAfter}}
+	return hookhall.Target{}, false
 }
 
 // allCold tells whether there are targets, all of them cold.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -65,7 +66,7 @@
 
 // Placement chooses engines for the whole fleet.
 type Placement interface {
-	Place(ctx context.Context, service string, w balance.Wish) placement.Placement
+	Place(ctx context.Context, service string, w balance.Wish, limits []advisory.Report) placement.Placement
 }
 
 // Quarantine knows the requests that end the targets which run them.
@@ -106,6 +107,8 @@
 	Quarantine Quarantine
 	Rollouts   Rollouts
 	Tracker    *balance.Tracker
+	// Advisories has what targets said about further requests.
+	Advisories *advisory.Book
 	Budget     *budget.Budget
 	// ColdShare is how many requests in any second this process may send to a cold
 	// target of a service by its own choice.
@@ -252,7 +255,7 @@
 	fields := []any{
 		"request", r.call.ID, "route", route, "service", r.service, "outcome", cause, "took_ms", took.Milliseconds(),
 		"stages_ms", r.staged.Milliseconds(), "first_ms", r.first.Milliseconds(), "gap_ms", r.gap.Milliseconds(),
-		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "repeat_wait_ms", r.repeatWait.Milliseconds(), "target", r.target.ID, "status", r.status,
+		"tokens", r.wish.SharedTokens, "own_tokens", r.wish.OwnTokens, "sends", r.sends, "repeat_wait_ms", r.repeatWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "status", r.status,
 	}
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -61,11 +61,13 @@
 	// longest time between the two.
 	granted    time.Time
 	repeatWait time.Duration
-	runs       int // targets that may have run it
-	target     hookhall.Target
-	placed     placement.Placement
-	status     int
-	cutBy      string
+	// limitWait is how long the request waited for targets with rate limits.
+	limitWait time.Duration
+	runs      int // targets that may have run it
+	target    hookhall.Target
+	placed    placement.Placement
+	status    int
+	cutBy     string
 	// content is the digest of what the client asks, zero before it was needed.
 	content crashes.Digest
 }
--- a/internal/coordination/placement/client.go
+++ b/internal/coordination/placement/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
@@ -27,7 +28,7 @@
 
 // Remote is a placer in another process.
 type Remote interface {
-	Place(ctx context.Context, ticket, service string, w balance.Wish) (string, error)
+	Place(ctx context.Context, ticket, service string, w balance.Wish, limits []advisory.Report) (Choice, error)
 	Note(ctx context.Context, notes []Note) error
 }
 
@@ -51,32 +52,35 @@
 
 // Placement is where a request was placed. The zero value tells nobody.
 type Placement struct {
-	// Target is the engine's id, "" when the placer knew none.
-	Target  string
+	Choice
 	client  *Client
 	address string
 	ticket  string
 }
 
-// Place asks for an engine. An empty Target means that the caller chooses.
-func (c *Client) Place(ctx context.Context, service string, w balance.Wish) Placement {
-	owner := c.Fleet.Owner(keyPrefix+service, nil, clock.Now())
+// Key names the placer of a service among members.
+func Key(service string) string { return keyPrefix + service }
+
+// Place asks for a target. An empty Target means that the caller chooses, among targets
+// without a rate limit. limits are those that the caller knows of.
+func (c *Client) Place(ctx context.Context, service string, w balance.Wish, limits []advisory.Report) Placement {
+	owner := c.Fleet.Owner(Key(service), nil, clock.Now())
 	p := Placement{client: c, address: owner.Address}
 	p.ticket = c.Fleet.Self().Address + "/" + strconv.FormatUint(c.tickets.Add(1), 36)
 	if owner.Address == c.Fleet.Self().Address {
-		p.Target = c.Local.Place(p.ticket, service, w)
+		p.Choice = c.Local.Place(p.ticket, service, w)
 		return p
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTime)
 	defer cancel()
-	id, err := c.Remote(owner.Address).Place(ctx, p.ticket, service, w)
+	choice, err := c.Remote(owner.Address).Place(ctx, p.ticket, service, w, limits)
 	if err != nil {
 		if ctx.Err() == context.DeadlineExceeded {
 			c.Fleet.Suspect(owner.Address, clock.Now())
 		}
 		return Placement{}
 	}
-	p.Target = id
+	p.Choice = choice
 	return p
 }
 
--- a/internal/coordination/placement/doc.go
+++ b/internal/coordination/placement/doc.go
@@ -16,6 +16,10 @@
 // placer holds the one account of these; gateways that choose by themselves have a
 // small share, divided so that all of them together stay within the bound.
 //
+// Targets that name a rate limit get their requests through the placer only, which
+// grants that rate to the whole fleet. A request that has to wait for its turn gets a
+// place in line, or is told when a target will be due.
+//
 // When the placer does not answer at once, a gateway chooses by what it sees
 // itself; a new placer begins with an empty account and learns within a second.
 //
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/routetable"
@@ -50,6 +51,8 @@
 	directory Directory
 	tracker   *balance.Tracker
 	limits    balance.ColdLimits
+	// Grants gives out the rates of limited targets of a service. Set before use.
+	Grants func(service string) advisory.Grants
 
 	mu   sync.Mutex
 	open map[string]*placed
@@ -62,12 +65,31 @@
 
 // NewPlacer makes a Placer that knows of no load.
 func NewPlacer(d Directory, l balance.ColdLimits) *Placer {
-	return &Placer{directory: d, tracker: balance.NewTracker(), limits: l, open: map[string]*placed{}}
+	none := advisory.Grants{Book: &advisory.Book{}}
+	return &Placer{
+		directory: d, tracker: balance.NewTracker(), limits: l, open: map[string]*placed{},
+		Grants: func(string) advisory.Grants { return none },
+	}
+}
+
+// waitShare is the part of the time until its aim that a request may wait for a target
+// with a rate limit.
+const waitShare = 0.5
+
+// Choice is a placer's choice for a request.
+type Choice struct {
+	// Target is the id of the chosen target, "" if there is none.
+	Target string
+	// Wait is how long the request has to wait before it is sent, by the target's limit.
+	Wait time.Duration
+	// RetryAfter is when a target will be due, if only rate limits leave none now.
+	RetryAfter time.Duration
 }
 
-// Place chooses an engine and counts the request there; "" when there is none.
-func (p *Placer) Place(ticket, service string, w balance.Wish) string {
+// Place chooses a target and counts the request there.
+func (p *Placer) Place(ticket, service string, w balance.Wish) Choice {
 	now := clock.Now()
+	w.Limiter = p.Grants(service)
 	if table := p.directory.Table(); table != nil {
 		if s := table.Service(service); s != nil {
 			w.Spec = s.Engine
@@ -77,12 +99,20 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := p.tracker.Choose(p.directory.Targets(service), w, now)
+	targets := p.directory.Targets(service)
+	t, ok := p.tracker.Choose(targets, w, now)
+	c := Choice{}
 	if !ok {
-		return ""
+		if t, c.Wait, ok = p.tracker.Next(targets, w, now); !ok {
+			return c
+		}
+		if c.Wait, ok = w.Limiter.Reserve(t.Life(), time.Duration(waitShare*float64(w.Slack)), now); !ok {
+			return Choice{RetryAfter: c.Wait}
+		}
 	}
+	c.Target = t.ID
 	p.open[ticket] = &placed{p.tracker.Begin(t, w, now), now}
-	return t.ID
+	return c
 }
 
 // Take takes notes in.
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/batch"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/crashes"
@@ -68,6 +69,8 @@
 	quarantine Quarantine
 	rollouts   Rollouts
 	log        *log.Logger
+	// Grants gives out the rates of limited targets of a service. Set before use.
+	Grants func(service string) advisory.Grants
 
 	mu     sync.Mutex
 	queues map[string]*serviceQueue
@@ -75,7 +78,11 @@
 
 // NewBroker makes a Broker without work.
 func NewBroker(d Directory, p hookhall.StagePool, q Quarantine, r Rollouts, l *log.Logger) *Broker {
-	return &Broker{directory: d, pool: p, quarantine: q, rollouts: r, log: l, queues: map[string]*serviceQueue{}}
+	none := advisory.Grants{Book: &advisory.Book{}}
+	return &Broker{
+		directory: d, pool: p, quarantine: q, rollouts: r, log: l, queues: map[string]*serviceQueue{},
+		Grants: func(string) advisory.Grants { return none },
+	}
 }
 
 // serviceQueue is one service's queue with its lock.
@@ -243,6 +250,7 @@
 	targets, trial, share := q.broker.rollouts.Usable(q.service, q.broker.directory.Targets(q.service))
 	q.configure(spec, targets)
 	q.queue.Try(trial, share)
+	q.queue.Admit(q.admission())
 	if q.broker.directory.Evacuated(q.service) {
 		q.queue.Abandon()
 	}
@@ -255,6 +263,16 @@
 	}
 }
 
+// admission returns which targets take a call now, nil if all do.
+func (q *serviceQueue) admission() func(t hookhall.Target) bool {
+	grants := q.broker.Grants(q.service)
+	if grants.Book.Empty() {
+		return nil
+	}
+	now := clock.Now()
+	return func(t hookhall.Target) bool { return grants.Due(t.Life(), now) == 0 }
+}
+
 // configure passes on what has changed. The directory's lists are immutable, and looking
 // through thousands of targets for each call would take most of a broker's time. The
 // caller holds q.mu.
@@ -275,12 +293,17 @@
 }
 
 // call makes a call, unless its target may not be used any more: a process that is short
-// of its processor begins a call long after it chose the target.
+// of its processor begins a call long after it chose the target, and another call may have
+// taken a limited target's turn.
 func (q *serviceQueue) call(b *batch.Batch) {
 	if !q.usable(b.Target) {
 		q.withdraw(b)
 		return
 	}
+	if _, ok := q.broker.Grants(q.service).Reserve(b.Target.Life(), 0, clock.Now()); !ok {
+		q.withdraw(b)
+		return
+	}
 	began := clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience*b.Expected+callSlack)
 	patience := time.AfterFunc(b.Patience, func() { q.overdue(b) })
@@ -322,7 +345,7 @@
 
 // withdraw has the pieces of a call that is not made wait for another one.
 func (q *serviceQueue) withdraw(b *batch.Batch) {
-	q.broker.log.Info("A call of a stage pool is not made; its target may not be used any more.", "service", q.service, "target", b.Target.ID, "pieces", len(b.Pieces))
+	q.broker.log.Info("A call of a stage pool is not made; its target may not be used now.", "service", q.service, "target", b.Target.ID, "pieces", len(b.Pieces))
 	q.mu.Lock()
 	q.queue.Withdraw(b)
 	q.mu.Unlock()
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -4,6 +4,7 @@
 package advisory
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/hookhall/hookhall"
 )
 
+// tellChange is the relative change of a rate from which other instances are told.
+const tellChange = 0.1
+
 // Limit is a target's rate limit as it was last heard of.
 type Limit struct {
 	// Named is set while the target names a limit.
@@ -21,6 +25,11 @@
 	Heard time.Time
 }
 
+// differs reports whether other instances should be told of l instead of o.
+func (l Limit) differs(o Limit) bool {
+	return l.Named != o.Named || math.Abs(l.Rate-o.Rate) > tellChange*o.Rate
+}
+
 // Status is what a target has said about further requests.
 type Status struct {
 	Leaving bool
@@ -29,6 +38,14 @@
 	PausedUntil time.Time
 }
 
+// Change is what an advisory changed.
+type Change struct {
+	Before Status
+	After  Status
+	// Tell is set if other instances should be told.
+	Tell bool
+}
+
 // Book keeps the advisories of targets by life. It is safe for concurrent use.
 type Book struct {
 	entries sync.Map // hookhall.Life to *entry
@@ -40,6 +57,9 @@
 type entry struct {
 	mu     sync.Mutex
 	status Status
+	// told is the limit that other instances know of.
+	told   Limit
+	bucket bucket
 }
 
 // find returns the entry of a life, or nil.
@@ -61,16 +81,15 @@
 	return e.(*entry)
 }
 
-// Record takes in the advisory of an answer that came at now to a call sent at sent. It
-// returns the status before and after.
-func (b *Book) Record(l hookhall.Life, a hookhall.Advisory, sent, now time.Time) (before, after Status) {
+// Record takes in the advisory of an answer that came at now to a call sent at sent.
+func (b *Book) Record(l hookhall.Life, a hookhall.Advisory, sent, now time.Time) Change {
 	if a == (hookhall.Advisory{}) && b.find(l) == nil {
-		return Status{}, Status{}
+		return Change{}
 	}
 	e := b.findOrAdd(l)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before = e.status
+	c := Change{Before: e.status}
 	s := &e.status
 	s.Leaving = s.Leaving || a.Leaving
 	if a.Pause > 0 {
@@ -81,7 +100,29 @@
 	} else if s.Limit.Named && !sent.Before(s.Limit.Heard) {
 		s.Limit = Limit{Heard: now}
 	}
-	return before, e.status
+	if s.Limit.differs(e.told) {
+		e.told = s.Limit
+		c.Tell = true
+	}
+	c.After = e.status
+	return c
+}
+
+// Merge takes in a limit that another instance has heard, unless a later one is known.
+func (b *Book) Merge(l hookhall.Life, limit Limit) Change {
+	if !limit.Named && b.find(l) == nil {
+		return Change{}
+	}
+	e := b.findOrAdd(l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := Change{Before: e.status}
+	if limit.Heard.After(e.status.Limit.Heard) {
+		c.Tell = limit.differs(e.told)
+		e.status.Limit, e.told = limit, limit
+	}
+	c.After = e.status
+	return c
 }
 
 // Status returns what a life of a target has said.
@@ -106,6 +147,9 @@
 	})
 }
 
+// Empty reports whether no target has said anything, so that nothing needs to be looked up.
+func (b *Book) Empty() bool { return b.size.Load() == 0 }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/state/advisory/doc.go
+++ b/internal/state/advisory/doc.go
@@ -10,12 +10,16 @@
 // pause holds for the time that the target asked for; it concerns this instance alone.
 // A target that says that it is leaving says so for the rest of its life.
 //
-// Limits travel between instances with the time of the answer that they come from, and
-// the later one wins.
+// Limits travel between instances with the age of the answer that they come from, and
+// the later one wins. A limit holds for all instances together: one of them grants the
+// rate to all, from a token bucket (Grants), and gives those that must wait a place in
+// line as long as their aim bears it.
 //
 // # Invariants
 //
 //   - An answer to a call that was sent before a limit was named does not end the limit.
 //   - A pause is never shortened.
+//   - A bucket grants no more than its rate over any span, and one burst. Over several
+//     buckets used one after the other it is one burst for each.
 //   - Another life of a target begins without an entry.
 package advisory
--- /dev/null
+++ b/internal/state/advisory/report.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package advisory
+
+import (
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// reportTime is how long the end of a limit is reported with requests for placements.
+const reportTime = 30 * time.Second
+
+// Report is what one instance tells another of a target.
+type Report struct {
+	Target hookhall.Target
+	Limit  Limit
+}
+
+// Reports returns the limits among targets that hold or ended a short while ago, and
+// whether any holds.
+func (b *Book) Reports(targets []hookhall.Target, now time.Time) (list []Report, limited bool) {
+	if b.Empty() {
+		return nil, false
+	}
+	for _, t := range targets {
+		l := b.Status(t.Life()).Limit
+		if l.Named || now.Sub(l.Heard) < reportTime {
+			list = append(list, Report{t, l})
+		}
+		limited = limited || l.Named
+	}
+	return list, limited
+}
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -100,6 +100,17 @@
 	// Cold tells how many requests in any second a cold target may get from this
 	// process; nil leaves cold targets out.
 	Cold func(target string) int
+	// Limiter rations targets that name a rate limit; nil if none does.
+	Limiter Limiter
+}
+
+// Limiter rations targets that name a rate limit.
+type Limiter interface {
+	// Due returns how long it takes until a target may get another request, 0 for now.
+	Due(l hookhall.Life, now time.Time) time.Duration
+	// Reserve takes the next request that a target may get, if it is due within maxWait,
+	// and returns how long the request has to wait.
+	Reserve(l hookhall.Life, maxWait time.Duration, now time.Time) (wait time.Duration, ok bool)
 }
 
 // Choose picks the target with the earliest expected answer among targets, and
@@ -107,13 +118,43 @@
 func (b *Tracker) Choose(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	for {
 		t, ok = b.pick(targets, w, now)
-		if !ok || !t.Cold(now) || b.record(t.Life()).takeCold(w.Cold(t.ID), now) {
+		if !ok || b.take(t, w, now) {
 			return t, ok
 		}
 		// Another request took its last place; now it is no candidate any more.
 	}
 }
 
+// take counts a request to a target that gets a bounded number of them.
+func (b *Tracker) take(t hookhall.Target, w Wish, now time.Time) bool {
+	if t.Cold(now) && !b.record(t.Life()).takeCold(w.Cold(t.ID), now) {
+		return false
+	}
+	if w.Limiter == nil {
+		return true
+	}
+	_, ok := w.Limiter.Reserve(t.Life(), 0, now)
+	return ok
+}
+
+// Next returns the target that may get a request first, and how long it takes until
+// then, when Choose finds none because of rate limits. ok is false if no limited target
+// may get the request at all.
+func (b *Tracker) Next(targets []hookhall.Target, w Wish, now time.Time) (next hookhall.Target, wait time.Duration, ok bool) {
+	if w.Limiter == nil {
+		return hookhall.Target{}, 0, false
+	}
+	for _, t := range w.among(targets) {
+		if t.Leaving || w.Exclude[t.ID] || !w.allows(t) || t.Cold(now) {
+			continue
+		}
+		if due := w.Limiter.Due(t.Life(), now); due > 0 && (!ok || due < wait) {
+			next, wait, ok = t, due, true
+		}
+	}
+	return next, wait, ok
+}
+
 func (b *Tracker) pick(targets []hookhall.Target, w Wish, now time.Time) (t hookhall.Target, ok bool) {
 	var open, full, ejected []candidate
 	targets = w.among(targets)
@@ -172,8 +213,11 @@
 }
 
 // bears tells whether a target may get another request now: one that is cold falls
-// over under more than a few a second.
+// over under more than a few a second, and one may have named a limit itself.
 func (b *Tracker) bears(t hookhall.Target, w Wish, now time.Time) bool {
+	if w.Limiter != nil && w.Limiter.Due(t.Life(), now) > 0 {
+		return false
+	}
 	if !t.Cold(now) {
 		return true
 	}
--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -36,7 +36,7 @@
 func (q *Queue) open(now time.Time) *openWorkers {
 	o := &openWorkers{first: q.first(), trial: &q.trial}
 	for _, s := range q.list {
-		if s.open(q.spec.Slots, now) && (q.trial.may() || !q.trial.has(s)) {
+		if s.open(q.spec.Slots, now) && (q.trial.may() || !q.trial.has(s)) && (q.admits == nil || q.admits(s.Target)) {
 			q.expire(s, now)
 			o.list = append(o.list, s)
 		}
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -54,7 +54,9 @@
 	working map[string]int
 	bytes   float64 // those of all workers
 	trial   trial
-	short   time.Time // when work last found no room at a target with a free place
+	// admits reports whether a target takes calls now by its own word; nil if all do.
+	admits func(t hookhall.Target) bool
+	short  time.Time // when work last found no room at a target with a free place
 	// unsure is until when targets may hold results of another, lost queue: one
 	// reported no room where this queue's account has some.
 	unsure time.Time
@@ -96,6 +98,10 @@
 	}
 }
 
+// Admit sets which targets take calls now by their own word. Those that don't keep their
+// results.
+func (q *Queue) Admit(admits func(t hookhall.Target) bool) { q.admits = admits }
+
 // forget drops what is known of a target that is gone, its results included.
 func (q *Queue) forget(l hookhall.Life, s *worker) {
 	for h := range s.held {
--- /dev/null
+++ b/internal/transport/fleet/advisories.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/advisory"
+	"github.com/hookhall/hookhall/internal/state/clock"
+)
+
+// Advisories is what a process knows of targets' advisories.
+type Advisories interface {
+	// Merge takes in what a peer told, and returns what was new.
+	Merge(list []advisory.Report, from string) (fresh []advisory.Report)
+}
+
+// Advise tells all other gateways what targets said in answers to this one, without
+// waiting for them.
+func (s *Broadcaster) Advise(list []advisory.Report) {
+	s.relayAdvisories(s.Peers.Self().Address, 0, list)
+}
+
+// relayAdvisories tells the peers below a position in the tree that the reporter began.
+func (s *Broadcaster) relayAdvisories(reporter string, position int, list []advisory.Report) {
+	s.spread(reporter, position, func(address string, position int) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), shareTime)
+		defer cancel()
+		m := &pb.Advisories{Reporter: reporter, Position: int32(position), List: wireAdvisories(list, clock.Now())}
+		return s.Clients.Client(address).Advise(ctx, m) == nil
+	})
+}
+
+// wireAdvisories converts reports for a message that is sent now.
+func wireAdvisories(list []advisory.Report, now time.Time) []*pb.TargetAdvisory {
+	out := make([]*pb.TargetAdvisory, 0, len(list))
+	for _, r := range list {
+		out = append(out, &pb.TargetAdvisory{
+			Target: r.Target.ID, Born: r.Target.Born, Service: r.Target.Pool,
+			Limited: r.Limit.Named, Limit: r.Limit.Rate, AgeMs: ageMS(now.Sub(r.Limit.Heard)),
+		})
+	}
+	return out
+}
+
+// readAdvisories converts the reports of a message that came at a time.
+func readAdvisories(list []*pb.TargetAdvisory, came time.Time) []advisory.Report {
+	out := make([]advisory.Report, 0, len(list))
+	for _, a := range list {
+		out = append(out, advisory.Report{
+			Target: hookhall.Target{ID: a.GetTarget(), Born: a.GetBorn(), Pool: a.GetService()},
+			Limit:  advisory.Limit{Named: a.GetLimited(), Rate: max(a.GetLimit(), 0), Heard: came.Add(-milliseconds(max(a.GetAgeMs(), 0)))},
+		})
+	}
+	return out
+}
+
+// Advise implements the service.
+func (s *Server) Advise(_ context.Context, m *pb.Advisories) (*pb.AdvisoriesReply, error) {
+	b := s.Broadcaster
+	fresh := b.Advisories.Merge(readAdvisories(m.GetList(), clock.Now()), instance(m.GetReporter()))
+	if len(fresh) > 0 {
+		b.relayAdvisories(m.GetReporter(), int(m.GetPosition()), fresh)
+	}
+	return &pb.AdvisoriesReply{}, nil
+}
+
+// Advise tells the peer of advisories.
+func (c *Client) Advise(ctx context.Context, m *pb.Advisories) error {
+	if c.err != nil {
+		return c.err
+	}
+	_, err := c.rpc().Advise(ctx, m)
+	c.note(err)
+	return err
+}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -26,6 +26,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"google.golang.org/grpc"
@@ -105,7 +106,9 @@
 	for _, id := range r.GetExclude() {
 		w.Exclude[id] = true
 	}
-	return &pb.PlaceReply{Target: s.Placer.Place(r.GetTicket(), r.GetService(), w)}, nil
+	s.Broadcaster.Advisories.Merge(readAdvisories(r.GetLimits(), clock.Now()), "request")
+	c := s.Placer.Place(r.GetTicket(), r.GetService(), w)
+	return &pb.PlaceReply{Target: c.Target, WaitUs: c.Wait.Microseconds(), RetryAfterUs: c.RetryAfter.Microseconds()}, nil
 }
 
 // Note implements the service.
@@ -144,6 +147,8 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // Run implements stages.Remote.
 func (c *Client) Run(ctx context.Context, w stages.Work) ([]string, error) {
 	if c.err != nil {
@@ -215,15 +220,16 @@
 }
 
 // Place implements placement.Remote.
-func (c *Client) Place(ctx context.Context, ticket, service string, w balance.Wish) (string, error) {
+func (c *Client) Place(ctx context.Context, ticket, service string, w balance.Wish, limits []advisory.Report) (placement.Choice, error) {
 	if c.err != nil {
-		return "", c.err
+		return placement.Choice{}, c.err
 	}
 	ask := &pb.PlaceRequest{
 		Ticket: ticket, Service: service, Shared: w.Shared, SharedTokens: int64(w.SharedTokens), OwnTokens: int64(w.OwnTokens),
 		Parts: w.Parts, Near: w.Near, SlackMs: w.Slack.Milliseconds(),
 		OutTokens: int64(w.OutTokens), Plain: !w.Engine, Halls: w.Halls,
 		OnlyVersion: w.Only, NotVersion: w.Not, Among: int32(w.Among),
+		Limits: wireAdvisories(limits, clock.Now()),
 	}
 	for id := range w.Exclude {
 		ask.Exclude = append(ask.Exclude, id)
@@ -231,9 +237,9 @@
 	reply, err := c.rpc().Place(ctx, ask)
 	c.note(err)
 	if err != nil {
-		return "", err
+		return placement.Choice{}, err
 	}
-	return reply.GetTarget(), nil
+	return placement.Choice{Target: reply.GetTarget(), Wait: microseconds(reply.GetWaitUs()), RetryAfter: microseconds(reply.GetRetryAfterUs())}, nil
 }
 
 // noteKinds are the kinds of notes as they travel.
--- a/internal/transport/fleet/news.go
+++ b/internal/transport/fleet/news.go
@@ -52,6 +52,8 @@
 	Ends Ends
 	// Rollouts knows the operators' orders to move services.
 	Rollouts Rollouts
+	// Advisories knows what targets said in answers.
+	Advisories Advisories
 	// Start asks a peer while this process knows nothing; nil never does.
 	Start *Starter
 	// Heard is told when a call of the store began that somebody had an answer to;
