catalog, advisories: a target that says in answers that it is leaving gets nothing new

What callers saw: nothing yet, in the record; a request that reaches a target after its end would break. Requests reached it up to 4.5 s after an answer had told the gateway that sent them.

Cause: the word was not read in answers, only in the target's key, and the store was away from 7 to 19 s: the key said ready until 19.06 s, and the target left from 7.5 s on. Whether the placer would have sent it there all the same can't be told from the record; it could, and is told as well now. The class is that of the rate limits.

Change: the catalog, from which forwarding, placers, brokers and rollouts read the usable targets, takes the word in as it does the key's: final for that life, also if the key says ready later, or the life is listed later. All gateways are told, and a gateway that starts while the store is away gets it with its peers' beliefs. What runs at the target goes on; streams that break there resume elsewhere; results of stages that lie there are read as before.

A target speaks for itself alone: the answer bears the request's id, and a 421, which another target gives, says nothing of it. So a wrong word takes one target out until it starts again, and not a service, unless all of a service say so.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -195,8 +195,8 @@
 	g.adapters.Connections.Resting = g.restingConnections
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
-	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Tell: g.broadcaster.Advise}
-	g.broadcaster.Advisories = g.advisories
+	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Leave: g.catalog.Leave, Tell: g.broadcaster.Advise}
+	g.broadcaster.Advisories, g.starter.Advisories = g.advisories, g.advisories
 	if g.adapters.Advisories != nil {
 		g.adapters.Advisories.Observe(g.advisories)
 	}
--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -41,6 +41,8 @@
 	Book  *advisory.Book
 	Meter Meter
 	Log   *log.Logger
+	// Leave is told of targets that are leaving. It must not block.
+	Leave func(l hookhall.Life, from string)
 	// Tell tells all other instances. It must not block.
 	Tell func(list []advisory.Report)
 
@@ -51,17 +53,17 @@
 // Advised implements hookhall.AdvisoryObserver.
 func (s *Advisories) Advised(t hookhall.Target, a hookhall.Advisory, sent time.Time) {
 	c := s.Book.Record(t.Life(), a, sent, clock.Now())
-	s.log(t, c, fromAnswer)
+	s.apply(t, c, fromAnswer)
 	if c.Tell {
-		s.tell(advisory.Report{Target: t, Limit: c.After.Limit})
+		s.tell(advisory.Report{Target: t, Leaving: c.After.Leaving, Limit: c.After.Limit})
 	}
 }
 
 // Merge takes in what a peer told, and returns what was new.
 func (s *Advisories) Merge(list []advisory.Report, from string) (fresh []advisory.Report) {
 	for _, r := range list {
-		c := s.Book.Merge(r.Target.Life(), r.Limit)
-		s.log(r.Target, c, from)
+		c := s.Book.Merge(r)
+		s.apply(r.Target, c, from)
 		if c.Tell {
 			fresh = append(fresh, r)
 		}
@@ -69,6 +71,9 @@
 	return fresh
 }
 
+// All returns all that is known of targets that are leaving or limited.
+func (s *Advisories) All() []advisory.Report { return s.Book.All() }
+
 // tell has peers told of a change, together with others that come at the same time.
 func (s *Advisories) tell(r advisory.Report) {
 	s.mu.Lock()
@@ -88,6 +93,14 @@
 	s.Tell(list)
 }
 
+// apply acts on a change.
+func (s *Advisories) apply(t hookhall.Target, c advisory.Change, from string) {
+	s.log(t, c, from)
+	if c.After.Leaving && !c.Before.Leaving {
+		s.Leave(t.Life(), from)
+	}
+}
+
 // log logs and counts a change.
 func (s *Advisories) log(t hookhall.Target, c advisory.Change, from string) {
 	before, after := c.Before, c.After
--- a/internal/coordination/advisories/doc.go
+++ b/internal/coordination/advisories/doc.go
@@ -10,8 +10,9 @@
 // their head, stage calls, successes and refusals. What changes is logged once, with the
 // instance that it was heard from.
 //
-// All instances are told of a limit that begins, ends or changes by a tenth, by those that
-// read it first. Requests for placements bring the limits that their senders know of, so
+// All instances are told of a target that is leaving, and of a limit that begins, ends or
+// changes by a tenth, by those that read it first. A target's word concerns that target
+// alone: the answer bears the id of a request that was sent to it. Requests for placements bring the limits that their senders know of, so
 // that a placer that has just started learns them as well.
 //
 // # Invariants
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -98,6 +98,9 @@
 	swept  time.Time // when those that are gone were last looked for
 	// rejected has the keys that name no target, with the hash of their values.
 	rejected map[string]uint64
+	// departed has the lives that said that they are leaving before they were listed here,
+	// with the time of that.
+	departed map[hookhall.Life]time.Time
 	// buckets sums up those that are listed.
 	buckets Digests
 	// lapseEnds is when the last target that lapsed has to be back.
@@ -121,7 +124,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Orders: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, departed: map[hookhall.Life]time.Time{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Orders: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -18,7 +18,8 @@
 // lacks an earlier change gets another digest, and asks the teller for the buckets
 // of targets in which their digests differ.
 //
-// A target that states that it is leaving gets nothing new, ever. One that goes
+// A target that states that it is leaving, in its key or in an answer to any gateway, gets
+// nothing new in that life, ever. One that goes
 // missing gets nothing new, unless many went missing in one reading: then keys
 // have run out because nobody could renew them, and the targets stay usable, as
 // lapsed, for the two seconds in which they come back if they live. Trouble of the store alone says
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -165,8 +165,9 @@
 		e.changed = now
 	}
 	e.missing, e.lapsed = time.Time{}, time.Time{}
-	if t.Leaving && !e.left {
+	if !e.left && (t.Leaving || c.hasDeparted(t.Life(), now)) {
 		e.left = true
+		c.touch(e)
 		c.log.Info("A target is leaving.", "target", t.ID, "service", t.Pool, "from", from)
 	}
 	if t.Pool != e.target.Pool || t.Address != e.target.Address {
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -100,6 +100,7 @@
 	} else if s.Limit.Named && !sent.Before(s.Limit.Heard) {
 		s.Limit = Limit{Heard: now}
 	}
+	c.Tell = s.Leaving != c.Before.Leaving
 	if s.Limit.differs(e.told) {
 		e.told = s.Limit
 		c.Tell = true
@@ -108,18 +109,20 @@
 	return c
 }
 
-// Merge takes in a limit that another instance has heard, unless a later one is known.
-func (b *Book) Merge(l hookhall.Life, limit Limit) Change {
-	if !limit.Named && b.find(l) == nil {
+// Merge takes in what another instance has heard. Of two limits the later one holds.
+func (b *Book) Merge(r Report) Change {
+	l := r.Target.Life()
+	if !r.Limit.Named && !r.Leaving && b.find(l) == nil {
 		return Change{}
 	}
 	e := b.findOrAdd(l)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c := Change{Before: e.status}
-	if limit.Heard.After(e.status.Limit.Heard) {
-		c.Tell = limit.differs(e.told)
-		e.status.Limit, e.told = limit, limit
+	c := Change{Before: e.status, Tell: r.Leaving && !e.status.Leaving}
+	e.status.Leaving = e.status.Leaving || r.Leaving
+	if r.Limit.Heard.After(e.status.Limit.Heard) {
+		c.Tell = c.Tell || r.Limit.differs(e.told)
+		e.status.Limit, e.told = r.Limit, r.Limit
 	}
 	c.After = e.status
 	return c
--- a/internal/state/advisory/book_test.go
+++ b/internal/state/advisory/book_test.go
@@ -74,4 +74,10 @@
 	if !b.Status(life).Leaving {
 		t.Error("it is not leaving any more")
 	}
+	if c := b.Merge(advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Leaving: true}); c.Tell {
+		t.Error("what is known is told again")
+	}
+	if b.Status(hookhall.Life{ID: life.ID, Born: 2}).Leaving {
+		t.Error("its next life is leaving")
+	}
 }
--- a/internal/state/advisory/rate_test.go
+++ b/internal/state/advisory/rate_test.go
@@ -35,10 +35,15 @@
 	}
 }
 
+// told is what another instance tells of a limit.
+func told(l advisory.Limit) advisory.Report {
+	return advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Limit: l}
+}
+
 // granter is one instance's book with a limit that all know.
 func granter(rate float64) *advisory.Book {
 	b := &advisory.Book{}
-	b.Merge(life, advisory.Limit{Named: true, Rate: rate, Heard: start})
+	b.Merge(told(advisory.Limit{Named: true, Rate: rate, Heard: start}))
 	return b
 }
 
@@ -134,10 +139,10 @@
 		}
 		holdLimit(t, b, life, rate)
 	}
-	hold("begins", b.Merge(life, advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)}), true, 2)
-	hold("again", b.Merge(life, advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)}), false, 2)
-	hold("older", b.Merge(life, advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)}), false, 2)
+	hold("begins", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)})), true, 2)
+	hold("again", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)})), false, 2)
+	hold("older", b.Merge(told(advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)})), false, 2)
 	hold("own, a little less", b.Record(life, limited(1.9), at(3*time.Second), at(3*time.Second)), false, 1.9)
 	hold("own, much less", b.Record(life, limited(1), at(4*time.Second), at(4*time.Second)), true, 1)
-	hold("ends", b.Merge(life, advisory.Limit{Heard: at(5 * time.Second)}), true, -1)
+	hold("ends", b.Merge(told(advisory.Limit{Heard: at(5 * time.Second)})), true, -1)
 }
--- a/internal/state/advisory/report.go
+++ b/internal/state/advisory/report.go
@@ -14,8 +14,24 @@
 
 // Report is what one instance tells another of a target.
 type Report struct {
-	Target hookhall.Target
-	Limit  Limit
+	Target  hookhall.Target
+	Leaving bool
+	Limit   Limit
+}
+
+// All returns reports of all targets that are leaving or limited, in no order.
+func (b *Book) All() []Report {
+	var list []Report
+	b.entries.Range(func(k, v any) bool {
+		l, e := k.(hookhall.Life), v.(*entry)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if s := e.status; s.Leaving || s.Limit.Named {
+			list = append(list, Report{Target: hookhall.Target{ID: l.ID, Born: l.Born}, Leaving: s.Leaving, Limit: s.Limit})
+		}
+		return true
+	})
+	return list
 }
 
 // Reports returns the limits among targets that hold or ended a short while ago, and
@@ -27,7 +43,7 @@
 	for _, t := range targets {
 		l := b.Status(t.Life()).Limit
 		if l.Named || now.Sub(l.Heard) < reportTime {
-			list = append(list, Report{t, l})
+			list = append(list, Report{Target: t, Limit: l})
 		}
 		limited = limited || l.Named
 	}
--- a/internal/transport/fleet/advisories.go
+++ b/internal/transport/fleet/advisories.go
@@ -17,6 +17,8 @@
 type Advisories interface {
 	// Merge takes in what a peer told, and returns what was new.
 	Merge(list []advisory.Report, from string) (fresh []advisory.Report)
+	// All returns all that is known.
+	All() []advisory.Report
 }
 
 // Advise tells all other gateways what targets said in answers to this one, without
@@ -40,21 +42,32 @@
 	out := make([]*pb.TargetAdvisory, 0, len(list))
 	for _, r := range list {
 		out = append(out, &pb.TargetAdvisory{
-			Target: r.Target.ID, Born: r.Target.Born, Service: r.Target.Pool,
-			Limited: r.Limit.Named, Limit: r.Limit.Rate, AgeMs: ageMS(now.Sub(r.Limit.Heard)),
+			Target: r.Target.ID, Born: r.Target.Born, Service: r.Target.Pool, Leaving: r.Leaving,
+			Limited: r.Limit.Named, Limit: r.Limit.Rate, AgeMs: limitAge(r.Limit, now),
 		})
 	}
 	return out
 }
 
+// noAge stands for the age of a limit that nobody has heard of.
+const noAge = -1
+
+func limitAge(l advisory.Limit, now time.Time) int64 {
+	if l.Heard.IsZero() {
+		return noAge
+	}
+	return ageMS(now.Sub(l.Heard))
+}
+
 // readAdvisories converts the reports of a message that came at a time.
 func readAdvisories(list []*pb.TargetAdvisory, came time.Time) []advisory.Report {
 	out := make([]advisory.Report, 0, len(list))
 	for _, a := range list {
-		out = append(out, advisory.Report{
-			Target: hookhall.Target{ID: a.GetTarget(), Born: a.GetBorn(), Pool: a.GetService()},
-			Limit:  advisory.Limit{Named: a.GetLimited(), Rate: max(a.GetLimit(), 0), Heard: came.Add(-milliseconds(max(a.GetAgeMs(), 0)))},
-		})
+		r := advisory.Report{Target: hookhall.Target{ID: a.GetTarget(), Born: a.GetBorn(), Pool: a.GetService()}, Leaving: a.GetLeaving()}
+		if a.GetAgeMs() >= 0 {
+			r.Limit = advisory.Limit{Named: a.GetLimited(), Rate: max(a.GetLimit(), 0), Heard: came.Add(-milliseconds(a.GetAgeMs()))}
+		}
+		out = append(out, r)
 	}
 	return out
 }
--- a/internal/transport/fleet/beliefs.go
+++ b/internal/transport/fleet/beliefs.go
@@ -37,7 +37,9 @@
 	Catalog *catalog.Catalog
 	Members Meeter
 	Ends    Ends
-	Log     *log.Logger
+	// Advisories takes in what targets said in answers to peers.
+	Advisories Advisories
+	Log        *log.Logger
 	// Began is when the process started.
 	Began time.Time
 }
@@ -75,6 +77,7 @@
 		s.Catalog.LearnHalls(catalog.Halls{Revision: hookhall.Revision(b.GetHallsRevision()), Evacuated: b.GetEvacuated()}, instance(seed))
 	}
 	s.Ends.Learn(readEnds(b.GetEnds().GetEnds(), clock.Now()), instance(seed))
+	s.Advisories.Merge(readAdvisories(b.GetAdvisories(), began), instance(seed))
 	s.Catalog.LearnPacked(b.GetTable().GetPacked(), hookhall.Revision(b.GetTable().GetRevision()), instance(seed), began)
 	r := catalog.Reading{Revision: hookhall.Revision(b.GetTargetsRevision()), Began: began.Add(-milliseconds(b.GetAgeMs()))}
 	if r.Items, _, err = unpackBulk(b.GetTargets()); err != nil {
@@ -112,6 +115,7 @@
 	h := b.Catalog.Halls()
 	out.HallsRevision, out.Evacuated = uint64(h.Revision), h.Evacuated
 	out.Ends = &pb.Ends{Ends: wireEnds(b.Ends.All(), clock.Now())}
+	out.Advisories = wireAdvisories(b.Advisories.All(), clock.Now())
 	var err error
 	if out.Targets, err = packBulk(r.Items, nil); err != nil {
 		return nil, err
