forward, stages: a target that asks for a pause gets nothing from this gateway until then

What callers saw: requests that were offered to a target which had just refused one, and had to go elsewhere: a repeat each. The target got 3 to 5 requests from one gateway in the 3 s that it had asked for.

Cause: a refusal's Retry-After was not read.

Change: a target that pauses is no candidate here, neither of last resort, for first sends, repeats, placements that this gateway asks for (it names the target as excluded) and calls that this gateway brokers. Jobs of a stage whose targets all pause, or are limited, for longer than the job's time are refused at once.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -84,6 +85,7 @@
 	for {
 		r.wish.Versions = r.Rollouts.Versions(r.service, r.sends == 0)
 		targets := r.Catalog.Targets(r.service)
+		pauseLeft := r.exclude(targets)
 		limits, limited := r.Advisories.Reports(targets, clock.Now())
 		r.wish.Limiter = nil
 		if limited {
@@ -95,6 +97,7 @@
 				return t, nil
 			}
 			targets = r.Catalog.Targets(r.service) // some may have left meanwhile
+			pauseLeft = r.exclude(targets)
 		}
 		if t, ok := r.Tracker.Choose(targets, r.wish, clock.Now()); ok {
 			return t, nil
@@ -102,11 +105,33 @@
 		// Cold targets have had their most for this second.
 		if !allCold(targets, clock.Now()) || clock.Now().After(r.aim) || !retry.Sleep(ctx, coldPause) {
 			e := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
-			return hookhall.Target{}, e.After(r.placed.RetryAfter)
+			return hookhall.Target{}, e.After(retryAfter(r.placed.RetryAfter, pauseLeft))
 		}
 	}
 }
 
+// exclude keeps the request from targets that had it and from those that pause. It returns
+// how long it takes until the first pause ends, 0 if none pauses.
+func (r *request) exclude(targets []hookhall.Target) (pauseLeft time.Duration) {
+	paused, pauseLeft := r.Advisories.Paused(targets, clock.Now())
+	r.wish.Exclude = r.tried
+	if len(paused) > 0 {
+		maps.Copy(paused, r.tried)
+		r.wish.Exclude = paused
+	}
+	return pauseLeft
+}
+
+// retryAfter returns when a client should come back whose request found no target: at the
+// turn that limited targets have next, or when a pause ends. Targets that pause do so for
+// this instance alone, and a client that comes back reaches another one.
+func retryAfter(turn, pauseLeft time.Duration) time.Duration {
+	if turn > 0 || pauseLeft <= 0 {
+		return turn
+	}
+	return min(pauseLeft, comeBack)
+}
+
 // grantTime is how long a placement of a limited target may be used after its turn. One
 // that is used late would add to the requests of another window.
 const grantTime = 250 * time.Millisecond
@@ -127,8 +152,10 @@
 		r.sleepUntil(ctx, asked.Add(r.placed.Wait))
 	}
 	late := clock.Since(asked) > r.placed.Wait+grantTime
-	for _, t := range r.Catalog.Targets(r.service) {
-		if t.ID != r.placed.Target || !r.wish.Allow(t) {
+	targets := r.Catalog.Targets(r.service)
+	r.exclude(targets)
+	for _, t := range targets {
+		if t.ID != r.placed.Target || !r.wish.Allow(t) || r.wish.Exclude[t.ID] {
 			continue
 		}
 		if late && r.Advisories.Status(t.Life()).Limit.Named {
@@ -136,7 +163,7 @@
 		}
 		return t, true
 	}
-	r.placed.Tell(placement.Ended) // this process does not know it, or its turn is over
+	r.placed.Tell(placement.Ended) // this process does not know it or may not use it now
 	r.placed = placement.Placement{Choice: placement.Choice{RetryAfter: r.placed.RetryAfter}}
 	return hookhall.Target{}, false
 }
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -250,7 +250,7 @@
 	targets, trial, share := q.broker.rollouts.Usable(q.service, q.broker.directory.Targets(q.service))
 	q.configure(spec, targets)
 	q.queue.Try(trial, share)
-	q.queue.Admit(q.admission())
+	q.admit(clock.Now())
 	if q.broker.directory.Evacuated(q.service) {
 		q.queue.Abandon()
 	}
@@ -263,14 +263,29 @@
 	}
 }
 
-// admission returns which targets take a call now, nil if all do.
-func (q *serviceQueue) admission() func(t hookhall.Target) bool {
+// admit has the queue leave out targets that take no call now by their own word, and
+// refuse jobs that end before any target takes one. q.mu must be held.
+func (q *serviceQueue) admit(now time.Time) {
 	grants := q.broker.Grants(q.service)
 	if grants.Book.Empty() {
-		return nil
+		q.queue.Admit(nil)
+		return
+	}
+	q.queue.Admit(func(t hookhall.Target) bool { return untilCall(grants, t, now) <= 0 })
+	first := time.Duration(0)
+	for i, t := range q.targets {
+		if wait := untilCall(grants, t, now); i == 0 || wait < first {
+			first = wait
+		}
+	}
+	if first > 0 {
+		q.queue.AbandonBefore(now.Add(first))
 	}
-	now := clock.Now()
-	return func(t hookhall.Target) bool { return grants.Due(t.Life(), now) == 0 }
+}
+
+// untilCall returns how long it takes until a target takes a call by its own word.
+func untilCall(grants advisory.Grants, t hookhall.Target, now time.Time) time.Duration {
+	return max(grants.Due(t.Life(), now), grants.Book.Status(t.Life()).PausedUntil.Sub(now))
 }
 
 // configure passes on what has changed. The directory's lists are immutable, and looking
@@ -300,7 +315,12 @@
 		q.withdraw(b)
 		return
 	}
-	if _, ok := q.broker.Grants(q.service).Reserve(b.Target.Life(), 0, clock.Now()); !ok {
+	grants, now := q.broker.Grants(q.service), clock.Now()
+	if untilCall(grants, b.Target, now) > 0 {
+		q.withdraw(b)
+		return
+	}
+	if _, ok := grants.Reserve(b.Target.Life(), 0, now); !ok {
 		q.withdraw(b)
 		return
 	}
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -139,6 +139,27 @@
 	return e.status
 }
 
+// Paused returns the ids of those targets that have asked this instance for a pause which
+// goes on, and how long it takes until the first of these pauses ends. It returns nil if
+// there are none.
+func (b *Book) Paused(targets []hookhall.Target, now time.Time) (ids map[string]bool, next time.Duration) {
+	if b.Empty() {
+		return nil, 0
+	}
+	for _, t := range targets {
+		left := b.Status(t.Life()).PausedUntil.Sub(now)
+		if left <= 0 {
+			continue
+		}
+		if ids == nil {
+			ids, next = map[string]bool{}, left
+		}
+		ids[t.ID] = true
+		next = min(next, left)
+	}
+	return ids, next
+}
+
 // Keep forgets the entries of lives that are over.
 func (b *Book) Keep(current func(l hookhall.Life) bool) {
 	b.entries.Range(func(k, _ any) bool {
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -183,24 +183,26 @@
 // Abandon ends all jobs that need another call: no target may get one, and none is
 // expected soon. Those whose pieces are all at work go on.
 func (q *Queue) Abandon() {
-	kept := q.jobs[:0]
-	for _, j := range q.jobs {
-		if len(j.waiting) > 0 {
-			j.end(Outcome{Reason: hookhall.PieceNoTarget})
-		}
-		if !j.ended {
-			kept = append(kept, j)
-		}
-	}
-	q.jobs = kept
+	q.endWaiting(hookhall.PieceNoTarget, func(*Job) bool { return true })
+}
+
+// AbandonBefore does so for the jobs whose time ends before t, when a target gets a call
+// next.
+func (q *Queue) AbandonBefore(t time.Time) {
+	q.endWaiting(hookhall.PieceNoTarget, func(j *Job) bool { return j.End.Before(t) })
 }
 
 // refuse ends the jobs that no target may make.
 func (q *Queue) refuse() {
+	q.endWaiting(hookhall.PieceCrashes, q.refusedByAll)
+}
+
+// endWaiting ends those of the jobs that need another call which f picks.
+func (q *Queue) endWaiting(reason hookhall.PieceFailure, f func(j *Job) bool) {
 	kept := q.jobs[:0]
 	for _, j := range q.jobs {
-		if len(j.waiting) > 0 && q.refusedByAll(j) {
-			j.end(Outcome{Reason: hookhall.PieceCrashes})
+		if len(j.waiting) > 0 && f(j) {
+			j.end(Outcome{Reason: reason})
 		}
 		if !j.ended {
 			kept = append(kept, j)
