advisory: looking for limits and pauses costs what there are of them

Each request looked every target of its service up, and each call of a broker all of the pool's, as soon as any target had said anything, a leaving one included; in a large fleet some target is always leaving. No difference in what is chosen.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -357,7 +357,7 @@
 			known := func(l hookhall.Life) bool { return targets[l.ID].Born == l.Born && targets[l.ID].ID != "" }
 			g.tracker.Keep(known, now)
 			g.placer.Tidy(known, now)
-			g.advisories.Book.Keep(known)
+			g.advisories.Book.Keep(known, now)
 		}
 		current := map[string]bool{}
 		for _, m := range g.members.List(now) {
--- a/internal/app/gateway/places.go
+++ b/internal/app/gateway/places.go
@@ -38,7 +38,7 @@
 	now := clock.Now()
 	grants := advisory.Grants{Book: g.advisories.Book}
 	switch {
-	case grants.Book.Empty(), g.sharers(now).Count == 0:
+	case grants.Book.Idle(), g.sharers(now).Count == 0:
 	case g.members.Owner(key, nil, now).Address == g.members.Self().Address:
 		grants.Share = 1
 	default:
--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -62,7 +62,7 @@
 // Merge takes in what a peer told, and returns what was new.
 func (s *Advisories) Merge(list []advisory.Report, from string) (fresh []advisory.Report) {
 	for _, r := range list {
-		c := s.Book.Merge(r)
+		c := s.Book.Merge(r, clock.Now())
 		s.apply(r.Target, c, from)
 		if c.Tell {
 			fresh = append(fresh, r)
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -267,19 +267,21 @@
 // refuse jobs that end before any target takes one. q.mu must be held.
 func (q *serviceQueue) admit(now time.Time) {
 	grants := q.broker.Grants(q.service)
-	if grants.Book.Empty() {
+	rationed := grants.Book.Rationed(q.targets)
+	if len(rationed) == 0 {
 		q.queue.Admit(nil)
 		return
 	}
 	q.queue.Admit(func(t hookhall.Target) bool { return untilCall(grants, t, now) <= 0 })
-	first := time.Duration(0)
-	for i, t := range q.targets {
-		if wait := untilCall(grants, t, now); i == 0 || wait < first {
-			first = wait
-		}
+	if len(rationed) < len(q.targets) {
+		return
+	}
+	next := untilCall(grants, rationed[0], now)
+	for _, t := range rationed[1:] {
+		next = min(next, untilCall(grants, t, now))
 	}
-	if first > 0 {
-		q.queue.AbandonBefore(now.Add(first))
+	if next > 0 {
+		q.queue.AbandonBefore(now.Add(next))
 	}
 }
 
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -38,6 +38,11 @@
 	PausedUntil time.Time
 }
 
+// rationed reports whether there is a limit, one that ended a short while ago, or a pause.
+func (s *Status) rationed(now time.Time) bool {
+	return s.Limit.Named || now.Sub(s.Limit.Heard) < reportTime || s.PausedUntil.After(now)
+}
+
 // Change is what an advisory changed.
 type Change struct {
 	Before Status
@@ -49,8 +54,9 @@
 // Book keeps the advisories of targets by life. It is safe for concurrent use.
 type Book struct {
 	entries sync.Map // hookhall.Life to *entry
-	// size is the number of entries, so that a book without any costs one load.
-	size atomic.Int64
+	// rationed is the number of entries with a limit or a pause, so that looking for these
+	// costs one load while there are none.
+	rationed atomic.Int64
 }
 
 // entry is the state of one life of a target.
@@ -60,27 +66,44 @@
 	// told is the limit that other instances know of.
 	told   Limit
 	bucket bucket
+	// rationed is set while the book counts the entry as rationed.
+	rationed bool
 }
 
 // find returns the entry of a life, or nil.
 func (b *Book) find(l hookhall.Life) *entry {
-	if b.size.Load() == 0 {
-		return nil
-	}
 	if e, ok := b.entries.Load(l); ok {
 		return e.(*entry)
 	}
 	return nil
 }
 
-func (b *Book) findOrAdd(l hookhall.Life) *entry {
-	e, loaded := b.entries.LoadOrStore(l, &entry{})
-	if !loaded {
-		b.size.Add(1)
+// findRationed returns the entry of a life that may have a limit or a pause, or nil.
+func (b *Book) findRationed(l hookhall.Life) *entry {
+	if b.Idle() {
+		return nil
 	}
+	return b.find(l)
+}
+
+func (b *Book) findOrAdd(l hookhall.Life) *entry {
+	e, _ := b.entries.LoadOrStore(l, &entry{})
 	return e.(*entry)
 }
 
+// count keeps the number of rationed entries. e.mu must be held.
+func (b *Book) count(e *entry, rationed bool) {
+	if e.rationed == rationed {
+		return
+	}
+	e.rationed = rationed
+	if rationed {
+		b.rationed.Add(1)
+	} else {
+		b.rationed.Add(-1)
+	}
+}
+
 // Record takes in the advisory of an answer that came at now to a call sent at sent.
 func (b *Book) Record(l hookhall.Life, a hookhall.Advisory, sent, now time.Time) Change {
 	if a == (hookhall.Advisory{}) && b.find(l) == nil {
@@ -105,12 +128,13 @@
 		e.told = s.Limit
 		c.Tell = true
 	}
+	b.count(e, s.rationed(now))
 	c.After = e.status
 	return c
 }
 
 // Merge takes in what another instance has heard. Of two limits the later one holds.
-func (b *Book) Merge(r Report) Change {
+func (b *Book) Merge(r Report, now time.Time) Change {
 	l := r.Target.Life()
 	if !r.Limit.Named && !r.Leaving && b.find(l) == nil {
 		return Change{}
@@ -124,6 +148,7 @@
 		c.Tell = c.Tell || r.Limit.differs(e.told)
 		e.status.Limit, e.told = r.Limit, r.Limit
 	}
+	b.count(e, e.status.rationed(now))
 	c.After = e.status
 	return c
 }
@@ -139,40 +164,23 @@
 	return e.status
 }
 
-// Paused returns the ids of those targets that have asked this instance for a pause which
-// goes on, and how long it takes until the first of these pauses ends. It returns nil if
-// there are none.
-func (b *Book) Paused(targets []hookhall.Target, now time.Time) (ids map[string]bool, next time.Duration) {
-	if b.Empty() {
-		return nil, 0
-	}
-	for _, t := range targets {
-		left := b.Status(t.Life()).PausedUntil.Sub(now)
-		if left <= 0 {
-			continue
-		}
-		if ids == nil {
-			ids, next = map[string]bool{}, left
-		}
-		ids[t.ID] = true
-		next = min(next, left)
-	}
-	return ids, next
-}
-
-// Keep forgets the entries of lives that are over.
-func (b *Book) Keep(current func(l hookhall.Life) bool) {
-	b.entries.Range(func(k, _ any) bool {
-		if !current(k.(hookhall.Life)) {
+// Keep forgets the entries of lives that are over, and those that say nothing any more.
+func (b *Book) Keep(current func(l hookhall.Life) bool, now time.Time) {
+	b.entries.Range(func(k, v any) bool {
+		e := v.(*entry)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		live := current(k.(hookhall.Life))
+		b.count(e, live && e.status.rationed(now))
+		if !live || !(e.rationed || e.status.Leaving) {
 			b.entries.Delete(k)
-			b.size.Add(-1)
 		}
 		return true
 	})
 }
 
-// Empty reports whether no target has said anything, so that nothing needs to be looked up.
-func (b *Book) Empty() bool { return b.size.Load() == 0 }
+// Idle reports whether no target has a limit or a pause.
+func (b *Book) Idle() bool { return b.rationed.Load() == 0 }
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/state/advisory/book_test.go
+++ b/internal/state/advisory/book_test.go
@@ -50,7 +50,7 @@
 		b := &advisory.Book{}
 		b.Record(life, limited(2), at(0), at(0))
 		holdLimit(t, b, hookhall.Life{ID: "target", Born: 2}, -1)
-		b.Keep(func(hookhall.Life) bool { return false })
+		b.Keep(func(hookhall.Life) bool { return false }, at(0))
 		holdLimit(t, b, life, -1)
 	})
 }
@@ -74,10 +74,44 @@
 	if !b.Status(life).Leaving {
 		t.Error("it is not leaving any more")
 	}
-	if c := b.Merge(advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Leaving: true}); c.Tell {
+	if c := b.Merge(advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Leaving: true}, at(time.Second)); c.Tell {
 		t.Error("what is known is told again")
 	}
 	if b.Status(hookhall.Life{ID: life.ID, Born: 2}).Leaving {
 		t.Error("its next life is leaving")
 	}
 }
+
+// TestKeep: what says nothing any more is forgotten, and a book without limits and pauses is
+// idle.
+func TestKeep(t *testing.T) {
+	live := func(hookhall.Life) bool { return true }
+	other := hookhall.Life{ID: "other"}
+	b := &advisory.Book{}
+	hold := func(what string, idle bool) {
+		t.Helper()
+		if b.Idle() != idle {
+			t.Errorf("%s: idle is %v", what, !idle)
+		}
+	}
+	b.Record(other, hookhall.Advisory{Leaving: true}, at(0), at(0))
+	hold("one is leaving", true)
+	b.Record(life, hookhall.Advisory{Pause: time.Second}, at(0), at(0))
+	hold("one pauses", false)
+	b.Keep(live, at(2*time.Second))
+	hold("the pause is over", true)
+	b.Record(life, limited(1), at(0), at(0))
+	b.Keep(live, at(time.Hour))
+	hold("one is limited", false)
+	b.Record(life, hookhall.Advisory{}, at(time.Hour), at(time.Hour))
+	hold("the limit has just ended", false)
+	b.Keep(live, at(2*time.Hour))
+	hold("the limit has ended long ago", true)
+	if !b.Status(other).Leaving {
+		t.Error("the one that is leaving is forgotten")
+	}
+	b.Keep(func(hookhall.Life) bool { return false }, at(2*time.Hour))
+	if b.Status(other).Leaving {
+		t.Error("a life that is over is remembered")
+	}
+}
--- a/internal/state/advisory/rate.go
+++ b/internal/state/advisory/rate.go
@@ -60,7 +60,7 @@
 // Due returns how long it takes until a life of a target may get another request: 0 for
 // now, Never if this instance grants it none.
 func (g Grants) Due(l hookhall.Life, now time.Time) time.Duration {
-	e := g.Book.find(l)
+	e := g.Book.findRationed(l)
 	if e == nil {
 		return 0
 	}
@@ -72,7 +72,7 @@
 // Reserve takes the next request that a life of a target may get, if it is due within
 // maxWait. It returns how long the request has to wait.
 func (g Grants) Reserve(l hookhall.Life, maxWait time.Duration, now time.Time) (wait time.Duration, ok bool) {
-	e := g.Book.find(l)
+	e := g.Book.findRationed(l)
 	if e == nil {
 		return 0, true
 	}
--- a/internal/state/advisory/rate_test.go
+++ b/internal/state/advisory/rate_test.go
@@ -4,6 +4,7 @@
 package advisory_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 // granter is one instance's book with a limit that all know.
 func granter(rate float64) *advisory.Book {
 	b := &advisory.Book{}
-	b.Merge(told(advisory.Limit{Named: true, Rate: rate, Heard: start}))
+	b.Merge(told(advisory.Limit{Named: true, Rate: rate, Heard: start}), start)
 	return b
 }
 
@@ -139,10 +140,28 @@
 		}
 		holdLimit(t, b, life, rate)
 	}
-	hold("begins", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)})), true, 2)
-	hold("again", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)})), false, 2)
-	hold("older", b.Merge(told(advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)})), false, 2)
+	hold("begins", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)}), at(10*time.Second)), true, 2)
+	hold("again", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)}), at(10*time.Second)), false, 2)
+	hold("older", b.Merge(told(advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)}), at(10*time.Second)), false, 2)
 	hold("own, a little less", b.Record(life, limited(1.9), at(3*time.Second), at(3*time.Second)), false, 1.9)
 	hold("own, much less", b.Record(life, limited(1), at(4*time.Second), at(4*time.Second)), true, 1)
-	hold("ends", b.Merge(told(advisory.Limit{Heard: at(5 * time.Second)})), true, -1)
+	hold("ends", b.Merge(told(advisory.Limit{Heard: at(5 * time.Second)}), at(10*time.Second)), true, -1)
+}
+
+// BenchmarkChoice is what a choice among many targets costs while one of them is limited.
+func BenchmarkChoice(b *testing.B) {
+	book := granter(1)
+	g := advisory.Grants{Book: book, Share: 1}
+	targets := make([]hookhall.Target, 620)
+	for i := range targets {
+		targets[i] = hookhall.Target{ID: fmt.Sprintf("%04d", i), Born: 1}
+	}
+	book.Record(targets[7].Life(), hookhall.Advisory{Pause: time.Hour}, start, start)
+	for b.Loop() {
+		book.Reports(targets, start)
+		book.Paused(targets, start)
+		for _, t := range targets {
+			g.Due(t.Life(), start)
+		}
+	}
 }
