forward, front: answers are held within a bound, and passed on whole beyond it

What callers saw: an answer of more than 32 MB was cut there, and looked complete if its length was not announced. And a gateway that may use 128 MB took 872 for forty callers that read 16 MB slowly: its process would have ended, with all that it had in progress.

Cause of both: an answer was read whole into memory before it was passed on, each up to 32 MB and without a sum.

Change: answers are read ahead within a budget of the process (state/buffer: 4 MB each, 0.15 of its memory together, 4 KB always), so that one that is cut can be asked for again as before. What does not fit stays with the target, which waits, and is passed on as the caller reads; if it breaks off then, the caller sees that it did. An answer is written 8 KB at a time with 10 s for each, where one write of the whole answer had 10 s: a caller that reads slowly, and does read, gets all. /state tells buffered_bytes.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -53,6 +53,7 @@
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/transport/fleet"
 	"github.com/hookhall/hookhall/internal/transport/front"
@@ -77,7 +78,9 @@
 	readHeaderTime = 10 * time.Second
 	// memoryShare of what a process may use is where the collector works harder.
 	memoryShare = 0.7
-	flushTime   = 200 * time.Millisecond
+	// buffersShare is the part of it that answers may take which are held for callers.
+	buffersShare = 0.15
+	flushTime    = 200 * time.Millisecond
 
 	pathMetrics = "/metrics"
 	pathState   = "/state"
@@ -222,6 +225,7 @@
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
 		}, g.sharers, clock.Now()),
+		Buffers:   buffer.NewBudget(int64(buffersShare * float64(s.Gateway.MemoryMB) * (1 << 20))),
 		ColdShare: func(target string, s *hookhall.Service) int { return g.coldShare(target, cold.Owners(s)) },
 		HallsIn:   g.hallsIn,
 		Meter:     g.metrics, Log: g.logger(logging.Forward),
@@ -386,6 +390,7 @@
 	Refused  []RefusedContent           `json:"refused_contents"`
 	Rollouts []rollouts.Standing        `json:"rollouts"`
 	Repeats  budget.Status              `json:"repeats"`
+	Buffered int64                      `json:"buffered_bytes"`
 	Dropped  int64                      `json:"log_lines_dropped"`
 }
 
@@ -399,6 +404,7 @@
 		Rollouts: g.rollouts.Orders().List,
 		Era:      g.eras.Era(),
 		Repeats:  g.forward.Budget.Status(now),
+		Buffered: g.forward.Buffers.Held(),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/budget"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/crashes"
 	"github.com/hookhall/hookhall/internal/state/routetable"
@@ -110,6 +111,8 @@
 	// Advisories has what targets said about further requests.
 	Advisories *advisory.Book
 	Budget     *budget.Budget
+	// Buffers bounds what is held of answers.
+	Buffers *buffer.Budget
 	// ColdShare is how many requests in any second this process may send to a cold
 	// target of a service by its own choice.
 	ColdShare func(target string, s *hookhall.Service) int
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -9,6 +9,7 @@
 	"net/http"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
@@ -25,16 +26,17 @@
 			return r.giveUp(ctx, none)
 		}
 		a := r.send(sendCtx, t, "")
-		var whole []byte
+		var begun *beginning
 		if a.err == nil {
-			whole, a.err = r.readWhole(a)
+			begun, a.err = r.readAhead(a)
 		}
 		if a.err == nil && r.worthRepeat(ctx, a) {
+			begun.release()
 			r.logSendStatus(a, t)
 			continue
 		}
 		if a.err == nil {
-			return r.pass(a.reply, whole)
+			return r.pass(begun)
 		}
 		if !r.next(ctx, a, t) {
 			return r.giveUp(ctx, a.err)
@@ -57,18 +59,50 @@
 	return kept, func() { stop(); cancel() }
 }
 
-// readWhole reads an answer to its end.
-func (r *request) readWhole(a *attempt) ([]byte, *hookhall.Error) {
-	defer a.end()
-	b, err := io.ReadAll(io.LimitReader(a.reply.Body, mostAnswer))
-	_ = a.reply.Body.Close()
+// beginning is an answer as far as it is held before it is passed on.
+type beginning struct {
+	*buffer.Buffer
+	attempt *attempt
+	// more is set if the answer goes on beyond what is held.
+	more bool
+}
+
+// release gives up what is held, and what was not read.
+func (b *beginning) release() {
+	b.Buffer.Release()
+	if b.more {
+		b.more = false
+		b.attempt.close()
+	}
+}
+
+// readAhead reads an answer, to its end if it may be held: one that is cut can be asked for
+// again until a byte has gone to the client.
+func (r *request) readAhead(a *attempt) (*beginning, *hookhall.Error) {
+	b := &beginning{Buffer: r.Buffers.New(), attempt: a}
+	more, err := b.Fill(a.reply.Body)
+	e := r.judge(a, err)
+	if e == nil && more {
+		b.more = true
+		return b, nil
+	}
+	a.close()
+	if e != nil {
+		b.release()
+		return nil, e
+	}
+	return b, nil
+}
+
+// judge takes in how the reading of an answer ended.
+func (r *request) judge(a *attempt, err error) *hookhall.Error {
 	if err != nil {
 		a.failed(false)
-		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer was cut: %v", err)
+		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer was cut: %v", err)
 	}
 	if a.reply.Status < http.StatusMultipleChoices && !a.reply.Info.Sealed {
 		a.failed(false)
-		return nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
+		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer bears no signature")
 	}
 	if a.reply.Status >= http.StatusInternalServerError {
 		a.failed(false)
@@ -76,7 +110,7 @@
 	} else {
 		a.read()
 	}
-	return b, nil
+	return nil
 }
 
 // worthRepeat tells whether a target's own failure may be tried elsewhere.
@@ -97,12 +131,37 @@
 	r.logSend(a, t, "another target")
 }
 
-// pass writes a target's whole answer.
-func (r *request) pass(reply *hookhall.Reply, whole []byte) error {
+// pass writes a target's answer.
+func (r *request) pass(b *beginning) error {
+	defer b.release()
+	reply := b.attempt.reply
 	r.answer.Begin(reply.Status, reply.Header)
-	if err := r.answer.Chunk(whole); err != nil {
+	if err := r.answer.Chunk(b.Bytes()); err != nil {
 		r.cutBy = "the client has gone"
 		return hookhall.ErrCut
 	}
-	return nil
+	if !b.more {
+		return nil
+	}
+	b.Buffer.Release()
+	return r.passRest(b.attempt)
+}
+
+// passRest passes on what follows the beginning of an answer, as fast as the client reads.
+func (r *request) passRest(a *attempt) error {
+	piece := make([]byte, pieceSize)
+	for {
+		n, err := a.reply.Body.Read(piece)
+		if n > 0 && r.answer.Chunk(piece[:n]) != nil {
+			r.cutBy = "the client has gone"
+			return hookhall.ErrCut
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			r.cutBy = "the answer was cut: " + err.Error()
+			return hookhall.ErrCut
+		}
+	}
 }
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -28,8 +28,8 @@
 	// coldPause is the pause before a request looks again for a cold target with room
 	// for it: a target that bears ten requests a second has some each 100 ms.
 	coldPause = 50 * time.Millisecond
-	// mostAnswer bounds an answer that is read whole.
-	mostAnswer = 32 << 20
+	// pieceSize is how many bytes of an answer are passed on at a time that is not held.
+	pieceSize = 16 << 10
 )
 
 // request is one request on its way.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -85,11 +85,11 @@
 	if s.begun {
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTarget, "status %d in place of a stream", a.reply.Status)
 	}
-	whole, err := s.r.readWhole(a)
+	begun, err := s.r.readAhead(a)
 	if err != nil {
 		return err
 	}
-	_ = s.r.pass(a.reply, whole) // a client that has gone needs nothing
+	_ = s.r.pass(begun) // a client that has gone needs nothing
 	return nil
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -165,16 +165,25 @@
 	a.w.WriteHeader(status)
 }
 
-// writeTime bounds one write to a client that does not read.
-const writeTime = 10 * time.Second
+const (
+	// writeTimeout bounds one write to a client that does not read.
+	writeTimeout = 10 * time.Second
+	// writeSize is how many bytes are written at a time: a client that reads a kilobyte a
+	// second reads as many within writeTimeout.
+	writeSize = 8 << 10
+)
 
 // Chunk implements hookhall.AnswerWriter.
 func (a *answer) Chunk(b []byte) error {
 	rc := http.NewResponseController(a.w)
-	// Deadlines of connections are those of Go's own timers.
-	_ = rc.SetWriteDeadline(time.Now().Add(writeTime)) // not to be had in tests
-	if _, err := a.w.Write(b); err != nil {
-		return errors.Wrap(err, "client")
+	for len(b) > 0 {
+		// Deadlines of connections are those of Go's own timers.
+		_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout)) // not to be had in tests
+		n, err := a.w.Write(b[:min(len(b), writeSize)])
+		if err != nil {
+			return errors.Wrap(err, "client")
+		}
+		b = b[n:]
 	}
 	return errors.Wrap(rc.Flush(), "client")
 }
