catalog: a first reader that takes over watches from where it was told up to

Cause: a process that becomes the first reader lists all targets before it tells anything. On the whole fleet that is 51 pages, over links of 20 Mbit/s; meanwhile nobody is told of any change.

Change: if peers had told it everything, as their digest proves, and its beliefs are not older than two seconds, it watches from their revision and lists all within ten seconds, as a reader does anyway. After an outage it lists all first, as before: many leases may have run out at once, which a watch tells one by one.

TestReaderTakesOver failed before (a target that leaves is still used a second after the change, listing taking three) and passes.

--- /dev/null
+++ b/internal/coordination/catalog/takeover_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// slowStore takes time to list all targets, as a large fleet's does.
+type slowStore struct {
+	*fakeStore
+	slow atomic.Bool
+}
+
+const slowRange = 3 * time.Second
+
+func (s *slowStore) Range(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
+	items, at, err := s.fakeStore.Range(ctx, prefix)
+	if s.slow.Load() && prefix != "op/" {
+		time.Sleep(slowRange)
+	}
+	return items, at, err
+}
+
+// TestReaderTakesOver: a process that becomes the first reader, and was told everything so
+// far, learns of changes at once, though reading all targets takes seconds.
+func TestReaderTakesOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		told  bool // by peers, up to the moment
+		wants []string
+	}{
+		"told by peers": {true, []string{"a", "c"}},
+		"not told":      {false, []string{"a", "b", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &slowStore{fakeStore: newFakeStore()}
+				s.targets = map[string]string{"a": "", "b": "", "c": ""}
+				s.copied = maps.Clone(s.targets)
+				s.change(func() {})
+				reader, follower := newCatalog(s), newCatalog(s)
+				var rank atomic.Int64
+				rank.Store(rankMost)
+				follower.Rank = func() int { return int(rank.Load()) }
+				reader.Read = func() {
+					if c.told {
+						follower.LearnNews(reader.News(time.Now()), "reader")
+					}
+				}
+				readerCtx, stopReader := context.WithCancel(t.Context())
+				ctx, stop := context.WithCancel(t.Context())
+				var run sync.WaitGroup
+				run.Go(func() { reader.Run(readerCtx) })
+				run.Go(func() { follower.Run(ctx) })
+				time.Sleep(time.Second)
+				s.slow.Store(true)
+				stopReader()
+				rank.Store(0)
+				time.Sleep(100 * time.Millisecond)
+				s.change(func() { s.targets["b"] = "leaving" })
+				time.Sleep(time.Second)
+				knows(t, follower, c.wants...)
+				time.Sleep(2 * slowRange)
+				knows(t, follower, "a", "c")
+				stop()
+				run.Wait()
+			})
+		})
+	}
+}
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -61,9 +61,14 @@
 	for ctx.Err() == nil {
 		if !f.wanted(clock.Now()) {
 			f.at = 0 // whoever was told by others may be ahead of an old watch
+			f.follows = true
 			retry.Sleep(ctx, look)
 			continue
 		}
+		if f.follows {
+			f.follows = false
+			f.takeOver(clock.Now())
+		}
 		f.step(ctx)
 	}
 }
@@ -77,6 +82,24 @@
 	read  time.Time         // when all were last read
 	// gather is set when a watch told of changes: others may come with them.
 	gather bool
+	// follows is set while others tell this process what they read.
+	follows bool
+}
+
+// takeOver lets a process that becomes the first reader watch from where it was told up to.
+// It reads all targets later: that takes seconds in a large fleet, in which nobody would
+// be told of any change.
+func (f *targetsFollower) takeOver(now time.Time) {
+	if f.Rank() != 0 || f.Failing() {
+		return
+	}
+	f.mu.Lock()
+	told := f.told
+	f.mu.Unlock()
+	if p := f.picture.Load(); told > 0 && p.Revision == told && p.Age(now) < takeOverAge {
+		f.at, f.read = told, now
+		f.log.Info("This process reads for all now, from where it was told.", "revision", told, "age", p.Age(now))
+	}
 }
 
 // wanted tells whether it is this process's turn to ask the store.
