--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -99,6 +99,9 @@
 			targets = r.Catalog.Targets(r.service) // some may have left meanwhile
 			pauseLeft = r.exclude(targets)
 		}
+		if ctx.Err() != nil {
+			return hookhall.Target{}, hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "the client has gone before a target was chosen")
+		}
 		if t, ok := r.Tracker.Choose(targets, r.wish, clock.Now()); ok {
 			return t, nil
 		}
@@ -151,14 +154,14 @@
 		r.limitWait += r.placed.Wait
 		r.sleepUntil(ctx, asked.Add(r.placed.Wait))
 	}
-	late := clock.Since(asked) > r.placed.Wait+grantTime
+	late := ctx.Err() != nil || clock.Since(asked) > r.placed.Wait+grantTime
 	targets := r.Catalog.Targets(r.service)
 	r.exclude(targets)
 	for _, t := range targets {
 		if t.ID != r.placed.Target || !r.wish.Allow(t) || r.wish.Exclude[t.ID] {
 			continue
 		}
-		if late && r.Advisories.Status(t.Life()).Limit.Named {
+		if late && (r.placed.Wait > 0 || r.Advisories.Status(t.Life()).Limit.Named) {
 			break
 		}
 		return t, true
