--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -33,8 +33,13 @@
 // fromAnswer is the source of an advisory that this instance read itself.
 const fromAnswer = "answer"
 
-// gatherTime is how long changes are gathered before peers are told of them.
-const gatherTime = 10 * time.Millisecond
+const (
+	// gatherTime is how long changes are gathered before peers are told of them.
+	gatherTime = 10 * time.Millisecond
+	// tellInterval is the least time between two messages to peers: a target may name
+	// another limit in each answer.
+	tellInterval = 250 * time.Millisecond
+)
 
 // Advisories is a hookhall.AdvisoryObserver.
 type Advisories struct {
@@ -48,6 +53,7 @@
 
 	mu      sync.Mutex
 	pending map[hookhall.Life]advisory.Report // not told yet
+	told    time.Time                         // when peers were told last
 }
 
 // Advised implements hookhall.AdvisoryObserver.
@@ -80,7 +86,7 @@
 	defer s.mu.Unlock()
 	if s.pending == nil {
 		s.pending = map[hookhall.Life]advisory.Report{}
-		time.AfterFunc(gatherTime, s.flush)
+		time.AfterFunc(max(gatherTime, tellInterval-clock.Since(s.told)), s.flush)
 	}
 	s.pending[r.Target.Life()] = r
 }
@@ -88,7 +94,7 @@
 func (s *Advisories) flush() {
 	s.mu.Lock()
 	list := slices.Collect(maps.Values(s.pending))
-	s.pending = nil
+	s.pending, s.told = nil, clock.Now()
 	s.mu.Unlock()
 	s.Tell(list)
 }
@@ -116,7 +122,7 @@
 		s.Meter.Advised(t.Pool, KindPause)
 	}
 	switch b, n := before.Limit, after.Limit; {
-	case n.Named && (!b.Named || b.Rate != n.Rate):
+	case n.Named && (!b.Named || c.Tell):
 		s.Log.Info("A target names a rate limit.", "target", t.ID, "service", t.Pool, "born", t.Born, "limit", n.Rate, "before", b.Rate, "age", clock.Since(n.Heard), "from", from)
 		s.Meter.Advised(t.Pool, KindLimit)
 	case b.Named && !n.Named:
--- a/internal/coordination/advisories/doc.go
+++ b/internal/coordination/advisories/doc.go
@@ -11,9 +11,11 @@
 // instance that it was heard from.
 //
 // All instances are told of a target that is leaving, and of a limit that begins, ends or
-// changes by a tenth, by those that read it first. A target's word concerns that target
-// alone: the answer bears the id of a request that was sent to it. Requests for placements bring the limits that their senders know of, so
-// that a placer that has just started learns them as well.
+// changes by a tenth, by those that read it first. Requests for placements bring the limits
+// that their senders know of, so that a placer that has just started learns them as well.
+//
+// A target's word concerns that target alone: the answer bears the id of a request that
+// was sent to it.
 //
 // # Invariants
 //
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -101,8 +101,8 @@
 	swept  time.Time // when those that are gone were last looked for
 	// rejected has the keys that name no target, with the hash of their values.
 	rejected map[string]uint64
-	// departed has the lives that said that they are leaving before they were listed here,
-	// with the time of that.
+	// departed has the lives that are leaving and not known here, with the time since when
+	// that is so.
 	departed map[hookhall.Life]time.Time
 	// buckets sums up those that are listed.
 	buckets Digests
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -250,6 +250,9 @@
 	for key, e := range c.known {
 		if !e.missing.IsZero() && now.Sub(e.missing) > forgetAfter {
 			c.unindex(e)
+			if e.left {
+				c.depart(e.target.Life(), now)
+			}
 			delete(c.known, key)
 			c.hallAt.CompareAndDelete(e.target.Address, residentOf(e))
 		}
--- a/internal/coordination/catalog/leaving.go
+++ b/internal/coordination/catalog/leaving.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// departedTTL is how long a life is remembered that left while it was not listed here.
+	// departedTTL is how long a life is remembered that is leaving and not known here.
 	departedTTL = 10 * time.Minute
 	// maxDeparted bounds those lives.
 	maxDeparted = 4096
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// depart remembers a life that is leaving and not listed here. c.mu must be held.
+// depart remembers a life that is leaving and not known here. c.mu must be held.
 func (c *Catalog) depart(l hookhall.Life, now time.Time) {
 	for o, at := range c.departed {
 		if now.Sub(at) > departedTTL || len(c.departed) >= maxDeparted {
@@ -59,8 +59,8 @@
 	c.departed[l] = now
 }
 
-// hasDeparted reports whether a life has said that it is leaving, before it was listed
-// here. c.mu must be held.
+// hasDeparted reports whether a life has said that it is leaving while it was not listed
+// here, or before it was forgotten. c.mu must be held.
 func (c *Catalog) hasDeparted(l hookhall.Life, now time.Time) bool {
 	at, ok := c.departed[l]
 	return ok && now.Sub(at) <= departedTTL
--- a/internal/coordination/catalog/leaving_test.go
+++ b/internal/coordination/catalog/leaving_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -49,3 +50,33 @@
 		})
 	}
 }
+
+// TestLeaveIsRemembered: a target that left, was missing until it was forgotten, and is
+// listed again in the same life, gets nothing.
+func TestLeaveIsRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCatalog(newFakeStore())
+		revision := hookhall.Revision(0)
+		learn := func(items ...hookhall.Item) {
+			revision++
+			for i := range items {
+				items[i].Revision = revision
+			}
+			c.Learn(Reading{Revision: revision, Items: items, Began: time.Now()}, "store")
+		}
+		other := hookhall.Item{Key: "t/other", Value: []byte("ready")}
+		learn(word(0, "born 5 ready"), other)
+		c.Leave(hookhall.Life{ID: "a", Born: 5}, "answer")
+		learn(other)
+		time.Sleep(forgetAfter + time.Second)
+		learn() // something else goes missing, and those that are gone for long are forgotten
+		learn(word(0, "born 5 ready"))
+		if listed, _ := usable(c); listed {
+			t.Error("it is used again")
+		}
+		learn(word(0, "born 9 ready"))
+		if listed, _ := usable(c); !listed {
+			t.Error("its next life is not used")
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/placement/limited_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/advisory"
+	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/routetable"
+)
+
+type oneTarget struct{}
+
+func (oneTarget) Table() *routetable.Table { return nil }
+
+func (oneTarget) Targets(string) []hookhall.Target { return []hookhall.Target{{ID: "target"}} }
+
+// TestPlaceAtLimitedTarget: a request gets its turn if it can wait for it, and is told when
+// the next one is otherwise, unless nobody knows.
+func TestPlaceAtLimitedTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		share  float64
+		slack  time.Duration
+		placed bool
+		retry  bool
+	}{
+		"it can wait":         {1, time.Minute, true, false},
+		"it can't":            {1, time.Millisecond, false, true},
+		"past its aim":        {1, 0, false, true},
+		"the owner is not it": {0.25, time.Minute, true, false},
+		"nothing is granted":  {0, time.Minute, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			book := &advisory.Book{}
+			book.Record(hookhall.Life{ID: "target"}, hookhall.Advisory{Limited: true, Limit: 1}, clock.Now(), clock.Now())
+			p := NewPlacer(oneTarget{}, balance.ColdLimits{})
+			p.Grants = func(string) advisory.Grants { return advisory.Grants{Book: book, Share: c.share} }
+			got := p.Place("ticket", "service", balance.Wish{Slack: c.slack})
+			if placed := got.Target != ""; placed != c.placed || (got.Wait > 0) != c.placed {
+				t.Errorf("placed at %q after %v", got.Target, got.Wait)
+			}
+			if (got.RetryAfter > 0) != c.retry || got.RetryAfter > time.Minute {
+				t.Errorf("to come back after %v", got.RetryAfter)
+			}
+		})
+	}
+}
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -82,7 +82,8 @@
 	Target string
 	// Wait is how long the request has to wait before it is sent, by the target's limit.
 	Wait time.Duration
-	// RetryAfter is when a target will be due, if only rate limits leave none now.
+	// RetryAfter is when a target will be due, if only rate limits leave none now, and 0 if
+	// that is not known.
 	RetryAfter time.Duration
 }
 
@@ -107,7 +108,7 @@
 			return c
 		}
 		if c.Wait, ok = w.Limiter.Reserve(t.Life(), time.Duration(waitShare*float64(w.Slack)), now); !ok {
-			return Choice{RetryAfter: c.Wait}
+			return Choice{RetryAfter: knownWait(c.Wait)}
 		}
 	}
 	c.Target = t.ID
@@ -115,6 +116,14 @@
 	return c
 }
 
+// knownWait returns 0 for the wait for targets to which this process grants nothing.
+func knownWait(d time.Duration) time.Duration {
+	if d == advisory.Never {
+		return 0
+	}
+	return d
+}
+
 // Take takes notes in.
 func (p *Placer) Take(notes []Note) {
 	now := clock.Now()
