--- a/advisory.go
+++ b/advisory.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// Advisory is what a target says in an answer about further requests to it. The zero
-// value says nothing.
+// Advisory is what a target announces in an answer about further requests to it. The zero
+// value announces nothing.
 type Advisory struct {
 	// Leaving is set when the target takes no new requests.
 	Leaving bool
--- a/forward.go
+++ b/forward.go
@@ -79,7 +79,7 @@
 	InputGone bool
 	// Load is the target's report, if one came.
 	Load LoadReport
-	// Advisory is what the target says about further requests.
+	// Advisory is what the target announces about further requests.
 	Advisory Advisory
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -95,7 +95,7 @@
 	Dialect  hookhall.Dialect
 	Sender   hookhall.Sender
 	Pool     hookhall.StagePool
-	// Advisories reads what targets say in answers; nil when nothing does.
+	// Advisories reads the advisories in answers; nil if nothing does.
 	Advisories hookhall.AdvisorySource
 	// Connections are swept now and then.
 	Connections *upstream.Pool
@@ -198,7 +198,7 @@
 	g.adapters.Connections.Resting = g.restingConnections
 	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
-	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Leave: g.catalog.Leave, Tell: g.broadcaster.Advise}
+	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Leave: g.catalog.Leave, Broadcast: g.broadcaster.Advise}
 	g.broadcaster.Advisories, g.starter.Advisories = g.advisories, g.advisories
 	if g.adapters.Advisories != nil {
 		g.adapters.Advisories.Observe(g.advisories)
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -111,7 +111,7 @@
 // ContentsRefused is how many contents are refused since targets ended under them.
 func (m *Metrics) ContentsRefused(n int) { m.scope.Gauge("contents_refused").Update(float64(n)) }
 
-// Advised counts a change of what a target says about further requests.
+// Advised counts a change of a target's advisory.
 func (m *Metrics) Advised(service, kind string) {
 	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("advisories").Inc(1)
 }
--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -17,8 +17,7 @@
 
 // Meter counts advisories.
 type Meter interface {
-	// Advised counts a change of what a target of a service says; kind is one of the
-	// Kind constants.
+	// Advised counts a change of a target's advisory; kind is one of the Kind constants.
 	Advised(service, kind string)
 }
 
@@ -34,11 +33,11 @@
 const fromAnswer = "answer"
 
 const (
-	// gatherTime is how long changes are gathered before peers are told of them.
-	gatherTime = 10 * time.Millisecond
-	// tellInterval is the least time between two messages to peers: a target may name
+	// batchDelay is how long changes are collected before they are broadcast.
+	batchDelay = 10 * time.Millisecond
+	// broadcastInterval is the minimum time between two broadcasts: a target may name
 	// another limit in each answer.
-	tellInterval = 250 * time.Millisecond
+	broadcastInterval = 250 * time.Millisecond
 )
 
 // Advisories is a hookhall.AdvisoryObserver.
@@ -46,47 +45,47 @@
 	Book  *advisory.Book
 	Meter Meter
 	Log   *log.Logger
-	// Leave is told of targets that are leaving. It must not block.
+	// Leave marks a target as leaving. It must not block.
 	Leave func(l hookhall.Life, from string)
-	// Tell tells all other instances. It must not block.
-	Tell func(list []advisory.Report)
+	// Broadcast sends reports to all other instances. It must not block.
+	Broadcast func(list []advisory.Report)
 
 	mu      sync.Mutex
-	pending map[hookhall.Life]advisory.Report // not told yet
-	told    time.Time                         // when peers were told last
+	pending map[hookhall.Life]advisory.Report // not broadcast yet
+	last    time.Time                         // of the last broadcast
 }
 
 // Advised implements hookhall.AdvisoryObserver.
 func (s *Advisories) Advised(t hookhall.Target, a hookhall.Advisory, sent time.Time) {
 	c := s.Book.Record(t.Life(), a, sent, clock.Now())
 	s.apply(t, c, fromAnswer)
-	if c.Tell {
-		s.tell(advisory.Report{Target: t, Leaving: c.After.Leaving, Limit: c.After.Limit})
+	if c.Notify {
+		s.enqueue(advisory.Report{Target: t, Leaving: c.After.Leaving, Limit: c.After.Limit})
 	}
 }
 
-// Merge takes in what a peer told, and returns what was new.
+// Merge applies the reports of a peer, and returns those that peers further on should get.
 func (s *Advisories) Merge(list []advisory.Report, from string) (fresh []advisory.Report) {
 	for _, r := range list {
 		c := s.Book.Merge(r, clock.Now())
 		s.apply(r.Target, c, from)
-		if c.Tell {
+		if c.Notify {
 			fresh = append(fresh, r)
 		}
 	}
 	return fresh
 }
 
-// All returns all that is known of targets that are leaving or limited.
+// All returns reports of all targets that are leaving or limited.
 func (s *Advisories) All() []advisory.Report { return s.Book.All() }
 
-// tell has peers told of a change, together with others that come at the same time.
-func (s *Advisories) tell(r advisory.Report) {
+// enqueue adds a report to the next broadcast.
+func (s *Advisories) enqueue(r advisory.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pending == nil {
 		s.pending = map[hookhall.Life]advisory.Report{}
-		time.AfterFunc(max(gatherTime, tellInterval-clock.Since(s.told)), s.flush)
+		time.AfterFunc(max(batchDelay, broadcastInterval-clock.Since(s.last)), s.flush)
 	}
 	s.pending[r.Target.Life()] = r
 }
@@ -94,9 +93,9 @@
 func (s *Advisories) flush() {
 	s.mu.Lock()
 	list := slices.Collect(maps.Values(s.pending))
-	s.pending, s.told = nil, clock.Now()
+	s.pending, s.last = nil, clock.Now()
 	s.mu.Unlock()
-	s.Tell(list)
+	s.Broadcast(list)
 }
 
 // apply acts on a change.
@@ -114,7 +113,7 @@
 		return
 	}
 	if after.Leaving && !before.Leaving {
-		s.Log.Info("A target says that it is leaving.", "target", t.ID, "service", t.Pool, "born", t.Born, "from", from)
+		s.Log.Info("A target announces that it is leaving.", "target", t.ID, "service", t.Pool, "born", t.Born, "from", from)
 		s.Meter.Advised(t.Pool, KindLeaving)
 	}
 	if after.PausedUntil.After(before.PausedUntil) {
@@ -122,7 +121,7 @@
 		s.Meter.Advised(t.Pool, KindPause)
 	}
 	switch b, n := before.Limit, after.Limit; {
-	case n.Named && (!b.Named || c.Tell):
+	case n.Named && (!b.Named || c.Notify):
 		s.Log.Info("A target names a rate limit.", "target", t.ID, "service", t.Pool, "born", t.Born, "limit", n.Rate, "before", b.Rate, "age", clock.Since(n.Heard), "from", from)
 		s.Meter.Advised(t.Pool, KindLimit)
 	case b.Named && !n.Named:
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -42,8 +42,8 @@
 	// well within the three seconds in which a change has to be in force.
 	fleetStep = 4 * time.Millisecond
 	fleetMost = 1200 * time.Millisecond
-	// takeOverAge is how old the beliefs of a new first reader may be for it to watch from
-	// them: older ones come from an outage, after which many leases may have run out.
+	// takeOverAge is the maximum age of the state from which a new first reader watches. An
+	// older state comes from an outage, after which many leases may have expired at once.
 	takeOverAge = 2 * time.Second
 	// staleMost is how old the copy of the targets may be that a process begins with.
 	staleMost = 3 * time.Second
@@ -114,9 +114,9 @@
 	// when, after the store came back from a copy.
 	toldHalls []string
 	heldHalls map[string]time.Time
-	// told is the revision up to which peers have told this process of everything, as their
-	// digest proved.
-	told hookhall.Revision
+	// synced is the revision up to which the updates of peers were complete, as their digest
+	// proved.
+	synced hookhall.Revision
 	// base is the store's revision when this process first read all targets after the store
 	// had come back from a copy, and copiedEra the era of that in which the copy had an older
 	// table than the one in force.
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -11,8 +11,8 @@
 // change. It follows the targets in the same way, and reads all of them every ten
 // seconds: a watch is silent while heartbeats alone change their keys. The others are told what changed (News, ConfirmTable,
 // LearnPacked) and read for themselves when what they were told has grown old:
-// the second reader first, then everybody. A first reader that takes over watches from where
-// it was told up to, and reads everything within ten seconds. What counts is the moment at which
+// the second reader first, then everybody. A first reader that takes over watches from the
+// revision up to which its peers have updated it, and lists everything within ten seconds. What counts is the moment at which
 // the reading that confirmed a belief began, by the steady clock.
 //
 // News names what changed lately, and a digest of everything: a process that
--- a/internal/coordination/catalog/leaving.go
+++ b/internal/coordination/catalog/leaving.go
@@ -17,8 +17,8 @@
 	maxDeparted = 4096
 )
 
-// Leave takes in a target's own word that its present life is leaving, whatever its key in
-// the store says. The target gets nothing new from then on.
+// Leave marks a life of a target as leaving, whatever its key in the store says. The target
+// gets no new requests in that life.
 func (c *Catalog) Leave(l hookhall.Life, from string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/catalog/news.go
+++ b/internal/coordination/catalog/news.go
@@ -90,7 +90,7 @@
 	}
 	c.miss(lost, n.Revision, c.restored(n.Revision), from, now)
 	if c.buckets.whole() == n.Digest {
-		c.told = n.Revision
+		c.synced = n.Revision
 		c.publish(n.Revision, n.Began, now)
 		return true, false
 	}
@@ -184,7 +184,7 @@
 		return false
 	}
 	c.log.Info("A gap is repaired.", "from", from, "buckets", len(r.Buckets), "targets", len(r.Items), "revision", r.Revision)
-	c.told = r.Revision
+	c.synced = r.Revision
 	c.publish(r.Revision, r.Began, now)
 	return true
 }
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -82,23 +82,23 @@
 	read  time.Time         // when all were last read
 	// gather is set when a watch told of changes: others may come with them.
 	gather bool
-	// follows is set while others tell this process what they read.
+	// follows is set while this process relies on updates of peers.
 	follows bool
 }
 
-// takeOver lets a process that becomes the first reader watch from where it was told up to.
-// It reads all targets later: that takes seconds in a large fleet, in which nobody would
-// be told of any change.
+// takeOver lets a new first reader watch from the revision up to which its peers have updated
+// it. Listing all targets first would take seconds in a large fleet, during which no gateway
+// would learn of a change.
 func (f *targetsFollower) takeOver(now time.Time) {
 	if f.Rank() != 0 || f.Failing() {
 		return
 	}
 	f.mu.Lock()
-	told := f.told
+	synced := f.synced
 	f.mu.Unlock()
-	if p := f.picture.Load(); told > 0 && p.Revision == told && p.Age(now) < takeOverAge {
-		f.at, f.read = told, now
-		f.log.Info("This process reads for all now, from where it was told.", "revision", told, "age", p.Age(now))
+	if p := f.picture.Load(); synced > 0 && p.Revision == synced && p.Age(now) < takeOverAge {
+		f.at, f.read = synced, now
+		f.log.Info("This process takes over as first reader.", "revision", synced, "age", p.Age(now))
 	}
 }
 
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -263,8 +263,8 @@
 	}
 }
 
-// admit has the queue leave out targets that take no call now by their own word, and
-// refuse jobs that end before any target takes one. q.mu must be held.
+// admit excludes targets that are limited or paused from the queue, and refuses jobs that
+// end before any target accepts a call. q.mu must be held.
 func (q *serviceQueue) admit(now time.Time) {
 	grants := q.broker.Grants(q.service)
 	rationed := grants.Book.Rationed(q.targets)
@@ -285,7 +285,7 @@
 	}
 }
 
-// untilCall returns how long it takes until a target takes a call by its own word.
+// untilCall returns how long it takes until a target accepts a call.
 func untilCall(grants advisory.Grants, t hookhall.Target, now time.Time) time.Duration {
 	return max(grants.Due(t.Life(), now), grants.Book.Status(t.Life()).PausedUntil.Sub(now))
 }
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -12,8 +12,8 @@
 	"github.com/hookhall/hookhall"
 )
 
-// tellChange is the relative change of a rate from which other instances are told.
-const tellChange = 0.1
+// notifyThreshold is the relative change of a rate from which peers are notified.
+const notifyThreshold = 0.1
 
 // Limit is a target's rate limit as it was last heard of.
 type Limit struct {
@@ -25,12 +25,12 @@
 	Heard time.Time
 }
 
-// differs reports whether other instances should be told of l instead of o.
+// differs reports whether peers that know o should be notified of l.
 func (l Limit) differs(o Limit) bool {
-	return l.Named != o.Named || math.Abs(l.Rate-o.Rate) > tellChange*o.Rate
+	return l.Named != o.Named || math.Abs(l.Rate-o.Rate) > notifyThreshold*o.Rate
 }
 
-// Status is what a target has said about further requests.
+// Status is what a target has announced about further requests.
 type Status struct {
 	Leaving bool
 	Limit   Limit
@@ -47,8 +47,8 @@
 type Change struct {
 	Before Status
 	After  Status
-	// Tell is set if other instances should be told.
-	Tell bool
+	// Notify is set if peers should be notified.
+	Notify bool
 }
 
 // Book keeps the advisories of targets by life. It is safe for concurrent use.
@@ -63,8 +63,8 @@
 type entry struct {
 	mu     sync.Mutex
 	status Status
-	// told is the limit that other instances know of.
-	told   Limit
+	// shared is the limit that peers know.
+	shared Limit
 	bucket bucket
 	// rationed is set while the book counts the entry as rationed.
 	rationed bool
@@ -104,7 +104,8 @@
 	}
 }
 
-// Record takes in the advisory of an answer that came at now to a call sent at sent.
+// Record applies the advisory of an answer that was received at now to a call sent at
+// sent.
 func (b *Book) Record(l hookhall.Life, a hookhall.Advisory, sent, now time.Time) Change {
 	if a == (hookhall.Advisory{}) && b.find(l) == nil {
 		return Change{}
@@ -123,17 +124,17 @@
 	} else if s.Limit.Named && !sent.Before(s.Limit.Heard) {
 		s.Limit = Limit{Heard: now}
 	}
-	c.Tell = s.Leaving != c.Before.Leaving
-	if s.Limit.differs(e.told) {
-		e.told = s.Limit
-		c.Tell = true
+	c.Notify = s.Leaving != c.Before.Leaving
+	if s.Limit.differs(e.shared) {
+		e.shared = s.Limit
+		c.Notify = true
 	}
 	b.count(e, s.rationed(now))
 	c.After = e.status
 	return c
 }
 
-// Merge takes in what another instance has heard. Of two limits the later one holds.
+// Merge applies a peer's report. Of two limits the later one wins.
 func (b *Book) Merge(r Report, now time.Time) Change {
 	l := r.Target.Life()
 	if !r.Limit.Named && !r.Leaving && b.find(l) == nil {
@@ -142,18 +143,18 @@
 	e := b.findOrAdd(l)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c := Change{Before: e.status, Tell: r.Leaving && !e.status.Leaving}
+	c := Change{Before: e.status, Notify: r.Leaving && !e.status.Leaving}
 	e.status.Leaving = e.status.Leaving || r.Leaving
 	if r.Limit.Heard.After(e.status.Limit.Heard) {
-		c.Tell = c.Tell || r.Limit.differs(e.told)
-		e.status.Limit, e.told = r.Limit, r.Limit
+		c.Notify = c.Notify || r.Limit.differs(e.shared)
+		e.status.Limit, e.shared = r.Limit, r.Limit
 	}
 	b.count(e, e.status.rationed(now))
 	c.After = e.status
 	return c
 }
 
-// Status returns what a life of a target has said.
+// Status returns what a life of a target has announced.
 func (b *Book) Status(l hookhall.Life) Status {
 	e := b.find(l)
 	if e == nil {
@@ -164,7 +165,7 @@
 	return e.status
 }
 
-// Keep forgets the entries of lives that are over, and those that say nothing any more.
+// Keep removes the entries of lives that are over, and those without a status.
 func (b *Book) Keep(current func(l hookhall.Life) bool, now time.Time) {
 	b.entries.Range(func(k, v any) bool {
 		e := v.(*entry)
--- a/internal/state/advisory/book_test.go
+++ b/internal/state/advisory/book_test.go
@@ -74,8 +74,8 @@
 	if !b.Status(life).Leaving {
 		t.Error("it is not leaving any more")
 	}
-	if c := b.Merge(advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Leaving: true}, at(time.Second)); c.Tell {
-		t.Error("what is known is told again")
+	if c := b.Merge(advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Leaving: true}, at(time.Second)); c.Notify {
+		t.Error("peers are notified again")
 	}
 	if b.Status(hookhall.Life{ID: life.ID, Born: 2}).Leaving {
 		t.Error("its next life is leaving")
--- a/internal/state/advisory/doc.go
+++ b/internal/state/advisory/doc.go
@@ -1,14 +1,15 @@
 // Copyright 2026 The hookhall authors.
 // SPDX-License-Identifier: Apache-2.0
 
-// Package advisory keeps what targets say in answers about further requests to them.
+// Package advisory keeps what targets announce in answers about further requests to them:
+// rate limits, pauses, and that they are leaving.
 //
 // # Model
 //
-// A Book has one entry for each life of a target that has said something. A rate limit
+// A Book has one entry for each life of a target that has announced something. A rate limit
 // holds from the answer that names it until an answer to a later call names none. A
 // pause holds for the time that the target asked for; it concerns this instance alone.
-// A target that says that it is leaving says so for the rest of its life.
+// A target that is leaving does so for the rest of its life.
 //
 // Limits travel between instances with the age of the answer that they come from, and
 // the later one wins. A limit holds for all instances together: one of them grants the
--- a/internal/state/advisory/rate_test.go
+++ b/internal/state/advisory/rate_test.go
@@ -36,15 +36,15 @@
 	}
 }
 
-// told is what another instance tells of a limit.
-func told(l advisory.Limit) advisory.Report {
+// reportOf is a peer's report of a limit.
+func reportOf(l advisory.Limit) advisory.Report {
 	return advisory.Report{Target: hookhall.Target{ID: life.ID, Born: life.Born}, Limit: l}
 }
 
 // granter is one instance's book with a limit that all know.
 func granter(rate float64) *advisory.Book {
 	b := &advisory.Book{}
-	b.Merge(told(advisory.Limit{Named: true, Rate: rate, Heard: start}), start)
+	b.Merge(reportOf(advisory.Limit{Named: true, Rate: rate, Heard: start}), start)
 	return b
 }
 
@@ -130,22 +130,22 @@
 	}
 }
 
-// TestMerge: the limit that was heard last holds, and is told once.
+// TestMerge: the limit that was heard last wins, and peers are notified once.
 func TestMerge(t *testing.T) {
 	b := &advisory.Book{}
-	hold := func(what string, c advisory.Change, tell bool, rate float64) {
+	hold := func(what string, c advisory.Change, notify bool, rate float64) {
 		t.Helper()
-		if c.Tell != tell {
-			t.Errorf("%s: tell is %v", what, c.Tell)
+		if c.Notify != notify {
+			t.Errorf("%s: notify is %v", what, c.Notify)
 		}
 		holdLimit(t, b, life, rate)
 	}
-	hold("begins", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)}), at(10*time.Second)), true, 2)
-	hold("again", b.Merge(told(advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)}), at(10*time.Second)), false, 2)
-	hold("older", b.Merge(told(advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)}), at(10*time.Second)), false, 2)
+	hold("begins", b.Merge(reportOf(advisory.Limit{Named: true, Rate: 2, Heard: at(time.Second)}), at(10*time.Second)), true, 2)
+	hold("again", b.Merge(reportOf(advisory.Limit{Named: true, Rate: 2, Heard: at(2 * time.Second)}), at(10*time.Second)), false, 2)
+	hold("older", b.Merge(reportOf(advisory.Limit{Named: true, Rate: 9, Heard: at(time.Second)}), at(10*time.Second)), false, 2)
 	hold("own, a little less", b.Record(life, limited(1.9), at(3*time.Second), at(3*time.Second)), false, 1.9)
 	hold("own, much less", b.Record(life, limited(1), at(4*time.Second), at(4*time.Second)), true, 1)
-	hold("ends", b.Merge(told(advisory.Limit{Heard: at(5 * time.Second)}), at(10*time.Second)), true, -1)
+	hold("ends", b.Merge(reportOf(advisory.Limit{Heard: at(5 * time.Second)}), at(10*time.Second)), true, -1)
 }
 
 // BenchmarkChoice is what a choice among many targets costs while one of them is limited.
--- a/internal/state/advisory/report.go
+++ b/internal/state/advisory/report.go
@@ -14,7 +14,7 @@
 // reportTime is how long the end of a limit is reported with requests for placements.
 const reportTime = 30 * time.Second
 
-// Report is what one instance tells another of a target.
+// Report is a target's status as it is sent to a peer.
 type Report struct {
 	Target  hookhall.Target
 	Leaving bool
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -54,7 +54,7 @@
 	working map[string]int
 	bytes   float64 // those of all workers
 	trial   trial
-	// admits reports whether a target takes calls now by its own word; nil if all do.
+	// admits reports whether a target accepts calls now; nil if all do.
 	admits func(t hookhall.Target) bool
 	short  time.Time // when work last found no room at a target with a free place
 	// unsure is until when targets may hold results of another, lost queue: one
@@ -98,8 +98,7 @@
 	}
 }
 
-// Admit sets which targets take calls now by their own word. Those that don't keep their
-// results.
+// Admit sets which targets accept calls now. The others keep their results.
 func (q *Queue) Admit(admits func(t hookhall.Target) bool) { q.admits = admits }
 
 // forget drops what is known of a target that is gone, its results included.
@@ -186,8 +185,7 @@
 	q.endWaiting(hookhall.PieceNoTarget, func(*Job) bool { return true })
 }
 
-// AbandonBefore does so for the jobs whose time ends before t, when a target gets a call
-// next.
+// AbandonBefore does so for the jobs that end before t, the time of the next possible call.
 func (q *Queue) AbandonBefore(t time.Time) {
 	q.endWaiting(hookhall.PieceNoTarget, func(j *Job) bool { return j.End.Before(t) })
 }
--- a/internal/transport/fleet/advisories.go
+++ b/internal/transport/fleet/advisories.go
@@ -13,21 +13,20 @@
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
-// Advisories is what a process knows of targets' advisories.
+// Advisories keeps the advisories of targets.
 type Advisories interface {
-	// Merge takes in what a peer told, and returns what was new.
+	// Merge applies the reports of a peer, and returns those that are new.
 	Merge(list []advisory.Report, from string) (fresh []advisory.Report)
-	// All returns all that is known.
+	// All returns reports of all targets that are leaving or limited.
 	All() []advisory.Report
 }
 
-// Advise tells all other gateways what targets said in answers to this one, without
-// waiting for them.
+// Advise sends reports to all other gateways, without waiting for them.
 func (s *Broadcaster) Advise(list []advisory.Report) {
 	s.relayAdvisories(s.Peers.Self().Address, 0, list)
 }
 
-// relayAdvisories tells the peers below a position in the tree that the reporter began.
+// relayAdvisories sends reports to the peers below a position in the reporter's tree.
 func (s *Broadcaster) relayAdvisories(reporter string, position int, list []advisory.Report) {
 	s.spread(reporter, position, func(address string, position int) bool {
 		ctx, cancel := context.WithTimeout(context.Background(), shareTime)
@@ -82,7 +81,7 @@
 	return &pb.AdvisoriesReply{}, nil
 }
 
-// Advise tells the peer of advisories.
+// Advise sends advisories to the peer.
 func (c *Client) Advise(ctx context.Context, m *pb.Advisories) error {
 	if c.err != nil {
 		return c.err
