--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -263,33 +263,6 @@
 	}
 }
 
-// admit excludes targets that are limited or paused from the queue, and refuses jobs that
-// end before any target accepts a call. q.mu must be held.
-func (q *serviceQueue) admit(now time.Time) {
-	grants := q.broker.Grants(q.service)
-	rationed := grants.Book.Rationed(q.targets)
-	if len(rationed) == 0 {
-		q.queue.Admit(nil)
-		return
-	}
-	q.queue.Admit(func(t hookhall.Target) bool { return untilCall(grants, t, now) <= 0 })
-	if len(rationed) < len(q.targets) {
-		return
-	}
-	next := untilCall(grants, rationed[0], now)
-	for _, t := range rationed[1:] {
-		next = min(next, untilCall(grants, t, now))
-	}
-	if next > 0 {
-		q.queue.AbandonBefore(now.Add(next))
-	}
-}
-
-// untilCall returns how long it takes until a target accepts a call.
-func untilCall(grants advisory.Grants, t hookhall.Target, now time.Time) time.Duration {
-	return max(grants.Due(t.Life(), now), grants.Book.Status(t.Life()).PausedUntil.Sub(now))
-}
-
 // configure passes on what has changed. The directory's lists are immutable, and looking
 // through thousands of targets for each call would take most of a broker's time. The
 // caller holds q.mu.
