advisory: a pause that a target's new life asked for holds once that life is known

From the gateway's log: the target started again at 46.098, refused with Retry-After: 2 at 46.150, and its new life was known at 46.466. The pause was kept for the life that was known at 46.150, and was lost with it. The request names the target's id, which both lives have, so it is no fault of another target.

Change: when a target is listed in another life, a pause that was asked for within the last 3 s, in which a new life may be taken for the old one, goes over to it. At worst a target is left out by one gateway for the rest of a pause that its old life asked for. Limits and leaving are in every answer; the next one brings them.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -195,7 +195,10 @@
 	g.catalog.Rank = g.readerRank
 	g.catalog.Fleet = g.members.Count
 	g.adapters.Connections.Resting = g.restingConnections
-	g.catalog.Reborn = func(before hookhall.Target) { g.adapters.Connections.Forget(before.Address) }
+	g.catalog.Reborn = func(before, after hookhall.Target) {
+		g.adapters.Connections.Forget(before.Address)
+		g.advisories.Book.Reborn(before.Life(), after.Life(), clock.Now())
+	}
 	g.members.Leads = func() bool { return g.catalog.Rank() < 2 }
 	g.advisories = &advisories.Advisories{Book: &advisory.Book{}, Meter: g.metrics, Log: g.logger(logging.Advised), Leave: g.catalog.Leave, Broadcast: g.broadcaster.Advise}
 	g.broadcaster.Advisories, g.starter.Advisories = g.advisories, g.advisories
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -83,9 +83,9 @@
 	// whole tells that there are no others. It tells whether anything changed that others
 	// should know. Set before Run.
 	Orders func(items []hookhall.Item, at hookhall.Revision, whole bool) bool
-	// Reborn is told of a target whose life is over, as it was listed before. It must
-	// not block, nor call the catalog. Set before Run.
-	Reborn func(before hookhall.Target)
+	// Reborn is called when a target is listed in another life, with what was and what is
+	// listed. It must not block, nor call the catalog. Set before Run.
+	Reborn func(before, after hookhall.Target)
 
 	// place is this process's among those that read for themselves, 0 for the first
 	// and 1 for the last.
@@ -130,7 +130,7 @@
 
 // New makes a Catalog; Run follows the store.
 func New(s hookhall.Store, p hookhall.Platform, l *log.Logger) *Catalog {
-	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, departed: map[hookhall.Life]time.Time{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Orders: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, Reborn: func(hookhall.Target) {}, place: rand.Float64()}
+	c := &Catalog{store: s, platform: p, log: l, known: map[string]*entry{}, rejected: map[string]uint64{}, departed: map[hookhall.Life]time.Time{}, pools: map[string]map[string]*entry{}, dirty: map[string]*changes{}, returned: map[string]time.Time{}, heldHalls: map[string]time.Time{}, Rank: func() int { return 0 }, Fleet: func() int { return 1 }, Read: func() {}, Orders: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, Reborn: func(_, _ hookhall.Target) {}, place: rand.Float64()}
 	c.noteAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -187,7 +187,7 @@
 func (c *Catalog) begin(e *entry, t hookhall.Target, from string) {
 	c.log.Info("A target is in another life.", "target", t.ID, "service", t.Pool, "born", t.Born, "before", e.target.Born, "left", e.left, "from", from)
 	e.left = false
-	c.Reborn(e.target)
+	c.Reborn(e.target, t)
 }
 
 // toggle changes the digest of a target's bucket. The caller holds c.mu.
--- a/internal/state/advisory/book.go
+++ b/internal/state/advisory/book.go
@@ -34,8 +34,10 @@
 type Status struct {
 	Leaving bool
 	Limit   Limit
-	// PausedUntil is when the pause ends that the target asked this instance for.
+	// PausedUntil is when the pause ends that the target asked this instance for, and
+	// PauseHeard when it asked last.
 	PausedUntil time.Time
+	PauseHeard  time.Time
 }
 
 // rationed reports whether there is a limit, one that ended a short while ago, or a pause.
@@ -117,7 +119,7 @@
 	s := &e.status
 	s.Leaving = s.Leaving || a.Leaving
 	if a.Pause > 0 {
-		s.PausedUntil = later(s.PausedUntil, now.Add(a.Pause))
+		s.PausedUntil, s.PauseHeard = later(s.PausedUntil, now.Add(a.Pause)), now
 	}
 	if a.Limited {
 		s.Limit = Limit{Named: true, Rate: a.Limit, Heard: now}
@@ -154,6 +156,26 @@
 	return c
 }
 
+// rebirthTime is how long after its start a new life of a target may be taken for the old
+// one: until its key is known here.
+const rebirthTime = 3 * time.Second
+
+// Reborn takes in that a target is in another life. A pause that was asked for a short while
+// ago may be the new life's, and holds for it too. Limits and leaving are announced in every
+// answer and need not be kept.
+func (b *Book) Reborn(before, after hookhall.Life, now time.Time) {
+	old := b.Status(before)
+	if !old.PausedUntil.After(now) || now.Sub(old.PauseHeard) > rebirthTime {
+		return
+	}
+	e := b.findOrAdd(after)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status.PausedUntil = later(e.status.PausedUntil, old.PausedUntil)
+	e.status.PauseHeard = later(e.status.PauseHeard, old.PauseHeard)
+	b.count(e, e.status.rationed(now))
+}
+
 // Status returns what a life of a target has announced.
 func (b *Book) Status(l hookhall.Life) Status {
 	e := b.find(l)
--- a/internal/state/advisory/book_test.go
+++ b/internal/state/advisory/book_test.go
@@ -115,3 +115,26 @@
 		t.Error("a life that is over is remembered")
 	}
 }
+
+// TestPauseAcrossRebirth: a pause that a new life asked for before it was known is the new
+// life's; one that was asked for long before is the old life's alone.
+func TestPauseAcrossRebirth(t *testing.T) {
+	next := hookhall.Life{ID: life.ID, Born: 2}
+	for name, c := range map[string]struct {
+		heard time.Duration // before the new life is known
+		kept  bool
+	}{"a moment before": {300 * time.Millisecond, true}, "long before": {30 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			b := &advisory.Book{}
+			b.Record(life, hookhall.Advisory{Leaving: true, Pause: time.Minute}, at(0), at(0))
+			b.Reborn(life, next, at(c.heard))
+			got := b.Status(next)
+			if paused := got.PausedUntil.After(at(c.heard)); paused != c.kept {
+				t.Errorf("paused: %v", paused)
+			}
+			if got.Leaving {
+				t.Error("the new life is leaving")
+			}
+		})
+	}
+}
