claims: a key that was not granted is logged with who holds it

The line names the holder, its token, state and sequence, and the epoch; a grant that is given back has a line too, since its token is one of those.

--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -97,6 +97,7 @@
 		reply, err := c.ask(ctx, q)
 		if err != nil {
 			c.refused.Add(1)
+			c.logHeld(key, reply.Record, asked, err)
 			return nil, nil, err
 		}
 		if reply.Outcome == hookhall.ClaimGranted {
@@ -104,18 +105,31 @@
 			return &Ticket{key, q.Token, reply.Epoch, asked.Add(c.store.Retention() / 2)}, nil, nil
 		}
 		done, err := c.judge(reply.Record, digest)
-		if done || err != nil {
+		if done {
 			c.held.Add(1)
-			return nil, &reply.Record, err
+			return nil, &reply.Record, nil
 		}
-		pause.Wait(ctx)
-		if ctx.Err() != nil {
-			return nil, nil, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseInProgress,
+		if err == nil {
+			pause.Wait(ctx)
+			if ctx.Err() == nil {
+				continue
+			}
+			err = hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseInProgress,
 				"another submission with this key is still running").After(heldMost)
 		}
+		c.held.Add(1)
+		c.logHeld(key, reply.Record, asked, err)
+		return nil, nil, err
 	}
 }
 
+// logHeld tells why a key was not granted: who holds it, by which token, and
+// how long the last ask took.
+func (c *Claims) logHeld(key string, r hookhall.Record, asked time.Time, err error) {
+	c.log.Info("Claim not granted.", "key", key, "error", err.Error(), "epoch", c.store.Placement().View.Epoch,
+		"holder", r.Origin, "token", r.Token, "state", r.State, "sequence", r.Sequence, "took", clock.Now().Sub(asked))
+}
+
 // judge says of a held record whether it has ended, or why waiting is no use.
 func (c *Claims) judge(r hookhall.Record, digest uint64) (bool, error) {
 	switch {
@@ -292,6 +306,7 @@
 	if q.Token == 0 {
 		return
 	}
+	c.log.Info("A grant that may have been given is given back.", "key", q.Key, "token", q.Token, "epoch", q.Epoch)
 	c.settling.Add(1)
 	go func() {
 		defer c.settling.Done()
