claim: a record doesn't inherit the mark of the copy it replaced

A slot's record was changed in place, so the mark that the standby's word is awaited stayed on whatever was merged or copied over it. Complete finds another token then and leaves the mark. The record is now replaced whole. Ruled out: clearing the mark in Complete, as the record in its place may itself be one that is being copied.

--- a/internal/state/claim/store.go
+++ b/internal/state/claim/store.go
@@ -163,13 +163,11 @@
 
 func (l *slot) whole() bool { return l.epoch > 0 && l.through+1 >= l.epoch }
 
+// put replaces the record of a key. A copy of the old one that is still under
+// way no longer concerns it.
 func (l *slot) put(n hookhall.Record) *record {
-	r := l.records[n.Key]
-	if r == nil {
-		r = &record{}
-		l.records[n.Key] = r
-	}
-	r.Record = n
+	r := &record{Record: n}
+	l.records[n.Key] = r
 	return r
 }
 
