claims: a test of a grant that is refused after its copy was stored

The owner opens a grant, its standby stores it as granted, and a view comes into force before the owner completes it: it refuses. The origin asks the next owner, which is that standby, and meets its own grant.

--- /dev/null
+++ b/internal/coordination/claims/claims_test.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/fleet"
+	"github.com/hookhall/hookhall/internal/state/claim"
+	"github.com/hookhall/hookhall/internal/state/view"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	keyRetention = time.Minute
+	// callerWait is the deadline of a caller that asks for a key.
+	callerWait = 2 * time.Second
+)
+
+// pair is two entries in one process. Their calls of one another reach the other's
+// handlers at once.
+type pair struct {
+	entries map[string]*Claims // by address
+	view    *hookhall.View
+	mu      sync.Mutex
+	// copied, if set, sees each copy that a standby was sent, and its reply, which it may
+	// replace.
+	copied func(hookhall.Record, hookhall.CopyReply) hookhall.CopyReply
+}
+
+// link is the way to one entry of a pair.
+type link struct {
+	hookhall.Peer
+	p  *pair
+	to *Claims
+}
+
+func newPair() *pair {
+	p := &pair{entries: map[string]*Claims{}, view: &hookhall.View{}}
+	for _, n := range []string{"a", "b"} {
+		m := hookhall.Member{ID: n + "#1", Instance: n, Hall: n, Address: n}
+		p.entries[n] = newEntry(m, p)
+		p.view = view.Join(p.view, m)
+	}
+	for _, c := range p.entries {
+		c.fleet.Adopt(p.view)
+		for slot := range uint32(view.SlotCount) {
+			c.store.Forget(slot, p.view.Epoch)
+		}
+	}
+	return p
+}
+
+func newEntry(m hookhall.Member, p hookhall.Peers) *Claims {
+	quiet := log.New(io.Discard)
+	s := claim.New(m.ID, keyRetention)
+	return New(s, fleet.New(fleet.Parts{Self: m, Peers: p, Store: s, Log: quiet}), p, quiet)
+}
+
+// Peer is the way to the entry at an address.
+func (p *pair) Peer(address string) hookhall.Peer { return link{p: p, to: p.entries[address]} }
+
+func (l link) Claim(ctx context.Context, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
+	return l.to.Handle(ctx, q), nil
+}
+
+func (l link) Settle(ctx context.Context, s hookhall.Settlement) (hookhall.CopyReply, error) {
+	return l.to.HandleSettle(ctx, s), nil
+}
+
+func (l link) Copy(_ context.Context, epoch uint64, r hookhall.Record) (hookhall.CopyReply, error) {
+	reply := l.to.HandleCopy(epoch, r)
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	if l.p.copied != nil {
+		reply = l.p.copied(r, reply)
+	}
+	return reply, nil
+}
+
+// change puts the next view in force everywhere, in which a member has left or joined.
+func (p *pair) change(edit func(*hookhall.View) *hookhall.View) {
+	p.view = edit(p.view)
+	for _, c := range p.entries {
+		c.fleet.Adopt(p.view)
+	}
+}
+
+// keyOwnedBy is a key whose owner is the entry at an address.
+func (p *pair) keyOwnedBy(address string) string {
+	for n := 0; ; n++ {
+		key := fmt.Sprintf("k%d", n)
+		if view.PairOf(p.view.Members, view.SlotOf(key)).Owner.Address == address {
+			return key
+		}
+	}
+}
+
+// onFirstCopy runs f while the owner waits for the standby's reply to its first copy.
+func (p *pair) onFirstCopy(f func(hookhall.CopyReply) hookhall.CopyReply) {
+	var once sync.Once
+	p.copied = func(_ hookhall.Record, reply hookhall.CopyReply) hookhall.CopyReply {
+		once.Do(func() { reply = f(reply) })
+		return reply
+	}
+}
+
+func leave(id string) func(*hookhall.View) *hookhall.View {
+	return func(v *hookhall.View) *hookhall.View { return view.Leave(v, id, true) }
+}
+
+// TestRefusedGrantIsGivenBack: what a standby stored for a grant that its owner then
+// refused must not hold the key against the very caller that asked for it.
+func TestRefusedGrantIsGivenBack(t *testing.T) {
+	Convey("The owner leaves the view while it waits for its standby", t, func() {
+		p := newPair()
+		key := p.keyOwnedBy("a")
+		p.onFirstCopy(func(r hookhall.CopyReply) hookhall.CopyReply {
+			p.change(leave("a#1"))
+			return r
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+		defer cancel()
+		Convey("and the caller gets the grant from the new owner", func() {
+			ticket, record, err := p.entries["b"].Acquire(ctx, key, 1)
+			So(err, ShouldBeNil)
+			So(record, ShouldBeNil)
+			So(ticket, ShouldNotBeNil)
+		})
+	})
+}
