--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -34,6 +34,8 @@
 	// copied, if set, sees each copy that a standby was sent, and its reply, which it may
 	// replace.
 	copied func(hookhall.Record, hookhall.CopyReply) hookhall.CopyReply
+	// lostClaims is how many replies to asks are still to be lost.
+	lostClaims int
 }
 
 // link is the way to one entry of a pair.
@@ -69,7 +71,14 @@
 func (p *pair) Peer(address string) hookhall.Peer { return link{p: p, to: p.entries[address]} }
 
 func (l link) Claim(ctx context.Context, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
-	return l.to.Handle(ctx, q), nil
+	reply := l.to.Handle(ctx, q)
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	if l.p.lostClaims > 0 {
+		l.p.lostClaims--
+		return hookhall.ClaimReply{}, hookhall.ErrUnavailable
+	}
+	return reply, nil
 }
 
 func (l link) Settle(ctx context.Context, s hookhall.Settlement) (hookhall.CopyReply, error) {
@@ -137,3 +146,24 @@
 		})
 	})
 }
+
+// TestGrantAfterLostReplyIsSettled: the grant of a repeated ask is settled by its own
+// token, and not by that of the ask whose reply was lost.
+func TestGrantAfterLostReplyIsSettled(t *testing.T) {
+	Convey("The reply to the first ask is lost, and the run ends", t, func() {
+		p := newPair()
+		key := p.keyOwnedBy("a")
+		p.lostClaims = 1
+		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+		defer cancel()
+		ticket, _, err := p.entries["b"].Acquire(ctx, key, 1)
+		So(err, ShouldBeNil)
+		p.entries["b"].Settle(ticket, hookhall.StateFinished, []byte("answer"), callerWait/4)
+		Convey("and its answer is there for who comes again", func() {
+			_, record, err := p.entries["a"].Acquire(ctx, key, 1)
+			So(err, ShouldBeNil)
+			So(record, ShouldNotBeNil)
+			So(string(record.Answer), ShouldEqual, "answer")
+		})
+	})
+}
