claims: a run is settled by the token that it was granted under

An ask that fails is repeated under a new token, and the old one given back. The new token stayed inside the loop, and the ticket took the first. So the settlement of every run whose claim took more than one ask was refused: the claim stood as granted for the retention and its answer was lost, though it could not run twice. The token is now read from the record that was granted.

--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -102,7 +102,7 @@
 		}
 		if reply.Outcome == hookhall.ClaimGranted {
 			c.granted.Add(1)
-			return &Ticket{key, q.Token, reply.Epoch, asked.Add(c.store.Retention() / 2)}, nil, nil
+			return &Ticket{key, reply.Record.Token, reply.Epoch, asked.Add(c.store.Retention() / 2)}, nil, nil
 		}
 		done, err := c.judge(reply.Record, digest)
 		if done {
