claims: a refused grant is given back before the next ask

An owner that refuses after its standby has stored the grant, since a view came into force meanwhile, leaves it there as granted. The standby is often the next owner, and the origin asked it under the same token and was told that the key was held: by its own grant, which nobody would ever release. It waited until its deadline, and so did every later submission of the key for the retention. A refusal is now treated as a lost reply: released, and asked for under a new token. Ruled out: granting the same token again when its origin asks, as a release of it may be on its way from an earlier ask, and the record's time began before the ask that the ticket's time is counted from.

--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -19,7 +19,8 @@
 // # Invariants
 //
 //   - A ticket is used only for UseTime after it was asked for.
-//   - A grant whose answer did not come is never used, and is given back.
+//   - A grant whose answer did not come, or was a refusal, is never used, and is
+//     given back.
 package claims
 
 import (
@@ -176,14 +177,15 @@
 		switch {
 		case err != nil:
 			// The owner may have granted: that grant is never used.
-			c.giveBack(q)
-			q.Token = c.nextToken(q.Token)
+			q.Token = c.giveBack(q)
 			last = hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseNoClaim, "the key's owner did not answer")
 		case reply.Outcome == hookhall.ClaimGranted, reply.Outcome == hookhall.ClaimHeld:
 			return c.checked(reply, q)
 		case reply.Outcome == hookhall.ClaimRefused && q.Token == 0:
 			return reply, nil
 		case reply.Outcome == hookhall.ClaimRefused:
+			// The standby may hold it as granted, and be the owner next.
+			q.Token = c.giveBack(q)
 			last = hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoClaim, "the key's standby did not answer")
 		case reply.Outcome == hookhall.ClaimLost:
 			last = hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseNoClaim,
@@ -210,13 +212,6 @@
 	return reply, nil
 }
 
-func (c *Claims) nextToken(old uint64) uint64 {
-	if old == 0 {
-		return 0
-	}
-	return c.token.Add(1)
-}
-
 // meet brings this process and an owner to the same epoch.
 func (c *Claims) meet(ctx context.Context, owner hookhall.Member, theirs, asked uint64) {
 	if owner.ID == c.fleet.Self().ID {
@@ -301,10 +296,11 @@
 // Drain waits for settlements in progress.
 func (c *Claims) Drain() { c.settling.Wait() }
 
-// giveBack releases a grant that may have been given and is not used.
-func (c *Claims) giveBack(q hookhall.ClaimRequest) {
+// giveBack releases a grant that may have been given and is not used. It returns
+// the token to ask with next.
+func (c *Claims) giveBack(q hookhall.ClaimRequest) uint64 {
 	if q.Token == 0 {
-		return
+		return 0
 	}
 	c.log.Info("A grant that may have been given is given back.", "key", q.Key, "token", q.Token, "epoch", q.Epoch)
 	c.settling.Add(1)
@@ -312,6 +308,7 @@
 		defer c.settling.Done()
 		c.settle(hookhall.Settlement{Key: q.Key, Token: q.Token, State: hookhall.StateReleased})
 	}()
+	return c.token.Add(1)
 }
 
 func (c *Claims) settle(s hookhall.Settlement) {
