claims: a test of a settlement that the standby does not store

Looked for after the refused grants, as it has the same cause: the end of a claim that only one of the pair knows. The owner stores the end of a run, a view takes the slot from it before its standby has the copy, and the settlement is reported as stored. The next owner still holds the grant.

--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/fleet"
+	"github.com/hookhall/hookhall/internal/coordination/tables"
 	"github.com/hookhall/hookhall/internal/state/claim"
 	"github.com/hookhall/hookhall/internal/state/view"
 	. "github.com/smartystreets/goconvey/convey"
@@ -31,9 +32,9 @@
 	entries map[string]*Claims // by address
 	view    *hookhall.View
 	mu      sync.Mutex
-	// copied, if set, sees each copy that a standby was sent, and its reply, which it may
-	// replace.
-	copied func(hookhall.Record, hookhall.CopyReply) hookhall.CopyReply
+	// sent and stored, if set, are called before and after a standby gets a copy.
+	sent   func(hookhall.Record)
+	stored func(hookhall.Record)
 	// lostClaims is how many replies to asks are still to be lost.
 	lostClaims int
 }
@@ -64,12 +65,18 @@
 func newEntry(m hookhall.Member, p hookhall.Peers) *Claims {
 	quiet := log.New(io.Discard)
 	s := claim.New(m.ID, keyRetention)
-	return New(s, fleet.New(fleet.Parts{Self: m, Peers: p, Store: s, Log: quiet}), p, quiet)
+	return New(s, fleet.New(fleet.Parts{
+		Self: m, Peers: p, Store: s, Tables: tables.NewKeeper(nil, quiet), Log: quiet,
+	}), p, quiet)
 }
 
 // Peer is the way to the entry at an address.
 func (p *pair) Peer(address string) hookhall.Peer { return link{p: p, to: p.entries[address]} }
 
+func (l link) Probe(ctx context.Context, q hookhall.Probe) (hookhall.ProbeReply, error) {
+	return l.to.fleet.HandleProbe(ctx, q), nil
+}
+
 func (l link) Claim(ctx context.Context, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
 	reply := l.to.Handle(ctx, q)
 	l.p.mu.Lock()
@@ -86,11 +93,12 @@
 }
 
 func (l link) Copy(_ context.Context, epoch uint64, r hookhall.Record) (hookhall.CopyReply, error) {
+	if l.p.sent != nil {
+		l.p.sent(r)
+	}
 	reply := l.to.HandleCopy(epoch, r)
-	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	if l.p.copied != nil {
-		reply = l.p.copied(r, reply)
+	if l.p.stored != nil {
+		l.p.stored(r)
 	}
 	return reply, nil
 }
@@ -113,12 +121,13 @@
 	}
 }
 
-// onFirstCopy runs f while the owner waits for the standby's reply to its first copy.
-func (p *pair) onFirstCopy(f func(hookhall.CopyReply) hookhall.CopyReply) {
+// onFirst calls f with the first record of a state.
+func onFirst(state hookhall.RecordState, f func()) func(hookhall.Record) {
 	var once sync.Once
-	p.copied = func(_ hookhall.Record, reply hookhall.CopyReply) hookhall.CopyReply {
-		once.Do(func() { reply = f(reply) })
-		return reply
+	return func(r hookhall.Record) {
+		if r.State == state {
+			once.Do(f)
+		}
 	}
 }
 
@@ -132,10 +141,7 @@
 	Convey("The owner leaves the view while it waits for its standby", t, func() {
 		p := newPair()
 		key := p.keyOwnedBy("a")
-		p.onFirstCopy(func(r hookhall.CopyReply) hookhall.CopyReply {
-			p.change(leave("a#1"))
-			return r
-		})
+		p.stored = onFirst(hookhall.StateGranted, func() { p.change(leave("a#1")) })
 		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 		defer cancel()
 		Convey("and the caller gets the grant from the new owner", func() {
@@ -167,3 +173,23 @@
 		})
 	})
 }
+
+// TestSettlementReachesTheNextOwner: a settlement is not done while its owner alone has it.
+func TestSettlementReachesTheNextOwner(t *testing.T) {
+	Convey("The owner leaves the view while it copies the end of a run", t, func() {
+		p := newPair()
+		key := p.keyOwnedBy("a")
+		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+		defer cancel()
+		ticket, _, err := p.entries["b"].Acquire(ctx, key, 1)
+		So(err, ShouldBeNil)
+		p.sent = onFirst(hookhall.StateFinished, func() { p.change(leave("a#1")) })
+		p.entries["b"].Settle(ticket, hookhall.StateFinished, []byte("answer"), callerWait/4)
+		Convey("and the new owner has the answer", func() {
+			_, record, err := p.entries["b"].Acquire(ctx, key, 1)
+			So(err, ShouldBeNil)
+			So(record, ShouldNotBeNil)
+			So(string(record.Answer), ShouldEqual, "answer")
+		})
+	})
+}
