claims: a settlement is done when the standby has it

The owner reported a settlement as stored although its standby had refused the copy, and the origin stopped trying. If the slot then passed to the standby, a finished run was in progress there for the retention, its answer lost, and a released grant blocked its key. The origin now goes on until both have it; the caller waits no longer for that than before (settleWait). A repeated settlement changes nothing at an owner that has it, and is copied again.

--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -263,11 +263,12 @@
 	return c.store.Copy(epoch, r, clock.Now())
 }
 
-// HandleSettle answers an origin, as owner.
+// HandleSettle answers an origin, as owner. It is done when the standby has it too,
+// since that may be the next owner.
 func (c *Claims) HandleSettle(ctx context.Context, s hookhall.Settlement) hookhall.CopyReply {
 	done, epoch, grant := c.store.Settle(s, clock.Now())
 	if grant != nil {
-		c.copy(ctx, grant)
+		done = c.copy(ctx, grant)
 	}
 	return hookhall.CopyReply{Stored: done, Epoch: epoch}
 }
