--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -341,8 +341,8 @@
 		e.log.Error("Requests were cut off.", "active", n)
 	}
 	<-left
-	if ctx.Err() == nil {
-		e.claims.Drain()
+	if err := e.claims.Drain(ctx); err != nil {
+		e.log.Warn("Stopping with claims that will expire.", "error", err.Error())
 	}
 }
 
--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -37,6 +37,7 @@
 	"github.com/hookhall/hookhall/internal/state/claim"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/view"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -294,8 +295,20 @@
 	}
 }
 
-// Drain waits for settlements in progress.
-func (c *Claims) Drain() { c.settling.Wait() }
+// Drain waits for settlements in progress, or for the end of ctx.
+func (c *Claims) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.settling.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "claims are not settled")
+	}
+}
 
 // giveBack releases a grant that may have been given and is not used. It returns
 // the token to ask with next.
--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -193,3 +193,17 @@
 		})
 	})
 }
+
+// TestDrainEnds: a settlement that no owner takes does not hold up a planned stop.
+func TestDrainEnds(t *testing.T) {
+	Convey("A settlement that its owner refuses", t, func() {
+		p := newPair()
+		e := p.entries["a"]
+		e.Settle(&Ticket{Key: p.keyOwnedBy("b"), Token: 1}, hookhall.StateFinished, nil, time.Millisecond)
+		Convey("is waited for no longer than the stop may take", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			defer cancel()
+			So(e.Drain(ctx), ShouldNotBeNil)
+		})
+	})
+}
