forward: a stream broken off unread is not its target's failure

What a target sent is read no faster than the client takes it. Once that has taken a second at a time, the end of the stream says nothing of the target, nor of its version in a roll-out: neither counts it. It is still gone on with at another target where the route allows, from the last event that the client has. Ruled out: judging the last write alone, since what the target sent before the cut lies in the socket's buffers and is written quickly before the cut shows.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -27,6 +27,9 @@
 	counted *rollouts.Use
 	err     *hookhall.Error
 	began   time.Time
+	// unread is set once the client has held up the answer: what was sent before the target
+	// broke it off may arrive long after that.
+	unread bool
 }
 
 // read counts the prompt as read: the answer has begun.
@@ -278,9 +281,11 @@
 }
 
 // countFailure counts an answer that did not come, or not whole. One that nobody waits for
-// any longer was slow, whatever would have become of it.
+// any longer was slow, whatever would have become of it. One that was broken off unread says
+// nothing of its target.
 func (r *request) countFailure(ctx context.Context, a *attempt) {
 	switch {
+	case a.unread:
 	case ctx.Err() == nil:
 		a.counted.Answered(clock.Since(a.began), true)
 	case a.reply == nil:
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -14,7 +14,12 @@
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
-const readSize = 4 << 10
+const (
+	readSize = 4 << 10
+	// unreadTime is how long a client may hold up a stream before its target may break it
+	// off without having failed.
+	unreadTime = time.Second
+)
 
 // stream is an answer that goes on event by event.
 type stream struct {
@@ -96,11 +101,16 @@
 // events passes whole events on as they come.
 func (s *stream) events(ctx context.Context, a *attempt) *hookhall.Error {
 	buffer := make([]byte, 0, readSize)
+	waited := clock.Now()
 	for {
 		if len(buffer) == cap(buffer) {
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
+		if clock.Since(waited) >= unreadTime {
+			a.unread = true
+		}
 		n, err := a.reply.Body.Read(buffer[len(buffer):cap(buffer)])
+		waited = clock.Now()
 		buffer = buffer[:len(buffer)+n]
 		if err == io.EOF {
 			return s.chunk(buffer)
@@ -112,7 +122,7 @@
 			buffer = buffer[:copy(buffer, buffer[cut:])]
 		}
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !a.unread {
 				a.failed(false)
 			}
 			return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the stream broke: %v", err)
