front: the bodies of all requests share a bound of the process

Bodies were read whole under the operators' bound on one, with none on all: forty clients that send 8 MB slowly took 522 MB of a gateway that may use 128, which would be ended with all that it serves (TestMemoryBesideLargeRequests). They now grow within a budget of 0.15 of its memory, as answers do (state/buffer). What does not fit is refused at once with 503, as not run, and the line names what was held. Bodies up to 4 KB are always read, so others are served beside. Ruled out: waiting for room, as bodies that are half in would wait for one another; reserving the announced length, as clients that announce much and send nothing would keep the others out.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -77,8 +77,10 @@
 	readHeaderTime = 10 * time.Second
 	// memoryShare of what a process may use is where the collector works harder.
 	memoryShare = 0.7
-	// buffersShare is the part of it that answers may take which are held for callers.
+	// buffersShare is the part of it that answers may take which are held for callers, and
+	// bodiesShare that of the bodies of requests.
 	buffersShare = 0.15
+	bodiesShare  = 0.15
 	flushTime    = 200 * time.Millisecond
 
 	pathMetrics = "/metrics"
@@ -123,6 +125,7 @@
 	rollouts    *rollouts.Rollouts
 	forward     *forward.Forwarder
 	drain       *front.Drain
+	bodies      *buffer.Budget
 	resting     atomic.Pointer[connectionSharers]
 	// Listeners; the first can stop accepting by itself.
 	clientsAt *front.Listener
@@ -227,18 +230,24 @@
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 			Window: time.Duration(s.Bounds.RetryWindowMS) * time.Millisecond,
 		}, g.sharers, clock.Now()),
-		Buffers:   buffer.NewBudget(int64(buffersShare * float64(s.Gateway.MemoryMB) * (1 << 20))),
+		Buffers:   g.memory(buffersShare),
 		ColdShare: func(target string, s *hookhall.Service) int { return g.coldShare(target, cold.Owners(s)) },
 		HallsIn:   g.hallsIn,
 		Meter:     g.metrics, Log: g.logger(logging.Forward),
 	}
+	g.bodies = g.memory(bodiesShare)
 	g.app = g.newApp()
 }
 
+// memory is a budget of a share of what the process may use.
+func (g *Gateway) memory(share float64) *buffer.Budget {
+	return buffer.NewBudget(int64(share * float64(g.settings.Gateway.MemoryMB) * (1 << 20)))
+}
+
 // newApp makes the servers. Their default timeouts would cut streams off, and
 // their router would change paths.
 func (g *Gateway) newApp() *kratos.App {
-	h := front.NewHandler(g.forward, g.adapters.Dialect)
+	h := front.NewHandler(g.forward, g.adapters.Dialect, g.bodies, g.logger(logging.Forward))
 	g.drain = front.NewDrain(h, h.Refuse)
 	clients := server(g.clientsAt, g.drain)
 	ready := server(g.readyAt, http.HandlerFunc(g.ready))
--- a/internal/app/gateway/state.go
+++ b/internal/app/gateway/state.go
@@ -36,6 +36,7 @@
 	Rollouts []rollouts.Standing        `json:"rollouts"`
 	Repeats  budget.Status              `json:"repeats"`
 	Buffered int64                      `json:"buffered_bytes"`
+	Bodies   int64                      `json:"body_bytes"`
 	Dropped  int64                      `json:"log_lines_dropped"`
 }
 
@@ -50,6 +51,7 @@
 		Era:      g.eras.Era(),
 		Repeats:  g.forward.Budget.Status(now),
 		Buffered: g.forward.Buffers.Held(),
+		Bodies:   g.bodies.Held(),
 	}
 	if t := g.catalog.Table(); t != nil {
 		s.Table = t.Version()
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -13,6 +13,9 @@
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
+// aheadMost bounds what is held of one answer, in bytes.
+const aheadMost = 4 << 20
+
 // servePlain gets a whole answer and passes it on.
 func (r *request) servePlain(ctx context.Context) error {
 	sendCtx, cancel := r.sendContext(ctx)
@@ -79,7 +82,7 @@
 // readAhead reads an answer, to its end if it may be held: one that is cut can be asked for
 // again until a byte has gone to the client.
 func (r *request) readAhead(a *attempt) (*beginning, *hookhall.Error) {
-	b := &beginning{Buffer: r.Buffers.New(), attempt: a}
+	b := &beginning{Buffer: r.Buffers.New(aheadMost), attempt: a}
 	more, err := b.Fill(a.reply.Body)
 	e := r.judge(a, err)
 	if e == nil && more {
--- a/internal/state/buffer/buffer.go
+++ b/internal/state/buffer/buffer.go
@@ -6,8 +6,9 @@
 // # Model
 //
 // Answers are read ahead of their callers, so that one that is cut can be asked for
-// again. A Buffer grows by what a Budget, which all share, has left, up to a bound of its
-// own. What does not fit stays with the sender, which waits.
+// again, and requests are read whole before they are sent. A Buffer grows by what a
+// Budget, which all share, has left, up to a bound of its own. What does not fit stays
+// with the sender, which waits.
 //
 // # Invariants
 //
@@ -20,12 +21,8 @@
 	"sync/atomic"
 )
 
-const (
-	// minSize is what each buffer may hold, in bytes, whatever the budget has left.
-	minSize = 4 << 10
-	// maxSize bounds one buffer, in bytes.
-	maxSize = 4 << 20
-)
+// minSize is what each buffer may hold, in bytes, whatever the budget has left.
+const minSize = 4 << 10
 
 // Budget is what all buffers of a process may hold.
 type Budget struct {
@@ -47,15 +44,18 @@
 	return false
 }
 
-// Buffer is the beginning of an answer.
+// Buffer is the beginning of an answer or a request.
 type Buffer struct {
 	budget *Budget
+	most   int // bytes
 	taken  int
 	bytes  []byte
 }
 
-// New returns an empty Buffer. It must be released.
-func (b *Budget) New() *Buffer { return &Buffer{budget: b, bytes: make([]byte, 0, minSize)} }
+// New returns an empty Buffer that holds a number of bytes at most. It must be released.
+func (b *Budget) New(most int) *Buffer {
+	return &Buffer{budget: b, most: most, bytes: make([]byte, 0, min(minSize, most))}
+}
 
 // Fill reads from r until its end, or until the buffer may not grow: then more is set.
 func (b *Buffer) Fill(r io.Reader) (more bool, err error) {
@@ -74,14 +74,15 @@
 	}
 }
 
-// grow doubles the buffer, if it may.
+// grow doubles the buffer, as far as it may.
 func (b *Buffer) grow() bool {
-	size := cap(b.bytes)
-	if 2*size > maxSize || !b.budget.take(size) {
+	size := min(2*cap(b.bytes), b.most)
+	more := size - cap(b.bytes)
+	if more <= 0 || !b.budget.take(more) {
 		return false
 	}
-	b.taken += size
-	larger := make([]byte, len(b.bytes), 2*size)
+	b.taken += more
+	larger := make([]byte, len(b.bytes), size)
 	copy(larger, b.bytes)
 	b.bytes = larger
 	return true
--- a/internal/state/buffer/buffer_test.go
+++ b/internal/state/buffer/buffer_test.go
@@ -27,7 +27,8 @@
 			if rapid.Bool().Draw(t, "in pieces of any size") {
 				r = bytes.NewReader(want)
 			}
-			b := budget.New()
+			most := rapid.IntRange(1, 100_000).Draw(t, "most")
+			b := budget.New(most)
 			more, err := b.Fill(r)
 			if err != nil {
 				t.Fatal(err)
@@ -39,6 +40,9 @@
 			if got := append(bytes.Clone(b.Bytes()), rest...); !bytes.Equal(got, want) {
 				t.Fatalf("%d bytes of %d", len(got), len(want))
 			}
+			if held := len(b.Bytes()); held > most {
+				t.Fatalf("a buffer of %d bytes holds %d", most, held)
+			}
 			if !more && len(rest) > 0 {
 				t.Fatalf("%d bytes are left and it says that none is", len(rest))
 			}
@@ -64,7 +68,7 @@
 // TestFillOfCutAnswer: an error of the reader is told, and is no end.
 func TestFillOfCutAnswer(t *testing.T) {
 	cut := errors.New("cut")
-	b := buffer.NewBudget(1 << 20).New()
+	b := buffer.NewBudget(1 << 20).New(1 << 20)
 	defer b.Release()
 	if _, err := b.Fill(io.MultiReader(bytes.NewReader([]byte("begun")), iotest.ErrReader(cut))); !errors.Is(err, cut) {
 		t.Errorf("the error is %v", err)
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 )
 
 // plainDialect reads nothing and writes Retry-After.
@@ -22,6 +24,12 @@
 func (plainDialect) Read(http.Header) (hookhall.CallInfo, error) {
 	return hookhall.CallInfo{ID: "1"}, nil
 }
+
+// newTestHandler makes a Handler with room for a megabyte of bodies.
+func newTestHandler(s Service) *Handler {
+	return NewHandler(s, plainDialect{}, buffer.NewBudget(1<<20), log.New(io.Discard))
+}
+
 func (plainDialect) EndToEnd(string) bool { return false }
 
 func (plainDialect) Refusal(h http.Header, after time.Duration) {
@@ -72,11 +80,11 @@
 // Drain, the service runs and the client gets nothing.
 func TestStopBetweenReadAndServe(t *testing.T) {
 	var served atomic.Int64
-	h := NewHandler(serviceFunc(func(_ context.Context, _ *hookhall.Call, a hookhall.AnswerWriter) error {
+	h := newTestHandler(serviceFunc(func(_ context.Context, _ *hookhall.Call, a hookhall.AnswerWriter) error {
 		served.Add(1)
 		a.Begin(http.StatusOK, http.Header{})
 		return a.Chunk([]byte("whole"))
-	}), plainDialect{})
+	}))
 	d := NewDrain(h, h.Refuse)
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
@@ -118,10 +126,10 @@
 // TestDrainRefusesInTheEnd: what comes in the end is refused, not served. A request
 // taken on a kept connection 6.6 s after the signal, of 8 s in all, is cut off.
 func TestDrainRefusesInTheEnd(t *testing.T) {
-	h := NewHandler(serviceFunc(func(context.Context, *hookhall.Call, hookhall.AnswerWriter) error {
+	h := newTestHandler(serviceFunc(func(context.Context, *hookhall.Call, hookhall.AnswerWriter) error {
 		t.Error("served after the drain")
 		return nil
-	}), plainDialect{})
+	}))
 	d := NewDrain(h, h.Refuse)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -24,7 +24,9 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/pkg/errors"
 )
 
@@ -36,22 +38,33 @@
 	MaxBody() int
 }
 
-// bodyMost is the bound on bodies when the service has none.
-const bodyMost = 64 << 20
+const (
+	// bodyMost is the bound on bodies when the service has none, in bytes.
+	bodyMost = 64 << 20
+	// roomBack is when a client should come back for whose body there is no room.
+	roomBack = time.Second
+)
 
 // Handler is an http.Handler.
 type Handler struct {
 	service Service
 	dialect hookhall.Dialect
+	bodies  *buffer.Budget
+	log     *log.Logger
 }
 
-// NewHandler makes a Handler.
-func NewHandler(s Service, d hookhall.Dialect) *Handler { return &Handler{s, d} }
+// NewHandler makes a Handler. The bodies of all requests in progress share a budget.
+func NewHandler(s Service, d hookhall.Dialect, bodies *buffer.Budget, l *log.Logger) *Handler {
+	return &Handler{s, d, bodies, l}
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, e := h.read(w, r)
+	body := h.bodies.New(h.maxBody() + 1)
+	defer body.Release()
+	c, e := h.read(w, r, body)
 	if e != nil {
+		h.logUnread(r, e)
 		h.Refuse(w, e)
 		return
 	}
@@ -68,28 +81,42 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*hookhall.Call, *hookhall.Error) {
-	limit := h.service.MaxBody()
-	if limit <= 0 {
-		limit = bodyMost
+func (h *Handler) maxBody() int {
+	if limit := h.service.MaxBody(); limit > 0 {
+		return limit
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	return bodyMost
+}
+
+// read reads a request whole. Its body lies in the buffer, and is valid until that is
+// released.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer) (*hookhall.Call, *hookhall.Error) {
+	more, err := body.Fill(http.MaxBytesReader(w, r.Body, int64(h.maxBody())))
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", limit)
-	}
-	if err != nil {
+	switch {
+	case errors.As(err, &large):
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", large.Limit)
+	case err != nil:
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "the body did not come whole: %v", err)
+	case more:
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").After(roomBack)
 	}
 	marks, err := h.dialect.Read(r.Header)
 	if err != nil {
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", err)
 	}
 	return &hookhall.Call{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body, CallInfo: marks,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body.Bytes(), CallInfo: marks,
 	}, nil
 }
 
+// logUnread writes a line on a request that is refused before it was read whole.
+func (h *Handler) logUnread(r *http.Request, e *hookhall.Error) {
+	marks, _ := h.dialect.Read(r.Header) // what can be read of wrong marks is told
+	h.log.Warn("A request was not read.", "request", marks.ID, "uri", r.RequestURI, "bytes", r.ContentLength,
+		"cause", string(e.Cause), "detail", e.Detail, "body_bytes", h.bodies.Held())
+}
+
 // Refuse writes the final answer of a request that gets no target's.
 func (h *Handler) Refuse(w http.ResponseWriter, e *hookhall.Error) {
 	if e.RetryAfter > 0 {
