claim: a test of a settlement at an owner that missed later grants

The trace: entry a refuses a grant at epoch 8 and keeps its record as pending, sequence 17. It leaves the view; at epoch 9 the key is granted elsewhere under sequence 17 and finished under 18. Back as owner at epoch 10, before it has fetched that, a gets the release of its old grant, and writes it under sequence 18. The finished record, fetched a moment later, is no newer, and is dropped.

--- a/internal/state/claim/store_test.go
+++ b/internal/state/claim/store_test.go
@@ -128,3 +128,34 @@
 		})
 	})
 }
+
+// TestStaleRecordIsNotReleased: an owner that has yet to fetch what was granted without it
+// takes no settlement, whose sequence could stand against that of a later grant.
+func TestStaleRecordIsNotReleased(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	Convey("An owner that refused a grant, left the view and is back", t, func() {
+		owner, _, v := pairOf("k")
+		_, refused := owner.Begin(ask("k", 1), now)
+		self, _ := view.Find(v, owner.self)
+		without := view.Leave(v, owner.self, false)
+		owner.Advance(without)
+		So(owner.Complete(refused, false).Outcome, ShouldEqual, hookhall.ClaimRefused)
+		owner.Advance(view.Join(without, self))
+		Convey("releases that grant only when it knows the later ones", func() {
+			release := hookhall.Settlement{Key: "k", Token: 1, State: hookhall.StateReleased}
+			done, _, _ := owner.Settle(release, now)
+			So(done, ShouldBeFalse)
+			later := refused.Record
+			later.Token, later.Sequence, later.State = 2, refused.Record.Sequence+1, hookhall.StateFinished
+			owner.Merge(hookhall.SlotRecords{Slot: view.SlotOf("k"), Through: without.Epoch, Records: []hookhall.Record{later}})
+			done, _, _ = owner.Settle(release, now)
+			So(done, ShouldBeFalse)
+			q := ask("k", 3)
+			q.Epoch = owner.Placement().View.Epoch
+			reply, grant := owner.Begin(q, now)
+			So(grant, ShouldBeNil)
+			So(reply.Outcome, ShouldEqual, hookhall.ClaimHeld)
+			So(reply.Record.State, ShouldEqual, hookhall.StateFinished)
+		})
+	})
+}
