claim: an owner that missed later grants settles nothing

Settle raised the sequence of a record that a later grant elsewhere had already replaced, and the later one was dropped when it was fetched. An owner that is not whole now refuses, and the origin comes again, as it does while epochs differ. Ruled out: a sequence that begins with the epoch, which orders records as well, but lets a stale release be stored as the newest until the next grant.

--- a/internal/state/claim/doc.go
+++ b/internal/state/claim/doc.go
@@ -30,8 +30,8 @@
 //
 // # Invariants
 //
-//   - A record's Sequence only grows, and only an owner adds to it; only a whole
-//     owner opens a new grant.
+//   - A record's Sequence only grows, and only a whole owner adds to it: one that
+//     has yet to fetch what was granted without it opens and settles nothing.
 //   - A granted record is never replaced before it is released or expired.
 //   - Time is used for the retention alone, and only by the local clock.
 package claim
--- a/internal/state/claim/owner.go
+++ b/internal/state/claim/owner.go
@@ -97,7 +97,8 @@
 }
 
 // Settle ends the claim with a token. The returned Grant, if any, is the
-// changed record to copy to the standby.
+// changed record to copy to the standby. An owner that is not whole takes none:
+// a later grant of the key may have the sequence that it would write.
 func (s *Store) Settle(t hookhall.Settlement, now time.Time) (bool, uint64, *Grant) {
 	l := &s.slots[view.SlotOf(t.Key)]
 	l.mu.Lock()
@@ -106,7 +107,7 @@
 		return false, l.epoch, nil
 	}
 	r := l.records[t.Key]
-	if r == nil || r.Token != t.Token || r.copying {
+	if r == nil || r.Token != t.Token || r.copying || !l.whole() {
 		return false, l.epoch, nil
 	}
 	if r.State != t.State {
