claim: a test of refused grants that hide a later one

The trace: owner b refuses a key three times at epoch 4, as its standby is at 5, and keeps the last as pending, sequence 3. At epoch 5 entry a, which never saw those, grants the key under sequence 1 and its standby c stores it. Then c fetches from b, and takes sequence 3 for newer. At epoch 6 b is owner again; what it fetches, finished under sequence 2, is no newer than its own, and it grants the key once more.

--- a/internal/state/claim/store_test.go
+++ b/internal/state/claim/store_test.go
@@ -159,3 +159,44 @@
 		})
 	})
 }
+
+// TestRefusedGrantsDoNotHideALaterOne: what an owner wrote for grants that it refused is
+// older than a grant of a later view, however often it refused.
+func TestRefusedGrantsDoNotHideALaterOne(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	Convey("An owner that refused a key four times and left the view", t, func() {
+		owner, standby, v := pairOf("k")
+		standby.Merge(owner.Records(v.Epoch, []uint32{view.SlotOf("k")}).Slots[0])
+		for token := range uint64(4) {
+			_, refused := owner.Begin(ask("k", token+1), now)
+			So(owner.Complete(refused, false).Outcome, ShouldEqual, hookhall.ClaimRefused)
+		}
+		self, _ := view.Find(v, owner.self)
+		without := view.Leave(v, owner.self, false)
+		owner.Advance(without)
+		standby.Advance(without)
+		q := ask("k", 9)
+		q.Epoch = without.Epoch
+		reply, _ := standby.Begin(q, now)
+		So(reply.Outcome, ShouldEqual, hookhall.ClaimGranted)
+		done, _, _ := standby.Settle(hookhall.Settlement{Key: "k", Token: 9, State: hookhall.StateFinished}, now)
+		So(done, ShouldBeTrue)
+		Convey("holds what was granted without it when it is back", func() {
+			with := view.Join(without, self)
+			owner.Advance(with)
+			standby.Advance(with)
+			owner.Merge(standby.Records(with.Epoch, []uint32{view.SlotOf("k")}).Slots[0])
+			q.Epoch, q.Token = with.Epoch, 10
+			reply, grant := owner.Begin(q, now)
+			So(grant, ShouldBeNil)
+			So(reply.Outcome, ShouldEqual, hookhall.ClaimHeld)
+			So(reply.Record.Token, ShouldEqual, 9)
+		})
+		Convey("takes nothing from who holds it", func() {
+			standby.Merge(owner.Records(without.Epoch, []uint32{view.SlotOf("k")}).Slots[0])
+			q.Token = 10
+			reply, _ := standby.Begin(q, now)
+			So(reply.Outcome, ShouldEqual, hookhall.ClaimHeld)
+		})
+	})
+}
