claim: what is written at an epoch is newer than all before it

Sequences counted an owner's writes of a record, refused grants among them, and were compared with those of other owners who had never seen these. A member that merged both took the record with more refusals for the newer one, and a key that had run to its end was free again. A sequence now begins with the epoch that it is written at; within one epoch the owner is the only writer.

--- a/internal/state/claim/doc.go
+++ b/internal/state/claim/doc.go
@@ -32,6 +32,9 @@
 //
 //   - A record's Sequence only grows, and only a whole owner adds to it: one that
 //     has yet to fetch what was granted without it opens and settles nothing.
+//   - What is written at an epoch has a higher Sequence than all of earlier epochs.
+//     An owner may have written more for grants that it refused than the next one
+//     has for one that it gave.
 //   - A granted record is never replaced before it is released or expired.
 //   - Time is used for the retention alone, and only by the local clock.
 package claim
--- a/internal/state/claim/owner.go
+++ b/internal/state/claim/owner.go
@@ -61,10 +61,7 @@
 func (s *Store) open(l *slot, q hookhall.ClaimRequest, old *record, now time.Time) (hookhall.ClaimReply, *Grant) {
 	n := hookhall.Record{
 		Key: q.Key, Digest: q.Digest, Origin: q.Origin, Token: q.Token,
-		Sequence: 1, State: hookhall.StatePending, Expires: now.Add(s.retention),
-	}
-	if old != nil {
-		n.Sequence = old.Sequence + 1
+		Sequence: l.nextSequence(old), State: hookhall.StatePending, Expires: now.Add(s.retention),
 	}
 	if l.pair.Standby == nil {
 		n.State = hookhall.StateGranted
@@ -79,6 +76,19 @@
 	return hookhall.ClaimReply{}, &Grant{Record: sent, Epoch: l.epoch, Standby: *l.pair.Standby}
 }
 
+// sequenceBits is how many bits of a sequence count the writes within one epoch.
+const sequenceBits = 24
+
+// nextSequence orders what this owner writes after all of earlier epochs, whether it has
+// seen that or not, and after the record that it replaces, nil for none.
+func (l *slot) nextSequence(old *record) uint64 {
+	first := l.epoch<<sequenceBits + 1
+	if old == nil {
+		return first
+	}
+	return max(old.Sequence+1, first)
+}
+
 // Complete is the owner's second step, with the standby's word.
 func (s *Store) Complete(g *Grant, stored bool) hookhall.ClaimReply {
 	l := &s.slots[view.SlotOf(g.Record.Key)]
@@ -112,7 +122,7 @@
 	}
 	if r.State != t.State {
 		r.State, r.Answer = t.State, t.Answer
-		r.Sequence++
+		r.Sequence = l.nextSequence(r)
 		r.Expires = now.Add(s.retention)
 	}
 	if l.pair.Standby == nil {
--- a/peer.go
+++ b/peer.go
@@ -53,8 +53,8 @@
 	Origin string
 	// Token tells this grant from earlier ones of the same key.
 	Token uint64
-	// Sequence orders the owner's writes of this record, so that a late copy
-	// never replaces a newer one.
+	// Sequence orders the owners' writes of this record, over all epochs, so that
+	// a late copy never replaces a newer one.
 	Sequence uint64
 	State    RecordState
 	// Answer is the encoded answer, when small enough to be kept.
