--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,29 +27,32 @@
 	callerWait = 2 * time.Second
 )
 
-// pair is two entries in one process. Their calls of one another reach the other's
-// handlers at once.
-type pair struct {
+// group is entries in one process. Their calls of one another reach the other's handlers
+// at once, unless faults say otherwise.
+type group struct {
 	entries map[string]*Claims // by address
 	view    *hookhall.View
 	mu      sync.Mutex
+	// faults, if set, carries a call: it calls deliver, at once, late or not at all, and
+	// returns whether the caller gets the reply.
+	faults func(ctx context.Context, deliver func()) bool
 	// sent and stored, if set, are called before and after a standby gets a copy.
 	sent   func(hookhall.Record)
 	stored func(hookhall.Record)
-	// lostClaims is how many replies to asks are still to be lost.
-	lostClaims int
 }
 
-// link is the way to one entry of a pair.
+// link is the way to one entry of a group.
 type link struct {
 	hookhall.Peer
-	p  *pair
+	p  *group
 	to *Claims
 }
 
-func newPair() *pair {
-	p := &pair{entries: map[string]*Claims{}, view: &hookhall.View{}}
-	for _, n := range []string{"a", "b"} {
+func newPair() *group { return newGroup("a", "b") }
+
+func newGroup(addresses ...string) *group {
+	p := &group{entries: map[string]*Claims{}, view: &hookhall.View{}}
+	for _, n := range addresses {
 		m := hookhall.Member{ID: n + "#1", Instance: n, Hall: n, Address: n}
 		p.entries[n] = newEntry(m, p)
 		p.view = view.Join(p.view, m)
@@ -71,40 +75,52 @@
 }
 
 // Peer is the way to the entry at an address.
-func (p *pair) Peer(address string) hookhall.Peer { return link{p: p, to: p.entries[address]} }
+func (p *group) Peer(address string) hookhall.Peer { return link{p: p, to: p.entries[address]} }
+
+// carry makes one call.
+func carry[R any](ctx context.Context, l link, handle func() R) (R, error) {
+	var reply R
+	if l.p.faults == nil {
+		return handle(), nil
+	}
+	if !l.p.faults(ctx, func() { reply = handle() }) {
+		var none R
+		return none, hookhall.ErrUnavailable
+	}
+	return reply, nil
+}
 
 func (l link) Probe(ctx context.Context, q hookhall.Probe) (hookhall.ProbeReply, error) {
-	return l.to.fleet.HandleProbe(ctx, q), nil
+	return carry(ctx, l, func() hookhall.ProbeReply { return l.to.fleet.HandleProbe(ctx, q) })
+}
+
+func (l link) Fetch(ctx context.Context, q hookhall.FetchRequest) (hookhall.FetchReply, error) {
+	return carry(ctx, l, func() hookhall.FetchReply { return l.to.fleet.HandleFetch(q) })
 }
 
 func (l link) Claim(ctx context.Context, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
-	reply := l.to.Handle(ctx, q)
-	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	if l.p.lostClaims > 0 {
-		l.p.lostClaims--
-		return hookhall.ClaimReply{}, hookhall.ErrUnavailable
-	}
-	return reply, nil
+	return carry(ctx, l, func() hookhall.ClaimReply { return l.to.Handle(ctx, q) })
 }
 
 func (l link) Settle(ctx context.Context, s hookhall.Settlement) (hookhall.CopyReply, error) {
-	return l.to.HandleSettle(ctx, s), nil
+	return carry(ctx, l, func() hookhall.CopyReply { return l.to.HandleSettle(ctx, s) })
 }
 
-func (l link) Copy(_ context.Context, epoch uint64, r hookhall.Record) (hookhall.CopyReply, error) {
-	if l.p.sent != nil {
-		l.p.sent(r)
-	}
-	reply := l.to.HandleCopy(epoch, r)
-	if l.p.stored != nil {
-		l.p.stored(r)
-	}
-	return reply, nil
+func (l link) Copy(ctx context.Context, epoch uint64, r hookhall.Record) (hookhall.CopyReply, error) {
+	return carry(ctx, l, func() hookhall.CopyReply {
+		if l.p.sent != nil {
+			l.p.sent(r)
+		}
+		reply := l.to.HandleCopy(epoch, r)
+		if l.p.stored != nil {
+			l.p.stored(r)
+		}
+		return reply
+	})
 }
 
 // change puts the next view in force everywhere, in which a member has left or joined.
-func (p *pair) change(edit func(*hookhall.View) *hookhall.View) {
+func (p *group) change(edit func(*hookhall.View) *hookhall.View) {
 	p.view = edit(p.view)
 	for _, c := range p.entries {
 		c.fleet.Adopt(p.view)
@@ -112,7 +128,7 @@
 }
 
 // keyOwnedBy is a key whose owner is the entry at an address.
-func (p *pair) keyOwnedBy(address string) string {
+func (p *group) keyOwnedBy(address string) string {
 	for n := 0; ; n++ {
 		key := fmt.Sprintf("k%d", n)
 		if view.PairOf(p.view.Members, view.SlotOf(key)).Owner.Address == address {
@@ -131,6 +147,15 @@
 	}
 }
 
+// loseFirstReply delivers all calls, and loses the reply of the first.
+func loseFirstReply() func(context.Context, func()) bool {
+	var calls atomic.Int32
+	return func(_ context.Context, deliver func()) bool {
+		deliver()
+		return calls.Add(1) > 1
+	}
+}
+
 func leave(id string) func(*hookhall.View) *hookhall.View {
 	return func(v *hookhall.View) *hookhall.View { return view.Leave(v, id, true) }
 }
@@ -159,7 +184,7 @@
 	Convey("The reply to the first ask is lost, and the run ends", t, func() {
 		p := newPair()
 		key := p.keyOwnedBy("a")
-		p.lostClaims = 1
+		p.faults = loseFirstReply()
 		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 		defer cancel()
 		ticket, _, err := p.entries["b"].Acquire(ctx, key, 1)
