--- a/internal/transport/fleet/clients_test.go
+++ b/internal/transport/fleet/clients_test.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/standin"
 	"google.golang.org/grpc"
@@ -89,3 +92,55 @@
 		}
 	})
 }
+
+// stuckPeer begins each stage and never ends one.
+type stuckPeer struct {
+	pb.UnimplementedFleetServer
+	begun chan struct{}
+}
+
+func (p stuckPeer) RunStage(_ *pb.StageRequest, stream pb.Fleet_RunStageServer) error {
+	p.begun <- struct{}{}
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+// TestClosedConnectionIsNoCanceledCall: a stage whose broker's connection is closed, since
+// another one takes its place or the peer is gone, has a silent broker; its client has not
+// gone.
+func TestClosedConnectionIsNoCanceledCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := stuckPeer{begun: make(chan struct{}, 1)}
+	s := grpc.NewServer()
+	pb.RegisterFleetServer(s, peer)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	clients := NewClients(log.New(io.Discard))
+	for name, c := range map[string]struct {
+		end  func(cancel func())
+		gone bool // the client
+	}{
+		"the connection is closed": {func(func()) { clients.Keep(func(string) bool { return false }) }, false},
+		"the client has gone":      {func(cancel func()) { cancel() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			failed := make(chan error, 1)
+			go func() {
+				_, err := clients.Client(l.Addr().String()).Run(ctx, stages.Work{Service: "s", Pieces: 1, End: time.Now().Add(time.Minute)})
+				failed <- err
+			}()
+			<-peer.begun
+			c.end(cancel)
+			err := <-failed
+			var told *hookhall.Error
+			if gone := errors.As(err, &told) && told.Cause == hookhall.CauseCanceled; gone != c.gone {
+				t.Errorf("the call ended with %v", err)
+			}
+		})
+	}
+}
