fleet: a call whose connection is closed has a silent broker, not a gone client

A connection to a peer is closed when the peer leaves the list of gateways, or when it fell silent and another one takes its place. gRPC ends its calls with the code Canceled, which was read as the client's leaving: the stage was given up and its request refused with 503 and no Retry-After. The context alone tells whether the client has gone. Any other end of the way is a broker that does not answer, and the stage is made through the next one. Ruled out: asking again under the same code, as a broker that stops sends Canceled as well.

--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -193,8 +193,10 @@
 	return hookhall.CauseDeadline
 }
 
+// wayError tells the end of a call by its client from one by the way to the broker. A
+// connection that is closed under its calls cancels them too.
 func wayError(ctx context.Context, err error) error {
-	if ctx.Err() != nil || status.Code(err) == codes.Canceled {
+	if ctx.Err() != nil {
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "%v", err)
 	}
 	return stages.ErrSilent(err)
