fleet: a member that is cut off from all others takes nobody out

Witnesses that did not answer counted as if they had confirmed that a member is away, and processes that were out of the view went on removing others. Now at least half of up to five witnesses must have answered, or six times the usual suspicion must have passed without a failure of the service; non-members act on nothing; and half of the members asked must reach one that comes back. Ruled out: asking for a majority of all, 165 calls at 330 entries; never acting without witnesses, as the only one left would keep slots of dead owners for ever.

--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -58,8 +58,11 @@
 	leaving atomic.Bool
 	// listed is the platform's list as last read; nil before.
 	listed atomic.Pointer[Listing]
-	mu     sync.Mutex
-	failed map[string]int // heartbeats failed in a row, by member
+	// unserved is when the service last failed this process; nil before.
+	unserved atomic.Pointer[time.Time]
+	mu       sync.Mutex
+	// suspected are members whose heartbeats fail.
+	suspected map[string]suspicion
 	// heard are leaving targets that peers have told of.
 	heard peerWord
 	// repair wakes the repair loop.
@@ -103,7 +106,7 @@
 	return &Fleet{
 		self: p.Self, kv: p.KV, list: p.List, peers: p.Peers, store: p.Store,
 		tables: p.Tables, timing: p.Timing, log: p.Log,
-		failed: map[string]int{}, repair: make(chan struct{}, 1),
+		suspected: map[string]suspicion{}, repair: make(chan struct{}, 1),
 	}
 }
 
@@ -151,6 +154,7 @@
 // watch follows the view's key.
 func (f *Fleet) watch(ctx context.Context) {
 	follow.Key(ctx, f.kv, tables.ViewKey, f.follow, func(err error) {
+		f.noteUnserved()
 		f.log.Warn("Can't follow the view.", "error", err.Error())
 	})
 }
--- a/internal/coordination/fleet/heartbeat.go
+++ b/internal/coordination/fleet/heartbeat.go
@@ -7,16 +7,25 @@
 	"context"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/coordination/tables"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/view"
 )
 
-// witnesses is how many others are asked about a member that does not answer.
-const witnesses = 2
+const (
+	// witnesses is how many others must agree on a member that does not answer, and
+	// witnessesMost how many are asked for that.
+	witnesses     = 2
+	witnessesMost = 5
+	// aloneFactor is by how much longer a member is suspected by one whom too few
+	// witnesses answer. The others, if they live, take that one out meanwhile.
+	aloneFactor = 6
+)
 
 // heartbeats probes this member's successors.
 func (f *Fleet) heartbeats(ctx context.Context) {
@@ -50,26 +59,66 @@
 	return ring[:min(n, len(ring))]
 }
 
-// check probes one member and acts on repeated failure.
+// check probes one member and acts on repeated failure. Who is not a member itself acts on
+// nothing: it may be the one that is cut off.
 func (f *Fleet) check(ctx context.Context, m hookhall.Member) {
-	err := f.Probe(ctx, m)
-	f.mu.Lock()
-	if err == nil {
-		delete(f.failed, m.ID)
-	} else {
-		f.failed[m.ID]++
-	}
-	n := f.failed[m.ID]
-	f.mu.Unlock()
-	if n < f.timing.Suspect || ctx.Err() != nil || f.leaving.Load() {
+	s := f.countProbe(m, f.Probe(ctx, m))
+	if s.failed < f.timing.Suspect || ctx.Err() != nil || f.leaving.Load() || !f.member() {
 		return
 	}
-	if f.seenByOthers(ctx, m) {
+	reached, alone := f.askWitnesses(ctx, m)
+	if reached || alone && !f.outwaited(ctx, s) {
 		return
 	}
 	f.remove(ctx, m)
 }
 
+// outwaited tells whether those who may suspect this process in turn have had the time and
+// the service to take it out. It reads the view, which tells whether they have.
+func (f *Fleet) outwaited(ctx context.Context, s suspicion) bool {
+	e, err := f.kv.Get(ctx, tables.ViewKey)
+	if err == nil {
+		err = f.follow(e)
+	}
+	if err != nil {
+		f.noteUnserved()
+		return false
+	}
+	since := s.since
+	if t := f.unserved.Load(); t != nil && t.After(since) {
+		since = *t
+	}
+	return f.member() && clock.Since(since) >= aloneFactor*time.Duration(f.timing.Suspect)*f.timing.Heartbeat
+}
+
+func (f *Fleet) noteUnserved() {
+	now := clock.Now()
+	f.unserved.Store(&now)
+}
+
+// suspicion is how many probes of a member have failed in a row, and since when.
+type suspicion struct {
+	failed int
+	since  time.Time
+}
+
+// countProbe counts one probe of a member.
+func (f *Fleet) countProbe(m hookhall.Member, err error) suspicion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || !f.member() {
+		delete(f.suspected, m.ID)
+		return suspicion{}
+	}
+	s := f.suspected[m.ID]
+	if s.failed == 0 {
+		s.since = clock.Now()
+	}
+	s.failed++
+	f.suspected[m.ID] = s
+	return s
+}
+
 // Probe sends one heartbeat and takes in what the reply brings.
 func (f *Fleet) Probe(ctx context.Context, m hookhall.Member) error {
 	return f.probe(ctx, m, nil)
@@ -153,20 +202,27 @@
 	return err == nil
 }
 
-// seenByOthers asks witnesses, drawn by hash so that they differ by member.
-func (f *Fleet) seenByOthers(ctx context.Context, m hookhall.Member) bool {
-	for _, w := range successors(f.View().Members, m.ID+"/witness", witnesses+1) {
-		if w.ID == m.ID || w.ID == f.self.ID {
+// askWitnesses asks others whether they reach a member, in an order by hash that differs by
+// member, until one does or enough have answered. With fewer answers than half of those
+// asked, this process may be the one that is alone.
+func (f *Fleet) askWitnesses(ctx context.Context, m hookhall.Member) (reached, alone bool) {
+	asked, answered := 0, 0
+	for _, w := range successors(f.View().Members, m.ID+"/witness", witnessesMost+2) {
+		if w.ID == m.ID || w.ID == f.self.ID || asked == witnessesMost {
 			continue
 		}
+		asked++
 		wctx, cancel := context.WithTimeout(ctx, 2*f.timing.Heartbeat)
-		reached, err := f.peers.Peer(w.Address).ProbeFor(wctx, m.Address)
+		seen, err := f.peers.Peer(w.Address).ProbeFor(wctx, m.Address)
 		cancel()
-		if err == nil && reached {
-			return true
+		if err == nil {
+			answered++
+		}
+		if seen || answered == witnesses {
+			return seen, false
 		}
 	}
-	return false
+	return false, answered < min(witnesses, (asked+1)/2)
 }
 
 // remove takes a member out of the view that nobody can reach.
@@ -179,7 +235,7 @@
 		return
 	}
 	f.mu.Lock()
-	delete(f.failed, m.ID)
+	delete(f.suspected, m.ID)
 	f.mu.Unlock()
 }
 
--- a/internal/coordination/fleet/rejoin.go
+++ b/internal/coordination/fleet/rejoin.go
@@ -43,16 +43,18 @@
 	}
 }
 
-// reachable asks members to probe this process. Alone it is always reachable.
+// reachable asks members to probe this process: half of those asked must reach it. Alone it
+// is always reachable.
 func (f *Fleet) reachable(ctx context.Context) bool {
 	members := successors(f.View().Members, f.self.ID, Successors)
+	reached := 0
 	for _, m := range members {
 		wctx, cancel := context.WithTimeout(ctx, 2*f.timing.Heartbeat)
-		reached, err := f.peers.Peer(m.Address).ProbeFor(wctx, f.self.Address)
+		seen, err := f.peers.Peer(m.Address).ProbeFor(wctx, f.self.Address)
 		cancel()
-		if err == nil && reached {
-			return true
+		if err == nil && seen {
+			reached++
 		}
 	}
-	return len(members) == 0
+	return 2*reached >= len(members)
 }
