fleet: the platform's word takes a member out without witnesses

An entry whom too few witnesses answer waits before it takes out a member, as it may be the one that is cut off. The platform's list is evidence of its own: an instance that it lacks is gone, whoever is cut off, and needs no wait.

--- a/internal/coordination/fleet/heartbeat.go
+++ b/internal/coordination/fleet/heartbeat.go
@@ -67,7 +67,7 @@
 		return
 	}
 	reached, alone := f.askWitnesses(ctx, m)
-	if reached || alone && !f.outwaited(ctx, s) {
+	if reached || alone && !f.surelyGone(m) && !f.outwaited(ctx, s) {
 		return
 	}
 	f.remove(ctx, m)
