paths: record which targets a gateway can't connect to

When a gateway loses its links, each failed attempt logs one target, and nothing tells how many others it can't reach either. The first failed connection to each target and its return are logged with the number of unreachable targets; a gauge, a counter by kind of failure, and the state have the same. Beside the lines of other gateways this distinguishes a target that is down from a link that is.

Connections are opened through Pool.Paths, and Pool.Dial can be replaced.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -44,6 +44,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/forward"
 	"github.com/hookhall/hookhall/internal/coordination/members"
 	"github.com/hookhall/hookhall/internal/coordination/outage"
+	"github.com/hookhall/hookhall/internal/coordination/paths"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/quarantine"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
@@ -55,6 +56,7 @@
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/reach"
 	"github.com/hookhall/hookhall/internal/transport/fleet"
 	"github.com/hookhall/hookhall/internal/transport/front"
 	"github.com/hookhall/hookhall/internal/transport/upstream"
@@ -133,6 +135,7 @@
 	quarantine     *quarantine.Quarantine
 	advisories     *advisories.Advisories
 	rollouts       *rollouts.Rollouts
+	paths          *paths.Paths
 	forwarder      *forward.Forwarder
 	drain          *front.Drain
 	bodyBudget     *buffer.Budget
@@ -214,6 +217,8 @@
 	g.catalog.ReaderRank = g.readerRank
 	g.catalog.GatewayCount = g.members.Count
 	g.adapters.Connections.MaxIdle = g.maxIdleConnections
+	g.paths = &paths.Paths{Table: &reach.Table{}, Meter: g.metrics, Log: g.logger(logging.Paths)}
+	g.adapters.Connections.Paths = g.paths
 	g.catalog.OnRestart = func(before, after hookhall.Target) {
 		g.adapters.Connections.CloseIdle(before.Address)
 		g.advisories.Registry.TransferPause(before.Incarnation(), after.Incarnation(), clock.Now())
@@ -411,6 +416,7 @@
 			g.tracker.Prune(isKnown, now)
 			g.placementOwner.Prune(isKnown, now)
 			g.advisories.Registry.Prune(isKnown, now)
+			g.paths.Table.Prune(func(address string) bool { return g.catalog.ServiceAt(address) != "" })
 			paces.report(g.placementOwner.PoolPaces())
 		}
 		isMember := map[string]bool{}
--- a/internal/app/gateway/state.go
+++ b/internal/app/gateway/state.go
@@ -18,6 +18,7 @@
 	"github.com/hookhall/hookhall/internal/state/batch"
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/reach"
 )
 
 // State is the state dump of a gateway: its own state, and the known state of the store,
@@ -27,7 +28,8 @@
 // owners of services by it. BufferedBytes is the memory reserved for answers, BodyBytes
 // that for request bodies. Pools has the latest known load of each stage pool by service,
 // Overloads how the queues of the pools that this gateway brokers deal with jobs that can't
-// start in time, and Admission the decisions that follow from the loads.
+// start in time, and Admission the decisions that follow from the loads. Unreachable has the
+// targets that this gateway can't connect to, by address.
 type State struct {
 	Instance        string                    `json:"instance"`
 	Stopping        bool                      `json:"stopping"`
@@ -56,6 +58,7 @@
 	Pools           stages.PoolReports             `json:"pools"`
 	Overloads       map[string]batch.OverloadState `json:"overloads"`
 	Admission       forward.AdmissionStatus        `json:"admission"`
+	Unreachable     map[string]reach.Status        `json:"unreachable"`
 	Retries         budget.Status                  `json:"repeats"`
 	BufferedBytes   int64                          `json:"buffered_bytes"`
 	BodyBytes       int64                          `json:"body_bytes"`
@@ -74,6 +77,7 @@
 		Pools:         g.runner.PoolReports(now),
 		Overloads:     g.broker.Overloads(),
 		Admission:     g.forwarder.Admission.Status(),
+		Unreachable:   g.paths.Table.Status(now),
 		Retries:       g.forwarder.Budget.Status(now),
 		BufferedBytes: g.forwarder.Buffers.Held(),
 		BodyBytes:     g.bodyBudget.Held(),
--- a/internal/app/logging/logging.go
+++ b/internal/app/logging/logging.go
@@ -32,6 +32,7 @@
 	Crashes    = "crashes"
 	Rollout    = "rollout"
 	Advisories = "advised"
+	Paths      = "paths"
 )
 
 // New returns a logger that writes lines in logfmt to w, with the given prefix. level
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -151,6 +151,14 @@
 	m.scope.Tagged(map[string]string{"service": service, "kind": kind}).Counter("advisories").Inc(1)
 }
 
+// ConnectionFailed counts a direct connection to a target that failed, by the kind of failure.
+func (m *Metrics) ConnectionFailed(kind string) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Counter("target_connections_failed").Inc(1)
+}
+
+// TargetsUnreachable sets the number of targets that this process can't connect to.
+func (m *Metrics) TargetsUnreachable(n int) { m.scope.Gauge("targets_unreachable").Update(float64(n)) }
+
 // RoleMoved counts a change of the owner of a role, by the list of gateways of this process that
 // it learned from source: the store or a peer.
 func (m *Metrics) RoleMoved(role, source string) {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -50,6 +51,11 @@
 	// to maxIdlePerAddress, because a target limits the connections of all processes
 	// together. nil means no other limit. It must be set before the first request.
 	MaxIdle func(address string) int
+	// Dial opens a TCP connection; NewPool sets it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Paths is told of each connection that is opened or can't be; nil for none. It must be
+	// set before the first request.
+	Paths Paths
 
 	mu                 sync.Mutex
 	idleByAddress      map[string][]*conn
@@ -58,9 +64,18 @@
 	dials              atomic.Int64
 }
 
+// Paths opens connections to targets.
+type Paths interface {
+	// Connect opens a connection to the target at address. direct opens one from this process.
+	Connect(ctx context.Context, address string, direct func(context.Context) (net.Conn, error)) (net.Conn, error)
+}
+
 // NewPool returns a Pool without connections.
 func NewPool() *Pool {
-	return &Pool{idleByAddress: map[string][]*conn{}, lastTakenByAddress: map[string]time.Time{}, lastResetByAddress: map[string]time.Time{}}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+	}
+	return &Pool{Dial: dial, idleByAddress: map[string][]*conn{}, lastTakenByAddress: map[string]time.Time{}, lastResetByAddress: map[string]time.Time{}}
 }
 
 // Dials returns the number of connections attempted so far, failed ones included.
@@ -176,7 +191,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dials.Add(1)
 	start := clock.Now()
-	c, err := sockets.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -185,9 +200,28 @@
 	return opened, nil
 }
 
-// open opens a new connection. If the target has recently reset one, open first waits for
-// a reset: one that arrives before the request is written proves that nothing has run.
+// open opens a new connection for a request.
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	if p.Paths == nil {
+		return p.openDirect(ctx, address)
+	}
+	c, err := p.Paths.Connect(ctx, address, func(ctx context.Context) (net.Conn, error) {
+		c, err := p.openDirect(ctx, address)
+		if err != nil {
+			return nil, err // not c, whose nil pointer would be a non-nil net.Conn
+		}
+		return c, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c.(*conn), nil
+}
+
+// openDirect opens a new connection from this process. If the target has recently reset one, it
+// first waits for a reset: one that arrives before the request is written proves that nothing
+// has run.
+func (p *Pool) openDirect(ctx context.Context, address string) (*conn, error) {
 	c, err := p.dial(ctx, address)
 	if err != nil || !p.recentlyReset(address, clock.Now()) {
 		return c, err
