--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -319,8 +319,15 @@
 	}
 }
 
+// arrivedNowhere reports whether the attempt failed before a byte of the request was sent, so that
+// a further one repeats nothing.
+func (a *attempt) arrivedNowhere() bool {
+	return a.err.Verdict == hookhall.NotRun && a.err.Cause == hookhall.CauseConnection
+}
+
 // prepareRetry records the failed attempt a at target and reports whether another attempt
-// follows. It takes a retry out of the budget, and pauses if all targets refused the request.
+// follows. It takes a retry out of the budget if the request arrived, and pauses if all
+// targets refused the request.
 func (r *request) prepareRetry(ctx context.Context, a *attempt, target hookhall.Target) bool {
 	if !r.isResultLost {
 		r.tried[target.ID] = true
@@ -344,7 +351,7 @@
 		reason = "its results were lost too often"
 	case r.attempts >= maxTotalAttempts:
 		reason = "offered too often"
-	case !r.spendRetry():
+	case !a.arrivedNowhere() && !r.spendRetry():
 		reason = "the retry budget is spent"
 	}
 	if reason != "" {
