members: processes that can't reach targets decline ownership

A broker or a placement owner that can't connect to targets, while others can, keeps its roles: peers' pings and timers are all that eligibility looks at. A process can now state in its key that it is cut off. Such members own nothing as long as there is one that is not, however many they are, unlike lagging ones, of whom most may only mean that the load is high.

--- a/internal/coordination/members/lag.go
+++ b/internal/coordination/members/lag.go
@@ -82,19 +82,42 @@
 // in the store for the others. mean is the average lateness, for the log.
 func (m *Members) setDeclining(ctx context.Context, declining bool, mean time.Duration) {
 	m.declining.Store(declining)
-	m.mu.Lock()
-	m.publish()
-	m.mu.Unlock()
 	if declining {
 		m.log.Warn("process is lagging and declines ownership of shared work", "late", mean)
 	} else {
 		m.log.Info("process no longer lags and accepts ownership of shared work", "late", mean)
 	}
+	m.publishAvailability(ctx)
+}
+
+// Lagging reports whether this process declines ownership because it lags.
+func (m *Members) Lagging() bool { return m.declining.Load() }
+
+// SetCutOff records whether this process can't connect to targets that other members reach, and
+// writes that to its key in the store for the others.
+func (m *Members) SetCutOff(ctx context.Context, cutOff bool) {
+	if m.cutOff.Swap(cutOff) == cutOff {
+		return
+	}
+	if cutOff {
+		m.log.Warn("process can't connect to targets and declines ownership of shared work")
+	} else {
+		m.log.Info("process connects to targets and accepts ownership of shared work")
+	}
+	m.publishAvailability(ctx)
+}
+
+// publishAvailability applies a change of this process's availability here, and writes it to its
+// key for the others.
+func (m *Members) publishAvailability(ctx context.Context) {
+	m.mu.Lock()
+	m.publish()
+	m.mu.Unlock()
 	lease := m.lease.Load()
 	if lease == nil {
 		return // not registered: the key will be written with the new state
 	}
 	if err := m.writeKey(ctx, *lease); err != nil {
-		m.log.Warn("change of ownership not written to the store; retrying with the next lease renewal", "resting", declining, "error", err.Error())
+		m.log.Warn("change of ownership not written to the store; retrying with the next lease renewal", "resting", m.declining.Load(), "cut_off", m.cutOff.Load(), "error", err.Error())
 	}
 }
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -71,17 +71,18 @@
 	store hookhall.Store
 	log   *log.Logger
 
-	roster             atomic.Pointer[roster]
-	suspectedUntil     sync.Map // address to the time.Time when the suspicion ends
-	stopping           atomic.Bool
-	declining          atomic.Bool                    // this process declines ownership of shared work
-	publishedDeclining atomic.Bool                    // the value of declining in its key
-	lease              atomic.Pointer[hookhall.Lease] // nil while this process is not registered
-	listedSince        sync.Map                       // address to the time.Time when it was first listed or, for this process, registered
-	storeFailing       atomic.Bool                    // the last call of the store by this process failed
-	unlisted           atomic.Bool                    // a list is known, and this process is not on it
-	assigned           atomic.Pointer[assignment]     // owners of the roles; nil before the first call
-	roleStatuses       atomic.Pointer[[]RoleStatus]   // owners of the roles at the last check; nil before the first
+	roster         atomic.Pointer[roster]
+	suspectedUntil sync.Map // address to the time.Time when the suspicion ends
+	stopping       atomic.Bool
+	declining      atomic.Bool                    // this process declines ownership of shared work
+	cutOff         atomic.Bool                    // this process can't connect to targets that others reach
+	published      atomic.Pointer[availability]   // what its key states of that; not nil
+	lease          atomic.Pointer[hookhall.Lease] // nil while this process is not registered
+	listedSince    sync.Map                       // address to the time.Time when it was first listed or, for this process, registered
+	storeFailing   atomic.Bool                    // the last call of the store by this process failed
+	unlisted       atomic.Bool                    // a list is known, and this process is not on it
+	assigned       atomic.Pointer[assignment]     // owners of the roles; nil before the first call
+	roleStatuses   atomic.Pointer[[]RoleStatus]   // owners of the roles at the last check; nil before the first
 
 	// Meter counts changes of owners; nil counts none. Set it before Run.
 	Meter Meter
@@ -112,6 +113,12 @@
 	wasListed        bool              // this process was on a list that it knew
 }
 
+// availability says why a process owns no shared work.
+type availability struct {
+	isDeclining bool // it lags
+	isCutOff    bool // it can't connect to targets that others reach
+}
+
 // New returns a Members whose list has only this process, self, and which keeps that
 // process's key in store. Run starts it.
 func New(self hookhall.Member, store hookhall.Store, logger *log.Logger) *Members {
@@ -119,6 +126,7 @@
 		self: self, store: store, log: logger, IsLeader: func() bool { return true },
 		listingByKey: map[string]listing{}, keyRemovedAt: map[string]time.Time{}, rejectedRevisionByKey: map[string]hookhall.Revision{}, addressRemovedAt: map[string]time.Time{},
 	}
+	m.published.Store(&availability{})
 	m.publish()
 	return m
 }
--- a/internal/coordination/members/register.go
+++ b/internal/coordination/members/register.go
@@ -35,7 +35,7 @@
 // advertised returns the record of this process with its current state, for the others.
 func (m *Members) advertised() hookhall.Member {
 	record := m.self
-	record.DecliningOwnership = m.declining.Load()
+	record.DecliningOwnership, record.CutOff = m.declining.Load(), m.cutOff.Load()
 	return record
 }
 
@@ -49,7 +49,7 @@
 	if err := m.store.Put(ctx, keyPrefix+record.Instance, value, lease); err != nil {
 		return err
 	}
-	m.publishedDeclining.Store(record.DecliningOwnership)
+	m.published.Store(&availability{record.DecliningOwnership, record.CutOff})
 	return nil
 }
 
@@ -78,11 +78,11 @@
 }
 
 // renew renews the lease, or registers under a new one if there is none or it is gone, and
-// updates the key if it does not state whether this process declines ownership.
+// updates the key if it does not state the availability of this process.
 func (m *Members) renew(ctx context.Context) error {
 	if lease := m.lease.Load(); lease != nil {
 		err := m.store.Renew(ctx, *lease)
-		if err == nil && m.publishedDeclining.Load() != m.declining.Load() {
+		if err == nil && *m.published.Load() != (availability{m.declining.Load(), m.cutOff.Load()}) {
 			err = m.writeKey(ctx, *lease)
 		}
 		if !errors.Is(err, hookhall.ErrLeaseGone) {
--- a/internal/coordination/members/roster.go
+++ b/internal/coordination/members/roster.go
@@ -18,11 +18,16 @@
 	eligible []hookhall.Member // sorted by address
 }
 
-// newRoster returns a roster of a list that is sorted by address.
+// newRoster returns a roster of a list that is sorted by address. Members that can't connect to
+// targets are eligible owners only if all of them can't.
 func newRoster(all []hookhall.Member) *roster {
-	minOwnerCapacity := minEligibleCapacity(all)
+	connected := slices.DeleteFunc(slices.Clone(all), func(member hookhall.Member) bool { return member.CutOff })
+	if len(connected) == 0 {
+		connected = all
+	}
+	minOwnerCapacity := minEligibleCapacity(connected)
 	var strong, willing []hookhall.Member
-	for _, member := range all {
+	for _, member := range connected {
 		if effectiveCapacity(member) < minOwnerCapacity {
 			continue
 		}
--- a/view.go
+++ b/view.go
@@ -17,6 +17,9 @@
 	RelativeCapacity float64 `json:"power,omitempty"`
 	// DecliningOwnership is set while the process lags: it declines the ownership of shared work.
 	DecliningOwnership bool `json:"resting,omitempty"`
+	// CutOff is set while the process can't connect to targets, which other members reach: it
+	// declines the ownership of shared work, and can't relay.
+	CutOff bool `json:"cut_off,omitempty"`
 }
 
 // MembershipChange is the difference between the members of Epoch and of Epoch-1.
