--- a/forward.go
+++ b/forward.go
@@ -94,6 +94,8 @@
 	// Length is the length of the body in bytes, -1 when it is not announced.
 	Length int64
 	Info   ReplyInfo
+	// Relay is the address of the peer through which the target was reached, "" for none.
+	Relay string
 	// Body must be closed. Reading a truncated answer ends with an error other
 	// than io.EOF.
 	Body io.ReadCloser
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -87,6 +87,13 @@
 	// callers, and requestBodiesShare the fraction for request bodies.
 	answerBuffersShare = 0.15
 	requestBodiesShare = 0.15
+	// relayMemoryShare is the fraction of that memory for connections that are relayed for
+	// peers, each with buffers of relayConnectionBytes.
+	relayMemoryShare     = 0.1
+	relayConnectionBytes = 96 << 10
+	// cutOffHold is how long after the return of its links this process still declines
+	// ownership: a change of owners costs more than a few seconds without roles.
+	cutOffHold = 5 * time.Second
 	// logFlushTimeout bounds how long a stop waits for log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 
@@ -136,6 +143,7 @@
 	advisories     *advisories.Advisories
 	rollouts       *rollouts.Rollouts
 	paths          *paths.Paths
+	relayer        *paths.Relayer
 	forwarder      *forward.Forwarder
 	drain          *front.Drain
 	bodyBudget     *buffer.Budget
@@ -217,8 +225,16 @@
 	g.catalog.ReaderRank = g.readerRank
 	g.catalog.GatewayCount = g.members.Count
 	g.adapters.Connections.MaxIdle = g.maxIdleConnections
-	g.paths = &paths.Paths{Table: &reach.Table{}, Meter: g.metrics, Log: g.logger(logging.Paths)}
+	g.paths = &paths.Paths{
+		Table: &reach.Table{}, Breaks: &reach.Breaks{}, Relays: &reach.Relays{}, Fleet: g.members, Targets: g.catalog,
+		Remote: func(address string) hookhall.Relay { return g.clients.Client(address) },
+		Probe:  g.adapters.Connections.Probe, CloseIdle: g.closeIdle, OnIsolated: g.setIsolated, Meter: g.metrics, Log: g.logger(logging.Paths),
+	}
 	g.adapters.Connections.Paths = g.paths
+	g.relayer = &paths.Relayer{
+		Paths: g.paths, Dial: g.adapters.Connections.DialForPeer, IsOverloaded: g.members.Lagging,
+		MaxConnections: int(relayMemoryShare * float64(config.Gateway.MemoryMB) * (1 << 20) / relayConnectionBytes),
+	}
 	g.catalog.OnRestart = func(before, after hookhall.Target) {
 		g.adapters.Connections.CloseIdle(before.Address)
 		g.advisories.Registry.TransferPause(before.Incarnation(), after.Incarnation(), clock.Now())
@@ -288,7 +304,7 @@
 	mux.HandleFunc("DELETE "+pathCrashes+"/{content}", g.serveRelease)
 	operatorServer := newServer(g.metricsListener, mux)
 	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0))
-	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Broadcaster: g.broadcaster})
+	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Broadcaster: g.broadcaster})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clientServer, readyServer, operatorServer, peerServer),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
@@ -372,6 +388,29 @@
 	g.log.Warn("stop period over with requests still in progress", "in_progress", remaining, "cut", cut, "after", clock.Since(stopStart))
 }
 
+// closeIdle closes the idle connections to an address, or all if it is "".
+func (g *Gateway) closeIdle(address string) {
+	if address == "" {
+		g.adapters.Connections.CloseAllIdle()
+		return
+	}
+	g.adapters.Connections.CloseIdle(address)
+}
+
+// setIsolated passes the ownership of shared work on while this gateway can't connect to targets,
+// and until cutOffHold after that.
+func (g *Gateway) setIsolated(isolated bool) {
+	if isolated {
+		go g.members.SetCutOff(context.Background(), true)
+		return
+	}
+	time.AfterFunc(cutOffHold, func() {
+		if !g.paths.Table.Isolated() {
+			g.members.SetCutOff(context.Background(), false)
+		}
+	})
+}
+
 // logSuspensions logs each suspension of the instance, until ctx ends.
 func (g *Gateway) logSuspensions(ctx context.Context) {
 	clock.WatchSuspensions(ctx, func(slept time.Duration) {
@@ -416,6 +455,7 @@
 			g.tracker.Prune(isKnown, now)
 			g.placementOwner.Prune(isKnown, now)
 			g.advisories.Registry.Prune(isKnown, now)
+			g.paths.Relays.Prune(now)
 			g.paths.Table.Prune(func(address string) bool { return g.catalog.ServiceAt(address) != "" })
 			paces.report(g.placementOwner.PoolPaces())
 		}
--- a/internal/app/gateway/state.go
+++ b/internal/app/gateway/state.go
@@ -29,7 +29,8 @@
 // that for request bodies. Pools has the latest known load of each stage pool by service,
 // Overloads how the queues of the pools that this gateway brokers deal with jobs that can't
 // start in time, and Admission the decisions that follow from the loads. Unreachable has the
-// targets that this gateway can't connect to, by address.
+// targets that this gateway can't connect to, by address, Isolated is whether it connects to all
+// through peers, and Relayed the number of connections that it relays for peers.
 type State struct {
 	Instance        string                    `json:"instance"`
 	Stopping        bool                      `json:"stopping"`
@@ -59,6 +60,8 @@
 	Overloads       map[string]batch.OverloadState `json:"overloads"`
 	Admission       forward.AdmissionStatus        `json:"admission"`
 	Unreachable     map[string]reach.Status        `json:"unreachable"`
+	Isolated        bool                           `json:"isolated"`
+	Relayed         int64                          `json:"relayed"`
 	Retries         budget.Status                  `json:"repeats"`
 	BufferedBytes   int64                          `json:"buffered_bytes"`
 	BodyBytes       int64                          `json:"body_bytes"`
@@ -78,6 +81,8 @@
 		Overloads:     g.broker.Overloads(),
 		Admission:     g.forwarder.Admission.Status(),
 		Unreachable:   g.paths.Table.Status(now),
+		Isolated:      g.paths.Table.Isolated(),
+		Relayed:       g.relayer.OpenCount(),
 		Retries:       g.forwarder.Budget.Status(now),
 		BufferedBytes: g.forwarder.Buffers.Held(),
 		BodyBytes:     g.bodyBudget.Held(),
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -159,6 +159,25 @@
 // TargetsUnreachable sets the number of targets that this process can't connect to.
 func (m *Metrics) TargetsUnreachable(n int) { m.scope.Gauge("targets_unreachable").Update(float64(n)) }
 
+// Isolated sets whether this process can't connect to any target.
+func (m *Metrics) Isolated(isolated bool) {
+	value := 0.0
+	if isolated {
+		value = 1
+	}
+	m.scope.Gauge("isolated").Update(value)
+}
+
+// RelayAsked counts a peer that was asked for a connection to a target, by outcome.
+func (m *Metrics) RelayAsked(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relays_asked").Inc(1)
+}
+
+// Relayed counts a connection to a target that a peer asked for, by outcome.
+func (m *Metrics) Relayed(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("relayed").Inc(1)
+}
+
 // RoleMoved counts a change of the owner of a role, by the list of gateways of this process that
 // it learned from source: the store or a peer.
 func (m *Metrics) RoleMoved(role, source string) {
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -183,6 +183,21 @@
 	return ""
 }
 
+// TargetAt returns the target that is listed with an address, which may be leaving or missing.
+func (c *Catalog) TargetAt(address string) (t hookhall.Target, ok bool) {
+	l, ok := c.listingsByAddress.Load(address)
+	if !ok {
+		return hookhall.Target{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entriesByKey[l.(listing).key]
+	if e == nil {
+		return hookhall.Target{}, false
+	}
+	return e.target, true
+}
+
 // HasEnded reports whether the list of targets shows that the incarnation of t has ended: t is
 // listed with another start time, or another target has its address.
 func (c *Catalog) HasEnded(t hookhall.Target) bool {
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/pkg/errors"
 )
 
 // attempt is one attempt to have a target answer the request, with its outcome.
@@ -55,6 +56,17 @@
 	}
 }
 
+// recordTruncated returns the error of an answer that ended with readErr, and records a failure of
+// the target unless the cause is this process's path to it.
+func (a *attempt) recordTruncated(what string, readErr error) *hookhall.Error {
+	failure := hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "%s: %v", what, readErr)
+	failure.OwnPath = errors.Is(readErr, hookhall.ErrOwnPath)
+	if !failure.OwnPath {
+		a.recordFailure(false)
+	}
+	return failure
+}
+
 // recordEnd records the end of the attempt.
 func (a *attempt) recordEnd() {
 	a.activeCall.End()
@@ -211,14 +223,14 @@
 	})
 	if err != nil {
 		a.err = hookhall.AsError(err)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !a.err.OwnPath {
 			a.recordFailure(true)
 		}
 		a.recordEnd()
 		return a
 	}
 	a.reply = reply
-	r.status = reply.Status
+	r.status, r.relay = reply.Status, reply.Relay
 	r.recordLoad(a)
 	if reply.Info.NotRun {
 		a.err = r.recordRefusal(a)
@@ -306,12 +318,13 @@
 	return true
 }
 
-// countFailure counts a missing or truncated answer for a rollout. After the end of ctx only a
+// countFailure counts a missing or truncated answer for a rollout, unless the cause is this
+// process's path to the target. After the end of ctx only a
 // missing answer counts, as slow, since its outcome is not known. A stream that was broken
 // off while the client did not read it does not count as a failure of its target.
 func (r *request) countFailure(ctx context.Context, a *attempt) {
 	switch {
-	case a.unread:
+	case a.unread, a.err.OwnPath:
 	case ctx.Err() == nil:
 		a.rolloutAttempt.Answered(clock.Since(a.began), true)
 	case a.reply == nil:
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -280,6 +280,9 @@
 		"stages_ms", r.stagesElapsed.Milliseconds(), "first_ms", r.firstByteElapsed.Milliseconds(), "gap_ms", r.maxEventGap.Milliseconds(),
 		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "status", r.status,
 	}
+	if r.relay != "" {
+		fields = append(fields, "relay", r.relay)
+	}
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
 	}
--- a/internal/coordination/forward/plain.go
+++ b/internal/coordination/forward/plain.go
@@ -103,8 +103,7 @@
 // error if the answer can't be used.
 func (r *request) checkAnswer(a *attempt, readErr error) *hookhall.Error {
 	if readErr != nil {
-		a.recordFailure(false)
-		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer was cut: %v", readErr)
+		return a.recordTruncated("the answer was cut", readErr)
 	}
 	if a.reply.Status < http.StatusMultipleChoices && !a.reply.Info.Sealed {
 		a.recordFailure(false)
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -76,6 +76,7 @@
 	target    hookhall.Target     // of the last attempt
 	placed    placement.Placement // of the next attempt; Target is "" if this process chose
 	status    int                 // of the last answer
+	relay     string              // address of the peer through which the last answer came, "" for none
 	// cutDetail says why an answer that was begun could not be completed.
 	cutDetail string
 	// steps are the stages in the order in which admission considers them, nil if it is not
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -127,7 +127,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil && !a.unread {
-				a.recordFailure(false)
+				return a.recordTruncated("the stream broke", err)
 			}
 			return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the stream broke: %v", err)
 		}
--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -1,19 +1,35 @@
 // Copyright 2026 The hookhall authors.
 // SPDX-License-Identifier: Apache-2.0
 
-// Package paths observes which targets this process can connect to.
 package paths
 
 import (
 	"context"
-	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/reach"
+	"github.com/pkg/errors"
+)
+
+const (
+	// hedgeDelay is how long a direct attempt may take before a relay is asked, too: some ten
+	// round trips between halls.
+	hedgeDelay = 100 * time.Millisecond
+	// maxHedgeLateness is how late the timer for that may fire. A process that lags is slow with
+	// every connection, and relays would only add to the load.
+	maxHedgeLateness = 30 * time.Millisecond
+	// probeTick is the interval at which due probes are looked for while there are any.
+	probeTick = 50 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 300 * time.Millisecond
 )
 
 // Meter counts connections to targets.
@@ -22,47 +38,258 @@
 	ConnectionFailed(kind string)
 	// TargetsUnreachable sets the number of targets that this process can't connect to.
 	TargetsUnreachable(n int)
+	// Isolated sets whether this process can't connect to any target.
+	Isolated(isolated bool)
+	// RelayAsked counts a peer that was asked for a connection; outcome is "connected" or a
+	// hookhall.RelayFailure.
+	RelayAsked(outcome string)
+	// Relayed counts a connection that this process was asked to relay, by the same outcomes.
+	Relayed(outcome string)
+}
+
+// Fleet lists the members.
+type Fleet interface {
+	// Self returns this process.
+	Self() hookhall.Member
+	// All returns all members, this process included. The caller must not change the slice.
+	All() []hookhall.Member
+	// Suspected reports whether a member did not answer lately.
+	Suspected(address string, now time.Time) bool
 }
 
-// Paths records which targets this process can connect to. Its fields are set before use; it
-// is safe for concurrent use.
+// Targets knows the targets by address.
+type Targets interface {
+	// TargetAt returns the target that is listed with an address.
+	TargetAt(address string) (t hookhall.Target, ok bool)
+}
+
+// Paths opens connections to targets. Its fields are set before use; it is safe for concurrent
+// use.
 type Paths struct {
-	Table *reach.Table
-	Meter Meter
-	Log   *log.Logger
+	Table   *reach.Table
+	Breaks  *reach.Breaks
+	Relays  *reach.Relays
+	Fleet   Fleet
+	Targets Targets
+	// Remote returns the client of the peer at address.
+	Remote func(address string) hookhall.Relay
+	// Probe opens a direct connection to an address and closes it. It fails if the connection is
+	// reset at once.
+	Probe func(ctx context.Context, address string) error
+	// CloseIdle closes the idle connections to an address, or to all if it is "".
+	CloseIdle func(address string)
+	// OnIsolated is called when an isolation begins or ends. It must not block; it may be nil.
+	OnIsolated func(isolated bool)
+	Meter      Meter
+	Log        *log.Logger
+
+	isProbing atomic.Bool
 }
 
-// Connect opens a connection to the target at address by direct.
-func (p *Paths) Connect(ctx context.Context, address string, direct func(context.Context) (net.Conn, error)) (net.Conn, error) {
-	c, err := direct(ctx)
-	now := clock.Now()
+// Connect opens a connection to the target at address for a request of the given urgency. direct
+// opens one from this process. The error means that nothing was sent.
+func (p *Paths) Connect(ctx context.Context, address string, urgency int, direct func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	if p.Table.Path(address, clock.Now()) == reach.Relayed {
+		c, err := p.relay(ctx, hookhall.RelayRequest{Address: address, Urgency: urgency})
+		if err == nil || ctx.Err() != nil || p.Table.Isolated() {
+			return c, err
+		}
+	}
+	return p.connectHedged(ctx, address, urgency, direct)
+}
+
+// relayResult is the outcome of a connection that a relay was asked for.
+type relayResult struct {
+	conn net.Conn
+	err  error
+}
+
+// errNoHedge is the result of a hedge that asked no relay.
+var errNoHedge = errors.New("no relay was asked")
+
+// connectHedged opens a connection directly, or through a relay if that fails or is slow.
+func (p *Paths) connectHedged(ctx context.Context, address string, urgency int, direct func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	directCtx, cancelDirect := context.WithCancel(ctx)
+	defer cancelDirect()
+	relayCtx, cancelRelay := context.WithCancel(ctx)
+	defer cancelRelay()
+	hedged := make(chan relayResult, 1)
+	due := clock.Now().Add(hedgeDelay)
+	timer := time.AfterFunc(hedgeDelay, func() {
+		now := clock.Now()
+		if now.Sub(due) > maxHedgeLateness || !p.Table.MayRelay(address, now) {
+			hedged <- relayResult{nil, errNoHedge}
+			return
+		}
+		c, err := p.relay(relayCtx, hookhall.RelayRequest{Address: address, Urgency: urgency})
+		hedged <- relayResult{c, err}
+		if err == nil {
+			cancelDirect()
+		}
+	})
+	c, err := direct(directCtx)
+	wasHedged := !timer.Stop()
 	if err == nil {
-		if lost, wasLost := p.Table.Connected(address, now); wasLost {
-			p.Log.Info("target reachable again", "address", address, "lost", lost, "unreachable", p.Table.Count())
-			p.Meter.TargetsUnreachable(p.Table.Count())
+		if wasHedged {
+			cancelRelay()
+			go closeLate(hedged)
 		}
+		p.recordConnected(address)
 		return c, nil
 	}
+	var result relayResult
+	if wasHedged {
+		result = <-hedged
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
+		if result.conn != nil {
+			_ = result.conn.Close()
+		}
 		return nil, err
 	}
 	failure := failureOf(err)
+	p.recordFailed(address, failure, err)
+	if !wasHedged || errors.Is(result.err, errNoHedge) {
+		if !p.Table.MayRelay(address, clock.Now()) {
+			return nil, err
+		}
+		result.conn, result.err = p.relay(ctx, hookhall.RelayRequest{Address: address, Urgency: urgency, AwaitReset: failure == reach.Reset})
+	}
+	if result.err != nil {
+		return nil, err // the direct error says more
+	}
+	p.recordDetour(address, failure)
+	return result.conn, nil
+}
+
+// closeLate closes the connection of a relay that comes after the direct one.
+func closeLate(hedged <-chan relayResult) {
+	if r := <-hedged; r.conn != nil {
+		_ = r.conn.Close()
+	}
+}
+
+// recordConnected records a direct connection.
+func (p *Paths) recordConnected(address string) {
+	lost, returned := p.Table.Connected(address, clock.Now())
+	if lost > 0 {
+		p.Log.Info("target reachable again", "address", address, "lost", lost, "unreachable", p.Table.Count())
+		p.Meter.TargetsUnreachable(p.Table.Count())
+	}
+	if returned {
+		p.setIsolated(false)
+	}
+}
+
+// recordFailed records a direct connection that failed.
+func (p *Paths) recordFailed(address string, failure reach.Failure, err error) {
 	p.Meter.ConnectionFailed(string(failure))
-	if p.Table.Failed(address, failure, now) {
+	if p.Table.Failed(address, failure, clock.Now()) {
 		p.Log.Warn("target can't be connected to from this gateway", "address", address, "kind", failure, "unreachable", p.Table.Count(), "error", err.Error())
 		p.Meter.TargetsUnreachable(p.Table.Count())
 	}
-	return nil, err
 }
 
-// failureOf returns the kind of an error of a connection attempt.
+// recordDetour records that a relay reached a target that this process could not connect to, in the
+// given way. Idle connections over a path that answers nothing are closed; if new
+// connections are refused, those that are open may work.
+func (p *Paths) recordDetour(address string, failure reach.Failure) {
+	isolated := p.Table.RelayConnected(address, clock.Now())
+	if failure != reach.Refused {
+		p.CloseIdle(address)
+		if isolated {
+			p.CloseIdle("")
+		}
+	}
+	if isolated {
+		p.setIsolated(true)
+	}
+	p.startProbes()
+}
+
+// setIsolated reports the begin or the end of an isolation.
+func (p *Paths) setIsolated(isolated bool) {
+	if isolated {
+		p.Log.Warn("gateway can't reach targets that its peers reach; connecting through peers", "unreachable", p.Table.Count())
+	} else {
+		p.Log.Info("gateway reaches targets again; connecting directly", "unreachable", p.Table.Count())
+	}
+	p.Meter.Isolated(isolated)
+	if p.OnIsolated != nil {
+		p.OnIsolated(isolated)
+	}
+}
+
+// failureOf returns the kind of an error of a direct attempt. An attempt that was canceled because
+// a relay was faster counts as one without an answer.
 func failureOf(err error) reach.Failure {
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return reach.Refused
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled), errors.As(err, &timeout) && timeout.Timeout():
 		return reach.TimedOut
 	}
 	return reach.Reset
 }
+
+// startProbes probes targets while there are detours or an isolation.
+func (p *Paths) startProbes() {
+	if !p.isProbing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		for p.Table.NeedsProbes() {
+			p.probeNext()
+			retry.Sleep(context.Background(), probeTick)
+		}
+		p.isProbing.Store(false)
+		if p.Table.NeedsProbes() { // a detour that began before the flag was cleared
+			p.startProbes()
+		}
+	}()
+}
+
+// probeNext makes the next probe if one is due.
+func (p *Paths) probeNext() {
+	wasIsolated := p.Table.Isolated()
+	address, ok := p.Table.NextProbe(clock.Now())
+	if !ok {
+		if wasIsolated && !p.Table.Isolated() {
+			p.setIsolated(false) // no request has needed it lately
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if err := p.Probe(ctx, address); err != nil {
+		p.recordFailed(address, failureOf(err), err)
+		return
+	}
+	p.recordConnected(address)
+}
+
+// Answered records the answer of a target on a direct connection.
+func (p *Paths) Answered() { p.Breaks.Answered() }
+
+// Broke records that the direct connection to a target broke before its answer ended. It returns
+// true if the cause is this process's path.
+func (p *Paths) Broke(address string) (isOwnPath bool) {
+	return p.Breaks.Broke(address, clock.Now()) || p.Table.Isolated()
+}
+
+// ConfirmsRefusal reports whether peers, too, get a connection to a target refused that refused one
+// of this process. Without a peer that can tell, it is true only if there are no peers that
+// relay.
+func (p *Paths) ConfirmsRefusal(ctx context.Context, address string) bool {
+	c, err := p.relay(ctx, hookhall.RelayRequest{Address: address})
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	var failure *hookhall.RelayError
+	if !errors.As(err, &failure) {
+		return false
+	}
+	return failure.Failure == hookhall.RelayRefused || failure.Failure == hookhall.RelayUnsupported
+}
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -299,7 +299,8 @@
 	readTimer.Stop()
 	stallTimer.Stop()
 	cancel()
-	if err == nil || hookhall.AsError(err).Verdict != hookhall.NotRun {
+	isOwnPath := err != nil && hookhall.AsError(err).OwnPath
+	if err == nil || (hookhall.AsError(err).Verdict != hookhall.NotRun && !isOwnPath) {
 		rolloutAttempt.Answered(clock.Since(startedAt), err != nil || hasPieceError(results))
 	}
 	if err != nil {
@@ -312,7 +313,12 @@
 	if hasCrashed {
 		q.queue.TargetCrashed(b)
 	}
-	unwanted := q.queue.Done(b, results, clock.Now())
+	var unwanted []string
+	if isOwnPath {
+		q.queue.Withdraw(b) // the call says nothing about the target
+	} else {
+		unwanted = q.queue.Done(b, results, clock.Now())
+	}
 	q.activeCalls--
 	q.dispatchSoon()
 	waiting := q.queue.Waiting()
--- a/internal/state/reach/doc.go
+++ b/internal/state/reach/doc.go
@@ -1,12 +1,30 @@
 // Copyright 2026 The hookhall authors.
 // SPDX-License-Identifier: Apache-2.0
 
-// Package reach records which targets a process can connect to.
+// Package reach decides by which path a process connects to targets: directly, or through
+// another gateway, a relay.
 //
 // # Model
 //
-// A Table has a record of each target address that a direct connection could not be opened
-// to since the last one that was. Addresses without a record are reachable, as far as the
-// process knows. A failure shows only that this process can't reach the target: whether the
-// target is down, or the path of this process is broken, takes a second observer.
+// A failed connection shows only that this process can't reach a target. Whether the target is
+// down, or the path of this process is broken, takes a second observer: a relay that tries
+// the same target. A Table therefore tells three findings apart. A target without a record is
+// reachable. One that failed here and that a relay reached has a detour: requests use relays.
+// One that neither this process nor relays reach is down, and fails as it would without relays.
+//
+// A process is isolated once several targets in a row have a detour and no direct connection
+// was opened meanwhile. It then uses relays for all targets. Probes, which carry no request,
+// end a detour or an isolation; an isolation that returns soon takes more of them to end.
+//
+// A connection that breaks says less than one that can't be opened. Breaks counts the targets
+// whose connections broke with no answer from any target in between: many at a time are a
+// fault of this process's path.
+//
+// Relays ranks the peers that may be asked to relay.
+//
+// # Invariants
+//
+//   - One observer's failure alone never detours a target, and never isolates the process.
+//   - A detour and an isolation end only after a direct connection was opened, or when no
+//     request has used them for unusedLifetime.
 package reach
--- a/internal/state/reach/table.go
+++ b/internal/state/reach/table.go
@@ -19,21 +19,105 @@
 	TimedOut Failure = "timeout" // nothing answered
 )
 
-// Table records the targets that this process can't connect to, by address. The zero Table is
-// empty. It is safe for concurrent use.
+// Path is how a connection to a target is opened.
+type Path int
+
+// The paths.
+const (
+	Direct  Path = iota
+	Relayed      // through another gateway
+)
+
+const (
+	// isolationCount is how many targets in a row have to be unreachable for this process
+	// alone for it to be isolated.
+	isolationCount = 3
+	// evidenceLifetime is how long a detour counts for an isolation.
+	evidenceLifetime = 3 * time.Second
+	// downLifetime is how long no relay is asked for a target that relays did not reach.
+	downLifetime = time.Second
+	// minProbeInterval is the time until the first probe of a target with a detour. It doubles
+	// with each failed probe, up to maxProbeInterval.
+	minProbeInterval = 500 * time.Millisecond
+	maxProbeInterval = 4 * time.Second
+	// isolatedProbeInterval is the time between two probes, of any targets, while isolated.
+	isolatedProbeInterval = 250 * time.Millisecond
+	// minPasses is how many probes in a row have to succeed to end an isolation. An isolation
+	// that begins within flapTime of the last one's end takes twice as many as that, up to
+	// maxPasses.
+	minPasses = 2
+	maxPasses = 8
+	flapTime  = 10 * time.Second
+	// unusedLifetime is how long a detour or an isolation is kept that no request uses.
+	unusedLifetime = 10 * time.Second
+)
+
+// Table records the targets that this process can't connect to, by address, and decides whether
+// it is isolated. The zero Table is empty. It is safe for concurrent use.
 type Table struct {
-	// count is the number of records. Nothing is locked while it is 0.
-	count atomic.Int64
+	// active is the number of records, and one more while isolated. Nothing is locked while
+	// it is 0.
+	active atomic.Int64
 
 	mu        sync.Mutex
 	byAddress map[string]*record
+	// suspects are the targets that got a detour since the last direct connection, with the
+	// time of that.
+	suspects  map[string]time.Time
+	isolation isolation
 }
 
 // record is what is known of a target that could not be connected to.
 type record struct {
-	since    time.Time // first failure since the last connection
-	failure  Failure   // the latest
-	failures int
+	since         time.Time // first failure since the last connection
+	failedAt      time.Time // latest failure
+	failure       Failure   // the latest
+	failures      int
+	isDetoured    bool      // a relay has reached the target since
+	downAt        time.Time // when relays did not reach it either; zero if they did, or were not asked
+	usedAt        time.Time // when a request last needed the path
+	probeAt       time.Time
+	probeInterval time.Duration
+}
+
+// isolation is the state in which this process can't connect to any target.
+type isolation struct {
+	isActive bool
+	since    time.Time
+	endedAt  time.Time // of the last one; zero if there was none
+	// wanted are the targets that requests needed since, with the time of the last one.
+	wanted       map[string]time.Time
+	passes       int // probes in a row that succeeded
+	passesNeeded int
+	nextProbe    time.Time
+}
+
+// Path returns the path of a new connection to a target for a request.
+func (t *Table) Path(address string, now time.Time) Path {
+	if t.active.Load() == 0 {
+		return Direct
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isolation.isActive {
+		t.isolation.wanted[address] = now
+		return Relayed
+	}
+	r := t.byAddress[address]
+	if r == nil || !r.isDetoured {
+		return Direct
+	}
+	r.usedAt = now
+	return Relayed
+}
+
+// MayRelay reports whether relays may be asked for a target: none are for downLifetime after
+// they did not reach it.
+func (t *Table) MayRelay(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byAddress[address]
+	return r == nil || r.downAt.IsZero() || now.Sub(r.downAt) >= downLifetime
 }
 
 // Failed records that a direct connection to a target failed. It returns true for the first
@@ -41,44 +125,206 @@
 func (t *Table) Failed(address string, failure Failure, now time.Time) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.isolation.isActive {
+		t.isolation.passes = 0
+	}
 	r := t.byAddress[address]
 	if r == nil {
 		if t.byAddress == nil {
 			t.byAddress = map[string]*record{}
 		}
-		r = &record{since: now}
+		r = &record{since: now, probeInterval: minProbeInterval}
 		t.byAddress[address] = r
-		t.count.Add(1)
+		t.active.Add(1)
 		first = true
 	}
-	r.failure = failure
+	r.failure, r.failedAt = failure, now
 	r.failures++
 	return first
 }
 
-// Connected records a direct connection to a target. It returns the time since the first
-// failure before it, and false if there was none.
-func (t *Table) Connected(address string, now time.Time) (lost time.Duration, wasLost bool) {
-	if t.count.Load() == 0 {
+// Connected records a direct connection to a target. lost is the time since the first failure
+// before it, 0 if there was none, and returned is set if it ends an isolation.
+func (t *Table) Connected(address string, now time.Time) (lost time.Duration, returned bool) {
+	if t.active.Load() == 0 {
 		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	clear(t.suspects)
+	if r := t.byAddress[address]; r != nil {
+		lost = now.Sub(r.since)
+		t.remove(address)
+	}
+	if !t.isolation.isActive {
+		return lost, false
+	}
+	t.isolation.passes++
+	if t.isolation.passes < t.isolation.passesNeeded {
+		return lost, false
+	}
+	t.endIsolation(now)
+	return lost, true
+}
+
+// RelayConnected records that a relay has reached a target that this process could not connect
+// to. It returns true if this process is isolated from now on.
+func (t *Table) RelayConnected(address string, now time.Time) (isolated bool) {
+	if t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	r := t.byAddress[address]
 	if r == nil {
-		return 0, false
+		return false
+	}
+	r.downAt, r.usedAt = time.Time{}, now
+	if !r.isDetoured {
+		r.isDetoured, r.probeAt = true, now.Add(r.probeInterval)
+	}
+	if t.isolation.isActive {
+		return false
 	}
-	t.remove(address)
-	return now.Sub(r.since), true
+	if t.suspects == nil {
+		t.suspects = map[string]time.Time{}
+	}
+	t.suspects[address] = now
+	for suspect, at := range t.suspects {
+		if now.Sub(at) >= evidenceLifetime {
+			delete(t.suspects, suspect)
+		}
+	}
+	if len(t.suspects) < isolationCount {
+		return false
+	}
+	t.beginIsolation(now)
+	return true
+}
+
+// RelayFailed records that relays did not reach a target either.
+func (t *Table) RelayFailed(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.byAddress[address]; r != nil {
+		r.downAt, r.isDetoured = now, false
+		delete(t.suspects, address)
+	}
+}
+
+// beginIsolation begins an isolation. t.mu must be held.
+func (t *Table) beginIsolation(now time.Time) {
+	i := &t.isolation
+	needed := minPasses
+	if !i.endedAt.IsZero() && now.Sub(i.endedAt) < flapTime {
+		needed = min(2*i.passesNeeded, maxPasses)
+	}
+	*i = isolation{isActive: true, since: now, endedAt: i.endedAt, wanted: map[string]time.Time{}, passesNeeded: needed, nextProbe: now.Add(isolatedProbeInterval)}
+	for address, at := range t.suspects {
+		i.wanted[address] = at
+	}
+	t.active.Add(1)
+}
+
+// endIsolation ends the isolation. Detours stay for targets whose latest probe failed; for the
+// others requests try the direct path first. t.mu must be held.
+func (t *Table) endIsolation(now time.Time) {
+	for address, r := range t.byAddress {
+		if now.Sub(r.failedAt) >= time.Duration(t.isolation.passesNeeded+1)*isolatedProbeInterval {
+			t.remove(address)
+		}
+	}
+	t.isolation = isolation{endedAt: now, passesNeeded: t.isolation.passesNeeded}
+	t.active.Add(-1)
+}
+
+// Isolated reports whether this process can't connect to any target, as far as it knows.
+func (t *Table) Isolated() bool {
+	if t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isolation.isActive
+}
+
+// InDoubt reports whether this process can't connect to several targets, so that its own path may
+// be the cause.
+func (t *Table) InDoubt() bool {
+	if t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isolation.isActive || len(t.byAddress) >= isolationCount
+}
+
+// NextProbe returns a target to probe now, and false if none is due. It drops detours and
+// isolations that no request has used for unusedLifetime.
+func (t *Table) NextProbe(now time.Time) (address string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isolation.isActive {
+		return t.nextIsolatedProbe(now)
+	}
+	for a, r := range t.byAddress {
+		switch {
+		case !r.isDetoured || now.Before(r.probeAt):
+		case now.Sub(r.usedAt) >= unusedLifetime:
+			t.remove(a)
+		default:
+			r.probeAt = now.Add(r.probeInterval)
+			r.probeInterval = min(2*r.probeInterval, maxProbeInterval)
+			return a, true
+		}
+	}
+	return "", false
+}
+
+// nextIsolatedProbe is NextProbe while isolated: any of the targets that requests have
+// needed, in the random order of the map. t.mu must be held.
+func (t *Table) nextIsolatedProbe(now time.Time) (address string, ok bool) {
+	i := &t.isolation
+	if now.Before(i.nextProbe) {
+		return "", false
+	}
+	i.nextProbe = now.Add(isolatedProbeInterval)
+	for address, usedAt := range i.wanted {
+		if now.Sub(usedAt) < unusedLifetime {
+			return address, true
+		}
+		delete(i.wanted, address)
+	}
+	t.endIsolation(now)
+	return "", false
+}
+
+// NeedsProbes reports whether there are detours or an isolation.
+func (t *Table) NeedsProbes() bool {
+	if t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isolation.isActive {
+		return true
+	}
+	for _, r := range t.byAddress {
+		if r.isDetoured {
+			return true
+		}
+	}
+	return false
 }
 
 // remove removes the record of an address that has one. t.mu must be held.
 func (t *Table) remove(address string) {
 	delete(t.byAddress, address)
-	t.count.Add(-1)
+	delete(t.suspects, address)
+	t.active.Add(-1)
 }
 
-// Prune removes the records of addresses for which isKnown returns false.
+// Prune removes what is recorded of addresses for which isKnown returns false.
 func (t *Table) Prune(isKnown func(address string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,16 +333,26 @@
 			t.remove(address)
 		}
 	}
+	for address := range t.isolation.wanted {
+		if !isKnown(address) {
+			delete(t.isolation.wanted, address)
+		}
+	}
 }
 
 // Count returns the number of targets that this process can't connect to.
-func (t *Table) Count() int { return int(t.count.Load()) }
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byAddress)
+}
 
 // Status is what is known of a target that could not be connected to.
 type Status struct {
 	ForMS    int64   `json:"for_ms"` // since the first failure
 	Failures int     `json:"failures"`
-	Failure  Failure `json:"failure"` // the latest
+	Failure  Failure `json:"failure"`  // the latest
+	Detoured bool    `json:"detoured"` // requests reach it through relays
 }
 
 // Status returns the records by address.
@@ -105,7 +361,7 @@
 	defer t.mu.Unlock()
 	list := map[string]Status{}
 	for address, r := range t.byAddress {
-		list[address] = Status{now.Sub(r.since).Milliseconds(), r.failures, r.failure}
+		list[address] = Status{now.Sub(r.since).Milliseconds(), r.failures, r.failure, r.isDetoured}
 	}
 	return list
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -59,6 +59,8 @@
 	Broker *stages.Broker
 	// PlacementOwner chooses targets for the services whose placement this process owns.
 	PlacementOwner *placement.Owner
+	// Relayer connects peers to targets.
+	Relayer Relayer
 	// Broadcaster has the catalog and the other state that peers read and update.
 	Broadcaster *Broadcaster
 }
--- /dev/null
+++ b/internal/transport/fleet/relay_test.go
@@ -0,0 +1,201 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"google.golang.org/grpc"
+)
+
+// directRelayer connects to the address in a request without any check.
+type directRelayer struct{}
+
+func (directRelayer) Open(ctx context.Context, r hookhall.RelayRequest, _ string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.Address)
+	if err != nil {
+		return nil, &hookhall.RelayError{Failure: hookhall.RelayRefused, Detail: err.Error()}
+	}
+	return c, nil
+}
+
+// startRelay starts a process that relays, and returns a client of it.
+func startRelay(t *testing.T, server pb.FleetServer) (*Client, *grpc.Server) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	pb.RegisterFleetServer(s, server)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	return NewClients(log.New(io.Discard)).Client(l.Addr().String()), s
+}
+
+// startTarget starts a target that serves each connection by f, and returns its address.
+func startTarget(t *testing.T, f func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); f(c.(*net.TCPConn)) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// openThrough opens a connection to a target through a peer.
+func openThrough(t *testing.T, client *Client, address string) net.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c, err := client.Relay(ctx, hookhall.RelayRequest{Address: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestRelayedBytes checks that the bytes of both directions pass unchanged, and that the end of the
+// target's does.
+func TestRelayedBytes(t *testing.T) {
+	sent := strings.Repeat("0123456789abcdef", 20000)
+	address := startTarget(t, func(c *net.TCPConn) {
+		b := make([]byte, len(sent))
+		if _, err := io.ReadFull(c, b); err == nil {
+			_, _ = c.Write(b)
+		}
+	})
+	client, _ := startRelay(t, &Server{Relayer: directRelayer{}})
+	c := openThrough(t, client, address)
+	if _, err := io.WriteString(c, sent); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if err != nil || string(got) != sent {
+		t.Errorf("got %d bytes, %v", len(got), err)
+	}
+}
+
+// TestRelayedTruncation guards against an answer without a length that looks complete, though the
+// target broke it off or the relay was lost.
+func TestRelayedTruncation(t *testing.T) {
+	const part = "the first part"
+	t.Run("the target resets", func(t *testing.T) {
+		proceed := make(chan struct{})
+		address := startTarget(t, func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, part)
+			<-proceed
+			_ = c.SetLinger(0)
+		})
+		client, _ := startRelay(t, &Server{Relayer: directRelayer{}})
+		c := openThrough(t, client, address)
+		readPart(t, c, part)
+		close(proceed)
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) || errors.Is(err, hookhall.ErrOwnPath) {
+			t.Errorf("%v", err)
+		}
+	})
+	t.Run("the relay is lost", func(t *testing.T) {
+		address := startTarget(t, func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, part)
+			_, _ = io.Copy(io.Discard, c)
+		})
+		client, server := startRelay(t, &Server{Relayer: directRelayer{}})
+		c := openThrough(t, client, address)
+		readPart(t, c, part)
+		server.Stop()
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, hookhall.ErrOwnPath) {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// readPart reads the text that a target has sent so far.
+func readPart(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	b := make([]byte, len(want))
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != want {
+		t.Fatalf("%q, %v", b, err)
+	}
+}
+
+// TestRelayedClose guards against targets that work on for a client that has left: a connection that
+// is closed here is closed at the target within half a second, also while the target sends.
+func TestRelayedClose(t *testing.T) {
+	for name, sends := range map[string]bool{"silent target": false, "sending target": true} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			address := startTarget(t, func(c *net.TCPConn) {
+				defer close(ended)
+				if !sends {
+					_, _ = io.Copy(io.Discard, c)
+					return
+				}
+				for {
+					if _, err := c.Write(make([]byte, 4096)); err != nil {
+						return
+					}
+				}
+			})
+			client, _ := startRelay(t, &Server{Relayer: directRelayer{}})
+			_ = openThrough(t, client, address).Close()
+			select {
+			case <-ended:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the connection to the target is open")
+			}
+		})
+	}
+}
+
+// TestRelayFailures checks what a caller learns of a connection that was not opened.
+func TestRelayFailures(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	check := func(t *testing.T, client *Client, want hookhall.RelayFailure) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		_, err := client.Relay(ctx, hookhall.RelayRequest{Address: closed.Addr().String()})
+		var failure *hookhall.RelayError
+		if !errors.As(err, &failure) || failure.Failure != want {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	t.Run("the target refuses the peer", func(t *testing.T) {
+		client, _ := startRelay(t, &Server{Relayer: directRelayer{}})
+		check(t, client, hookhall.RelayRefused)
+	})
+	t.Run("a peer of an earlier version", func(t *testing.T) {
+		client, _ := startRelay(t, pb.UnimplementedFleetServer{})
+		check(t, client, hookhall.RelayUnsupported)
+	})
+	t.Run("a peer that is gone", func(t *testing.T) {
+		check(t, NewClients(log.New(io.Discard)).Client(closed.Addr().String()), hookhall.RelayLost)
+	})
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -41,6 +41,7 @@
 	idleSince    time.Time     // start of the current idle time; zero before the end of the first request
 	idleTimeout  time.Duration // how long it may be reused while idle
 	dialDuration time.Duration // time taken to connect
+	relay        string        // address of the peer that it passes through, "" for none; such a connection carries one request
 }
 
 // newConn returns a conn over c.
@@ -123,6 +124,7 @@
 // answerBody is the body of an answer. When it ends, finish keeps or closes the connection.
 type answerBody struct {
 	io.Reader
+	mark   func(error) error   // adds to an error of a read what is known of its cause
 	finish func(complete bool) // complete: the body was read to its end
 	done   bool                // finish was called
 }
@@ -130,6 +132,9 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF && !b.done {
+		err = b.mark(err)
+	}
 	if err != nil {
 		b.finishOnce(err == io.EOF)
 	}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -42,6 +42,8 @@
 	maxSkippedAnswers = 4
 	// maxSkippedBytes bounds the bytes read of the body of one skipped answer.
 	maxSkippedBytes = 1 << 20
+	// unknownRelay stands for a relay that does not state its address.
+	unknownRelay = "unknown"
 )
 
 // Pool holds the connections of one process to targets. Its methods may be called
@@ -53,8 +55,8 @@
 	MaxIdle func(address string) int
 	// Dial opens a TCP connection; NewPool sets it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Paths is told of each connection that is opened or can't be; nil for none. It must be
-	// set before the first request.
+	// Paths opens the connections; nil opens all of them directly. It must be set before the
+	// first request.
 	Paths Paths
 
 	mu                 sync.Mutex
@@ -64,10 +66,18 @@
 	dials              atomic.Int64
 }
 
-// Paths opens connections to targets.
+// Paths opens connections to targets, directly or through peers.
 type Paths interface {
-	// Connect opens a connection to the target at address. direct opens one from this process.
-	Connect(ctx context.Context, address string, direct func(context.Context) (net.Conn, error)) (net.Conn, error)
+	// Connect opens a connection to the target at address, for a request of the given urgency.
+	// direct opens one from this process. The error means that nothing was sent.
+	Connect(ctx context.Context, address string, urgency int, direct func(context.Context) (net.Conn, error)) (net.Conn, error)
+	// Answered records the answer of a target on a direct connection.
+	Answered()
+	// Broke records that a direct connection broke before its answer ended, and returns true
+	// if the cause is this process's path to the target.
+	Broke(address string) (isOwnPath bool)
+	// ConfirmsRefusal reports whether peers, too, get a connection to an address refused.
+	ConfirmsRefusal(ctx context.Context, address string) bool
 }
 
 // NewPool returns a Pool without connections.
@@ -94,6 +104,8 @@
 	Matches func(status int, h http.Header) bool
 	// NewConnection requires a new connection instead of a kept one.
 	NewConnection bool
+	// Urgency is the rank of the request, 0 for the most urgent.
+	Urgency int
 }
 
 // Response is an answer whose head has been received.
@@ -102,6 +114,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not announced.
 	Length int64
+	// Relay is the address of the peer through which the target was reached, "" for none.
+	Relay string
 	// Body must be closed. An answer that was cut ends with an error other than io.EOF.
 	Body io.ReadCloser
 }
@@ -163,6 +177,18 @@
 	delete(p.idleByAddress, address)
 }
 
+// CloseAllIdle closes the idle connections to all addresses.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.idleByAddress {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	clear(p.idleByAddress)
+}
+
 // Sweep closes the idle connections that are not reusable at now, and drops the records of
 // requests and resets that have expired. It must be called regularly.
 func (p *Pool) Sweep(now time.Time) {
@@ -201,11 +227,11 @@
 }
 
 // open opens a new connection for a request.
-func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) open(ctx context.Context, address string, urgency int) (*conn, error) {
 	if p.Paths == nil {
 		return p.openDirect(ctx, address)
 	}
-	c, err := p.Paths.Connect(ctx, address, func(ctx context.Context) (net.Conn, error) {
+	c, err := p.Paths.Connect(ctx, address, urgency, func(ctx context.Context) (net.Conn, error) {
 		c, err := p.openDirect(ctx, address)
 		if err != nil {
 			return nil, err // not c, whose nil pointer would be a non-nil net.Conn
@@ -215,15 +241,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.(*conn), nil
+	if direct, ok := c.(*conn); ok {
+		return direct, nil
+	}
+	relayed := newConn(c, address)
+	relayed.relay = unknownRelay
+	if r, ok := c.(interface{ Relay() string }); ok {
+		relayed.relay = r.Relay()
+	}
+	return relayed, nil
 }
 
 // openDirect opens a new connection from this process. If the target has recently reset one, it
 // first waits for a reset: one that arrives before the request is written proves that nothing
 // has run.
 func (p *Pool) openDirect(ctx context.Context, address string) (*conn, error) {
+	return p.dialAwaitingReset(ctx, address, p.recentlyReset(address, clock.Now()))
+}
+
+// dialAwaitingReset opens a connection, and then waits for a reset if awaitReset is set.
+func (p *Pool) dialAwaitingReset(ctx context.Context, address string, awaitReset bool) (*conn, error) {
 	c, err := p.dial(ctx, address)
-	if err != nil || !p.recentlyReset(address, clock.Now()) {
+	if err != nil || !awaitReset {
 		return c, err
 	}
 	if err := c.awaitReset(min(c.dialDuration+resetWaitMargin, maxResetWait)); err != nil {
@@ -234,6 +273,34 @@
 	return c, nil
 }
 
+// DialForPeer opens a direct connection for the use of a peer. If awaitReset is set it fails if
+// the connection is reset at once.
+func (p *Pool) DialForPeer(ctx context.Context, address string, awaitReset bool) (net.Conn, error) {
+	c, err := p.dialAwaitingReset(ctx, address, awaitReset)
+	if err != nil {
+		return nil, err
+	}
+	return &peekedConn{Conn: c.Conn, reader: c.reader}, nil
+}
+
+// peekedConn is a connection whose first bytes may be in a buffer.
+type peekedConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *peekedConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
+
+// Probe opens a direct connection to an address, waits for a reset, and closes it.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dialAwaitingReset(ctx, address, true)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // recentlyReset reports whether a target has reset a new connection within
 // resetWatchDuration.
 func (p *Pool) recentlyReset(address string, now time.Time) bool {
@@ -250,12 +317,12 @@
 	p.lastResetByAddress[address] = now
 }
 
-// Refuses implements hookhall.Prober. It reports whether an address refuses a connection;
-// one that opens is closed at once.
+// Refuses implements hookhall.Prober. It reports whether an address refuses a connection of this
+// process, and one of a peer that reaches targets; one that opens is closed at once.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED) && (p.Paths == nil || p.Paths.ConfirmsRefusal(ctx, address))
 	}
 	_ = c.Close() // only opening it mattered
 	return false
@@ -270,7 +337,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = p.open(ctx, r.Address); err != nil {
+		if c, err = p.open(ctx, r.Address, r.Urgency); err != nil {
 			return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseConnection, "connect: %v", err)
 		}
 	}
@@ -294,18 +361,21 @@
 		stop()
 		_ = c.Close()
 		<-writeResult
-		if c.idleSince.IsZero() && errors.Is(err, syscall.ECONNRESET) {
+		if c.idleSince.IsZero() && c.relay == "" && errors.Is(err, syscall.ECONNRESET) {
 			p.recordReset(r.Address, clock.Now())
 		}
-		if !r.NewConnection && !errors.Is(ctx.Err(), context.Canceled) {
+		if !r.NewConnection && c.relay == "" && !errors.Is(ctx.Err(), context.Canceled) {
 			p.CloseIdle(r.Address)
 		}
-		return nil, headError(ctx, c, err)
+		return nil, headError(ctx, c, p.markOwnPath(ctx, c, err))
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength}
-	resp.Body = &answerBody{Reader: head.Body, finish: func(complete bool) {
+	if p.Paths != nil && c.relay == "" {
+		p.Paths.Answered()
+	}
+	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Relay: c.relay}
+	resp.Body = &answerBody{Reader: head.Body, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
-		if !complete || !active || head.Close || !requestWritten(writeResult) || c.reader.Buffered() > 0 || !selfDelimited(head) {
+		if c.relay != "" || !complete || !active || head.Close || !requestWritten(writeResult) || c.reader.Buffered() > 0 || !selfDelimited(head) {
 			_ = c.Close()
 			return
 		}
@@ -320,6 +390,26 @@
 	return resp, nil
 }
 
+// markOwnPath returns the error of a read from c, marked with hookhall.ErrOwnPath if the cause is
+// this process's path to the target. It is not called for connections that this process closed.
+func (p *Pool) markOwnPath(ctx context.Context, c *conn, err error) error {
+	var misdirected *hookhall.Error
+	switch {
+	case p.Paths == nil, ctx.Err() != nil, c.relay != "", errors.As(err, &misdirected), !p.Paths.Broke(c.address):
+		return err
+	}
+	return &ownPathError{err}
+}
+
+// ownPathError is an error that hookhall.ErrOwnPath marks.
+type ownPathError struct{ error }
+
+// Is makes errors.Is match hookhall.ErrOwnPath.
+func (e *ownPathError) Is(target error) bool { return target == hookhall.ErrOwnPath }
+
+// Unwrap returns the error of the connection.
+func (e *ownPathError) Unwrap() error { return e.error }
+
 // selfDelimited reports whether the framing of an answer marks its end, so that the end
 // of the connection is not needed.
 func selfDelimited(r *http.Response) bool {
@@ -391,5 +481,7 @@
 	if ctx.Err() != nil {
 		cause = hookhall.CauseCanceled
 	}
-	return hookhall.Errorf(verdict, cause, "no answer: %v", err)
+	failure := hookhall.Errorf(verdict, cause, "no answer: %v", err)
+	failure.OwnPath = errors.Is(err, hookhall.ErrOwnPath)
+	return failure
 }
--- a/verdict.go
+++ b/verdict.go
@@ -96,6 +96,9 @@
 	Cost []StageCost
 	// Leaving is set when a target refused because it is leaving.
 	Leaving bool
+	// OwnPath is set if the connection broke because of this process's path to the target, as
+	// far as it knows: the error says nothing about the target.
+	OwnPath bool
 }
 
 // Error implements error.
