sockets: a target may be silent for seconds

What callers saw: a request was lost at a sound target that was silent for more than 1.4 s, with the verdict may-have-run.

Cause: TCP_USER_TIMEOUT of 1.5 s. On Linux it also decides when keep-alive probes give up, at the first probe after it (2 s here, whatever the count), and a retransmission that would be due later is not sent: the last one before is 1.4 s after the bytes. Connections to targets now allow 3.5 s of silence, so that the retransmission after 3 s is made. Peers and the store keep 1.5 s; their calls are bounded below that and repeated. gRPC sets the option only with keep-alive parameters, which are not used.

TestSilentForASecond (1.8 s, by a socket filter that drops all that arrives, before the request arrives and while the answer is awaited) failed in both cases after 1.9 and 2.1 s. TestDeadTargetIsNoticed: a silent target is given up within the silence and one probe interval.

Ruled out: 2.5 s, which keeps waiting answers but loses unacknowledged bytes (failed after 2.9 s).

--- a/internal/transport/fleet/clients.go
+++ b/internal/transport/fleet/clients.go
@@ -121,7 +121,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
 		grpc.WithConnectParams(reconnectParams), grpc.WithIdleTimeout(idleTimeout), grpc.WithNoProxy(),
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
-			return sockets.Dialer(connectTimeout).DialContext(ctx, "tcp", a)
+			return sockets.Dialer(connectTimeout, sockets.ServiceSilence).DialContext(ctx, "tcp", a)
 		}),
 		grpc.WithDisableServiceConfig(), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
 	if err != nil {
