advisory: give brittle targets no more than they have room for

What callers saw: targets that announce Server-Brittle: N fall over when they have to reject more than N requests in a second, and take their requests with them. Four targets of four slots that let none wait, 320 requests a second possible and 500 sent for 5 s: 28 falls (2 are allowed) and none of 2,500 served by three gateways, the same by nine.

Cause: the field was not read. A gateway takes a target that refuses for one to try again after 30 ms, and if all refuse, it ignores that.

The announcement is an advisory like a rate limit: typed, of one incarnation, ended by the answer to a later call without it, broadcast and reported with placements. While a target is brittle it gets no more requests at a time than it has slots, by the placement owner for the whole fleet, or by each gateway up to its share if the owner does not answer. A request without room asks again up to three times, then is refused with a time to come back.

Ruled out: a share of the slots for each gateway alone, which leaves slots unused where loads differ.

--- a/advisory.go
+++ b/advisory.go
@@ -15,6 +15,11 @@
 	// Limit is the rate limit in requests per second, for all instances together. It is
 	// not negative.
 	Limit float64
+	// Brittle is set when the target announces that it fails if it has to reject more than
+	// MaxRejections requests in a second, of all instances together, because it is full.
+	Brittle bool
+	// MaxRejections is not negative.
+	MaxRejections float64
 	// Pause is how long this instance should send the target no requests, 0 for no pause.
 	Pause time.Duration
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -276,8 +276,9 @@
 		ColdShare: func(target string, service *hookhall.Service) int {
 			return g.coldShare(target, coldLimits.MaxDirectSenders(service))
 		},
-		HallsIn: g.hallsIn,
-		Meter:   g.metrics, Log: g.logger(logging.Forward),
+		SlotShare: g.slotShare,
+		HallsIn:   g.hallsIn,
+		Meter:     g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.bodyBudget = g.memoryBudget(requestBodiesShare)
 	g.app = g.newApp()
--- a/internal/app/gateway/shares.go
+++ b/internal/app/gateway/shares.go
@@ -24,6 +24,12 @@
 	return 0
 }
 
+// slotShare returns how many of a number of slots of a target this process may use without the
+// placement owner.
+func (g *Gateway) slotShare(slots int, target string) int {
+	return g.quotaPosition(clock.Now()).Share(slots, target)
+}
+
 // nonOwnerShare is the fraction of a target's rate limit that an instance grants if it is
 // not the owner by its own list of members. A request for a grant then shows that its list
 // or that of the sender is out of date. It is below 1 because the owner grants the whole
--- a/internal/coordination/advisories/advisories.go
+++ b/internal/coordination/advisories/advisories.go
@@ -26,6 +26,8 @@
 	KindLeaving = "leaving"  // the target announced that it is leaving
 	KindLimit   = "limit"    // its rate limit began, or changed by more than a tenth
 	KindNoLimit = "no-limit" // its rate limit ended
+	KindBrittle = "brittle"  // it announced that it fails if it rejects too much, or another bound
+	KindSturdy  = "sturdy"   // it no longer does
 	KindPause   = "pause"    // it asked this instance to pause
 )
 
@@ -64,7 +66,7 @@
 	c := s.Registry.Record(t.Incarnation(), a, sent, clock.Now())
 	s.apply(t, c, fromAnswer)
 	if c.Notify {
-		s.enqueue(advisory.Report{Target: t, Leaving: c.After.Leaving, Limit: c.After.Limit})
+		s.enqueue(advisory.Report{Target: t, Leaving: c.After.Leaving, Limit: c.After.Limit, Brittle: c.After.Brittle})
 	}
 }
 
@@ -81,7 +83,7 @@
 	return fresh
 }
 
-// All returns reports of all targets that are leaving or limited.
+// All returns reports of all targets that are leaving, limited or brittle.
 func (s *Advisories) All() []advisory.Report { return s.Registry.All() }
 
 // enqueue adds a report to the next broadcast, in place of an earlier one of the same
@@ -127,6 +129,14 @@
 		s.Log.Info("target asked this instance to pause", "target", t.ID, "service", t.Pool, "born", t.Start, "pause", clock.Until(after.PausedUntil), "from", from)
 		s.Meter.Advised(t.Pool, KindPause)
 	}
+	switch b, n := before.Brittle, after.Brittle; {
+	case n.Named && (!b.Named || c.Notify):
+		s.Log.Info("target is brittle: it fails if it rejects too much", "target", t.ID, "service", t.Pool, "born", t.Start, "max_rejections", n.MaxRejections, "age", clock.Since(n.Heard), "from", from)
+		s.Meter.Advised(t.Pool, KindBrittle)
+	case b.Named && !n.Named:
+		s.Log.Info("target is no longer brittle", "target", t.ID, "service", t.Pool, "born", t.Start, "age", clock.Since(n.Heard), "from", from)
+		s.Meter.Advised(t.Pool, KindSturdy)
+	}
 	switch b, n := before.Limit, after.Limit; {
 	case n.Named && (!b.Named || c.Notify):
 		s.Log.Info("target set a rate limit", "target", t.ID, "service", t.Pool, "born", t.Start, "limit", n.Rate, "before", b.Rate, "age", clock.Since(n.Heard), "from", from)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -99,8 +99,8 @@
 }
 
 // pickTarget returns the next target, or the reason why there is none. Engines, cold targets,
-// and targets of services of which some have a rate limit, are chosen by the service's
-// placement owner, if it answers; otherwise this process chooses.
+// and targets of services of which some have a rate limit or are brittle, are chosen by the
+// service's placement owner, if it answers; otherwise this process chooses.
 func (r *request) pickTarget(ctx context.Context) (hookhall.Target, *hookhall.Error) {
 	r.criteria.LatencyBudget = max(clock.Until(r.firstByteDue), 0)
 	r.placed = placement.Placement{}
@@ -108,16 +108,25 @@
 		r.criteria.Versions = r.Rollouts.Versions(r.service, r.attempts == 0)
 		targets := r.Catalog.Targets(r.service)
 		pauseLeft := r.exclude(targets)
-		limits, limited := r.Advisories.Reports(targets, clock.Now())
-		r.criteria.Limiter = nil
+		limits, limited, brittle := r.Advisories.Reports(targets, clock.Now())
+		r.criteria.Limiter, r.criteria.Rooms = nil, nil
+		if brittle {
+			r.criteria.Rooms = advisory.Rooms{Registry: r.Advisories, Share: r.SlotShare}
+		}
 		if limited {
 			// Only the placement owner grants the rates of limited targets.
 			r.criteria.Limiter = advisory.Grants{Registry: r.Advisories}
 		}
-		if r.criteria.IsEngineCall || limited || allCold(targets, clock.Now()) {
+		if r.criteria.IsEngineCall || limited || brittle || allCold(targets, clock.Now()) {
 			if target, ok := r.requestPlacement(ctx, limits); ok {
 				return target, nil
 			}
+			if r.placed.Full {
+				if r.awaitRoom(ctx) {
+					continue
+				}
+				return hookhall.Target{}, r.noRoom(ctx)
+			}
 			targets = r.Catalog.Targets(r.service) // the list may have changed during the call
 			pauseLeft = r.exclude(targets)
 		}
@@ -135,6 +144,39 @@
 	}
 }
 
+const (
+	// maxRoomWaits is how often a request asks again for the room of brittle targets.
+	maxRoomWaits = 3
+	// maxRoomWait bounds one of these waits.
+	maxRoomWait = 60 * time.Millisecond
+	// roomWaitShare is the part of the time until its latency target that a request may wait.
+	roomWaitShare = 0.5
+	// minRoomRetryAfter is the shortest delay after which a client should retry that was refused
+	// for lack of room.
+	minRoomRetryAfter = 100 * time.Millisecond
+)
+
+// awaitRoom waits until a brittle target may have room. It returns false if the request should
+// not wait any longer.
+func (r *request) awaitRoom(ctx context.Context) bool {
+	wait := min(r.placed.RetryAfter, maxRoomWait)
+	if r.roomWaits >= maxRoomWaits || wait > time.Duration(roomWaitShare*float64(r.criteria.LatencyBudget)) {
+		return false
+	}
+	r.roomWaits++
+	r.criteria.LatencyBudget = max(clock.Until(r.firstByteDue), 0)
+	return retry.Sleep(ctx, retry.Jitter(wait))
+}
+
+// noRoom returns the refusal of a request for which brittle targets have no room.
+func (r *request) noRoom(ctx context.Context) *hookhall.Error {
+	if ctx.Err() != nil {
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseCanceled, "the client has gone before a target had room")
+	}
+	failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "the targets of %s are brittle and have no room", r.service)
+	return failure.WithRetryAfter(max(retry.Jitter(2*r.placed.RetryAfter), minRoomRetryAfter))
+}
+
 // exclude excludes the targets in r.tried and those that asked for a pause. It returns the time
 // until the first pause ends, 0 if none pauses.
 func (r *request) exclude(targets []hookhall.Target) (pauseLeft time.Duration) {
@@ -190,7 +232,7 @@
 		return target, true
 	}
 	r.placed.Report(placement.Ended) // this process does not know the target, or may not use it now
-	r.placed = placement.Placement{Choice: placement.Choice{RetryAfter: r.placed.RetryAfter}}
+	r.placed = placement.Placement{Choice: placement.Choice{RetryAfter: r.placed.RetryAfter, Full: r.placed.Full}}
 	return hookhall.Target{}, false
 }
 
@@ -295,6 +337,9 @@
 	}
 	a.activeCall.Refused(now)
 	a.placed.Report(placement.AtCapacity)
+	if a.placed.Target == "" {
+		r.Advisories.RecordRejection(r.target.Incarnation(), now)
+	}
 	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseRefused, "the target refused with status %d", a.reply.Status)
 }
 
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -133,6 +133,9 @@
 	// ColdShare returns how many requests this process may send to a cold target of a service in
 	// any second without the placement owner.
 	ColdShare func(target string, s *hookhall.Service) int
+	// SlotShare returns the part of a number of slots of a brittle target that this process may
+	// use without the placement owner.
+	SlotShare func(slots int, target string) int
 	// HallsIn returns the halls of regions.
 	HallsIn func(regions []string) []string
 	Meter   Meter
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -72,6 +72,8 @@
 	retryWait      time.Duration
 	// limitWait is how long the request waited for targets with rate limits.
 	limitWait time.Duration
+	// roomWaits is how often the request waited for room of brittle targets.
+	roomWaits int
 	runs      int                 // attempts whose target may have run the request
 	target    hookhall.Target     // of the last attempt
 	placed    placement.Placement // of the next attempt; Target is "" if this process chose
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -21,6 +21,8 @@
 	// maxRunTime is the time after which a request counts as ended, as the note that reports
 	// it must have been lost. It is the longest deadline that clients use.
 	maxRunTime = 20 * time.Second
+	// minFullWait is the shortest time after which a request that found no room tries again.
+	minFullWait = 10 * time.Millisecond
 )
 
 // NoteKind is the kind of an event of a placed request.
@@ -74,8 +76,10 @@
 
 // placedRequest is a request whose end was not reported yet.
 type placedRequest struct {
-	activeCall *balance.ActiveCall
-	placedAt   time.Time
+	activeCall  *balance.ActiveCall
+	service     string
+	incarnation hookhall.Incarnation // of its target
+	placedAt    time.Time
 }
 
 // NewOwner returns an Owner without recorded load and without rate limits. Cold targets get
@@ -101,15 +105,20 @@
 	// rate limit.
 	Wait time.Duration
 	// RetryAfter is how long it takes until a target accepts another request, if only rate
-	// limits keep all targets from accepting one now; 0 if that is not known.
+	// limits or the room of brittle targets keep all from accepting one now; 0 if that is not
+	// known.
 	RetryAfter time.Duration
+	// Full is set if there is no target because brittle ones have no room. The caller must not
+	// choose one itself.
+	Full bool
 }
 
 // Place chooses a target and counts the request there. ticket identifies the request in
 // later notes; it must be unique in the fleet.
 func (o *Owner) Place(ticket, service string, criteria balance.Criteria) Choice {
 	now := clock.Now()
-	criteria.Limiter = o.Grants(service)
+	grants := o.Grants(service)
+	criteria.Limiter, criteria.Rooms = grants, rooms(grants)
 	if table := o.directory.Table(); table != nil {
 		if spec := table.Service(service); spec != nil {
 			criteria.EngineSpec = spec.Engine
@@ -128,6 +137,9 @@
 	}
 	choice := Choice{}
 	if !ok {
+		if o.isFull(targets, criteria, now) {
+			return Choice{Full: true, RetryAfter: max(o.tracker.ExpectedRelease(targets, now), minFullWait)}
+		}
 		if target, choice.Wait, ok = o.tracker.NextLimited(targets, criteria, now); !ok {
 			return choice
 		}
@@ -136,10 +148,29 @@
 		}
 	}
 	choice.Target = target.ID
-	o.requestsByTicket[ticket] = &placedRequest{o.tracker.Begin(target, criteria, now), now}
+	o.requestsByTicket[ticket] = &placedRequest{o.tracker.Begin(target, criteria, now), service, target.Incarnation(), now}
 	return choice
 }
 
+// rooms returns the room of brittle targets for a process with the given grants: all of it if it is
+// the owner, else the same part as of rate limits.
+func rooms(grants advisory.Grants) advisory.Rooms {
+	r := advisory.Rooms{Registry: grants.Registry}
+	if grants.Share < 1 {
+		r.Share = func(slots int, _ string) int { return int(grants.Share * float64(slots)) }
+	}
+	return r
+}
+
+// isFull reports whether the request could be placed if targets had room.
+func (o *Owner) isFull(targets []hookhall.Target, criteria balance.Criteria, now time.Time) bool {
+	if criteria.Limiter.(advisory.Grants).Registry.Unrestricted() {
+		return false
+	}
+	criteria.Rooms = nil
+	return o.tracker.CanChoose(targets, criteria, now)
+}
+
 // knownWait returns d, or 0 if this process grants the targets no requests, so that the wait
 // is not known.
 func knownWait(d time.Duration) time.Duration {
@@ -168,6 +199,7 @@
 			request.activeCall.Failed(true, now)
 		case AtCapacity:
 			request.activeCall.Refused(now)
+			o.Grants(request.service).Registry.RecordRejection(request.incarnation, now)
 		}
 		request.activeCall.End()
 		delete(o.requestsByTicket, note.Ticket)
--- a/internal/coordination/stages/admission.go
+++ b/internal/coordination/stages/admission.go
@@ -36,5 +36,6 @@
 // delayUntilCall returns how long it takes until t accepts a call; 0 or less means that it
 // accepts one now.
 func delayUntilCall(grants advisory.Grants, t hookhall.Target, now time.Time) time.Duration {
-	return max(grants.Due(t.Incarnation(), now), grants.Registry.Status(t.Incarnation()).PausedUntil.Sub(now))
+	incarnation := t.Incarnation()
+	return max(grants.Due(incarnation, now), grants.Registry.Status(incarnation).PausedUntil.Sub(now), grants.Registry.RejectionPause(incarnation, now))
 }
--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -305,6 +305,9 @@
 	}
 	if err != nil {
 		results = nil
+		if hookhall.AsError(err).Cause == hookhall.CauseRefused {
+			grants.Registry.RecordRejection(b.Target.Incarnation(), clock.Now())
+		}
 		q.broker.log.Warn("stage pool call failed", "service", q.service, "target", b.Target.ID,
 			"pieces", len(b.Pieces), "first", b.Pieces[0].Call, "took", clock.Since(startedAt), "error", err.Error())
 	}
--- a/internal/state/advisory/doc.go
+++ b/internal/state/advisory/doc.go
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package advisory stores what targets announce in their responses about further requests
-// to them: rate limits, pauses, and that they are leaving.
+// to them: rate limits, pauses, that they are brittle, and that they are leaving.
 //
 // # Model
 //
@@ -16,6 +16,12 @@
 // of them grants the rate to all, from a token bucket (Grants). A request that has to wait
 // reserves a future token if it is due within the request's latency target.
 //
+// A brittle target fails if it has to reject more than a few requests a second for lack of
+// room. It is given no more requests at a time than it has slots (Rooms): by the placement
+// owner, which knows those of all instances, or by each instance up to its share of the slots
+// if the owner does not answer. A rejection withholds a slot, which returns after a while, and
+// pauses the target.
+//
 // # Invariants
 //
 //   - The response to a call that was sent before a limit was announced does not end the
--- a/internal/state/advisory/registry.go
+++ b/internal/state/advisory/registry.go
@@ -32,21 +32,39 @@
 	return l.Named != old.Named || math.Abs(l.Rate-old.Rate) > notifyThreshold*old.Rate
 }
 
+// Brittle is a target's announcement, as last received, that it fails if it rejects too much. Its
+// field names are part of the state that operators read as JSON.
+type Brittle struct {
+	// Named is set while the target announces it.
+	Named bool
+	// MaxRejections is in rejections per second, of requests from all instances together.
+	MaxRejections float64
+	// Heard is when the response was received that announced it or its end.
+	Heard time.Time
+}
+
+// differs reports whether peers that know old should be notified of b.
+func (b Brittle) differs(old Brittle) bool {
+	return b.Named != old.Named || math.Abs(b.MaxRejections-old.MaxRejections) > notifyThreshold*old.MaxRejections
+}
+
 // Status is what a target has announced about further requests. Its field names are part of
 // the state that operators read as JSON.
 type Status struct {
 	Leaving bool
 	Limit   Limit
+	Brittle Brittle
 	// PausedUntil is when the pause ends that the target requested from this instance, and
 	// PauseHeard is when the last such request was received.
 	PausedUntil time.Time
 	PauseHeard  time.Time
 }
 
-// restricted reports whether there is a limit, a limit that ended less than limitEndReportTime
-// ago, or a pause.
+// restricted reports whether there is a limit, a brittle target, one of these that ended less
+// than limitEndReportTime ago, or a pause.
 func (s *Status) restricted(now time.Time) bool {
-	return s.Limit.Named || now.Sub(s.Limit.Heard) < limitEndReportTime || s.PausedUntil.After(now)
+	return s.Limit.Named || now.Sub(s.Limit.Heard) < limitEndReportTime ||
+		s.Brittle.Named || now.Sub(s.Brittle.Heard) < limitEndReportTime || s.PausedUntil.After(now)
 }
 
 // Change is the effect of an advisory.
@@ -60,8 +78,7 @@
 // Registry stores the advisories of targets by incarnation. It is safe for concurrent use.
 type Registry struct {
 	entries sync.Map // hookhall.Incarnation to *entry
-	// restrictedCount is the number of entries with a limit, a recently ended limit or a
-	// pause. While it is 0, a lookup costs a single atomic load.
+	// restrictedCount is the number of entries for which Status.restricted is true. While it is 0, a lookup costs a single atomic load.
 	restrictedCount atomic.Int64
 }
 
@@ -69,9 +86,11 @@
 type entry struct {
 	mu     sync.Mutex
 	status Status
-	// shared is the limit that peers know.
-	shared Limit
-	bucket bucket
+	// shared is the limit that peers know, and sharedBrittle the same of Brittle.
+	shared        Limit
+	sharedBrittle Brittle
+	bucket        bucket
+	rejections    rejections
 	// restricted is set while Registry.restrictedCount counts the entry.
 	restricted bool
 }
@@ -132,9 +151,14 @@
 	} else if s.Limit.Named && !sent.Before(s.Limit.Heard) {
 		s.Limit = Limit{Heard: now}
 	}
+	if a.Brittle {
+		s.Brittle = Brittle{Named: true, MaxRejections: a.MaxRejections, Heard: now}
+	} else if s.Brittle.Named && !sent.Before(s.Brittle.Heard) {
+		s.Brittle = Brittle{Heard: now}
+	}
 	change.Notify = s.Leaving != change.Before.Leaving
-	if s.Limit.differs(e.shared) {
-		e.shared = s.Limit
+	if s.Limit.differs(e.shared) || s.Brittle.differs(e.sharedBrittle) {
+		e.shared, e.sharedBrittle = s.Limit, s.Brittle
 		change.Notify = true
 	}
 	r.setRestricted(e, s.restricted(now))
@@ -142,10 +166,10 @@
 	return change
 }
 
-// Merge applies a peer's report. Of two limits, the one from the later response applies.
+// Merge applies a peer's report. Of two announcements, the one from the later response applies.
 func (r *Registry) Merge(report Report, now time.Time) Change {
 	incarnation := report.Target.Incarnation()
-	if !report.Limit.Named && !report.Leaving && r.find(incarnation) == nil {
+	if !report.Limit.Named && !report.Brittle.Named && !report.Leaving && r.find(incarnation) == nil {
 		return Change{}
 	}
 	e := r.findOrAdd(incarnation)
@@ -157,6 +181,10 @@
 		change.Notify = change.Notify || report.Limit.differs(e.shared)
 		e.status.Limit, e.shared = report.Limit, report.Limit
 	}
+	if report.Brittle.Heard.After(e.status.Brittle.Heard) {
+		change.Notify = change.Notify || report.Brittle.differs(e.sharedBrittle)
+		e.status.Brittle, e.sharedBrittle = report.Brittle, report.Brittle
+	}
 	r.setRestricted(e, e.status.restricted(now))
 	change.After = e.status
 	return change
@@ -210,8 +238,8 @@
 	})
 }
 
-// Unrestricted reports whether no target has a limit, a limit that ended less than
-// limitEndReportTime ago, or a pause.
+// Unrestricted reports whether no target has a limit, is brittle, had or was that less than
+// limitEndReportTime ago, or has a pause.
 func (r *Registry) Unrestricted() bool { return r.restrictedCount.Load() == 0 }
 
 // later returns the later of two times.
--- a/internal/state/advisory/report.go
+++ b/internal/state/advisory/report.go
@@ -11,7 +11,7 @@
 	"github.com/hookhall/hookhall"
 )
 
-// limitEndReportTime is how long the end of a limit is reported with placement requests, so
+// limitEndReportTime is how long the end of an announcement is reported with placement requests, so
 // that a placement owner learns of it even if it missed the broadcast.
 const limitEndReportTime = 30 * time.Second
 
@@ -20,9 +20,10 @@
 	Target  hookhall.Target
 	Leaving bool
 	Limit   Limit
+	Brittle Brittle
 }
 
-// All returns reports of all targets that are leaving or limited, in no particular order.
+// All returns reports of all targets that are leaving, limited or brittle, in no particular order.
 // Only ID and Start are set in their targets.
 func (r *Registry) All() []Report {
 	var reports []Report
@@ -30,16 +31,16 @@
 		incarnation, e := k.(hookhall.Incarnation), v.(*entry)
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if s := e.status; s.Leaving || s.Limit.Named {
-			reports = append(reports, Report{Target: hookhall.Target{ID: incarnation.ID, Start: incarnation.Start}, Leaving: s.Leaving, Limit: s.Limit})
+		if s := e.status; s.Leaving || s.Limit.Named || s.Brittle.Named {
+			reports = append(reports, Report{Target: hookhall.Target{ID: incarnation.ID, Start: incarnation.Start}, Leaving: s.Leaving, Limit: s.Limit, Brittle: s.Brittle})
 		}
 		return true
 	})
 	return reports
 }
 
-// Restricted returns those of the targets that may have a limit or a pause, in no particular
-// order. The targets must be sorted by ID.
+// Restricted returns those of the targets that may have a limit or a pause, or be brittle, in no
+// particular order. The targets must be sorted by ID.
 func (r *Registry) Restricted(targets []hookhall.Target) []hookhall.Target {
 	if r.Unrestricted() {
 		return nil
@@ -56,17 +57,18 @@
 	return restricted
 }
 
-// Reports returns the limits of the targets that hold or ended less than limitEndReportTime
-// ago, and whether any holds. The targets must be sorted by ID.
-func (r *Registry) Reports(targets []hookhall.Target, now time.Time) (reports []Report, limited bool) {
+// Reports returns what the targets announced, or withdrew less than limitEndReportTime ago, of
+// limits and of being brittle, and whether any is limited or brittle now. The targets must be
+// sorted by ID.
+func (r *Registry) Reports(targets []hookhall.Target, now time.Time) (reports []Report, limited, brittle bool) {
 	for _, t := range r.Restricted(targets) {
-		limit := r.Status(t.Incarnation()).Limit
-		if limit.Named || now.Sub(limit.Heard) < limitEndReportTime {
-			reports = append(reports, Report{Target: t, Limit: limit})
+		s := r.Status(t.Incarnation())
+		if s.Limit.Named || s.Brittle.Named || now.Sub(s.Limit.Heard) < limitEndReportTime || now.Sub(s.Brittle.Heard) < limitEndReportTime {
+			reports = append(reports, Report{Target: t, Limit: s.Limit, Brittle: s.Brittle})
 		}
-		limited = limited || limit.Named
+		limited, brittle = limited || s.Limit.Named, brittle || s.Brittle.Named
 	}
-	return reports, limited
+	return reports, limited, brittle
 }
 
 // Paused returns the IDs of those targets whose requested pause for this instance has not
--- a/internal/state/balance/choice.go
+++ b/internal/state/balance/choice.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// CanChoose reports whether Choose would find a target.
+func (b *Tracker) CanChoose(targets []hookhall.Target, criteria Criteria, now time.Time) bool {
+	var draws rand.PCG
+	draws.Seed(rand.Uint64(), 0)
+	return b.pick(targets, &criteria, now, &draws) != nil
+}
+
 // pick returns the target with the earliest expected answer without counting a
 // request, nil if no target qualifies.
 func (b *Tracker) pick(targets []hookhall.Target, criteria *Criteria, now time.Time, draws *rand.PCG) *hookhall.Target {
@@ -200,6 +207,9 @@
 		return
 	}
 	s := r.snapshot(criteria.SharedPart, now)
+	if !criteria.hasRoom(t, s.inflight, now) {
+		return
+	}
 	switch {
 	case s.ejectedUntil.After(now):
 		c.ejected = append(c.ejected, candidate{int32(index), s})
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -145,6 +145,46 @@
 	MaxColdRequests func(target string) int
 	// Limiter enforces the rate limits that targets have announced; nil enforces none.
 	Limiter Limiter
+	// Rooms bounds the calls in progress at targets that can't reject any; nil bounds none.
+	Rooms Rooms
+}
+
+// Rooms bounds how many calls targets hold. Its methods must be safe for concurrent use.
+type Rooms interface {
+	// Room returns how many calls a target with the given number of slots may hold, and false if
+	// it has no bound. slots is 0 if it is not known.
+	Room(t *hookhall.Target, slots int, now time.Time) (room int, isBounded bool)
+}
+
+// hasRoom reports whether a target with inflight calls in progress may get another one.
+func (c *Criteria) hasRoom(t *hookhall.Target, inflight int, now time.Time) bool {
+	if c.Rooms == nil {
+		return true
+	}
+	slots := t.Slots
+	if slots <= 0 && c.EngineSpec != nil {
+		slots = c.EngineSpec.Slots
+	}
+	room, isBounded := c.Rooms.Room(t, slots, now)
+	return !isBounded || inflight < room
+}
+
+// ExpectedRelease returns the expected time until one of the targets ends a call, as far as this
+// process knows their latencies.
+func (b *Tracker) ExpectedRelease(targets []hookhall.Target, now time.Time) time.Duration {
+	rate := 0.0 // calls that end, per nanosecond
+	for i := range targets {
+		s := b.record(targets[i].Incarnation()).snapshot("", now)
+		latency := s.avgLatency
+		if latency == 0 {
+			latency = defaultLatency
+		}
+		rate += float64(max(targets[i].Slots, 1)) / latency
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(1 / rate)
 }
 
 // Limiter enforces the rate limits that targets announce. Its methods must be safe for
--- a/internal/transport/fleet/advisories.go
+++ b/internal/transport/fleet/advisories.go
@@ -18,7 +18,7 @@
 	// Merge applies the reports of a peer, and returns those that are new; from names the
 	// peer in logs.
 	Merge(list []advisory.Report, from string) (fresh []advisory.Report)
-	// All returns reports of all targets that are leaving or limited.
+	// All returns reports of all targets that are leaving, limited or brittle.
 	All() []advisory.Report
 }
 
@@ -41,10 +41,14 @@
 func wireAdvisories(list []advisory.Report, now time.Time) []*pb.TargetAdvisory {
 	out := make([]*pb.TargetAdvisory, 0, len(list))
 	for _, r := range list {
-		out = append(out, &pb.TargetAdvisory{
+		a := &pb.TargetAdvisory{
 			Target: r.Target.ID, Born: r.Target.Start, Service: r.Target.Pool, Leaving: r.Leaving,
 			Limited: r.Limit.Named, Limit: r.Limit.Rate, AgeMs: limitAgeMS(r.Limit, now),
-		})
+		}
+		if !r.Brittle.Heard.IsZero() {
+			a.HasBrittle, a.Brittle, a.MaxRejections, a.BrittleAgeMs = true, r.Brittle.Named, r.Brittle.MaxRejections, ageMS(now.Sub(r.Brittle.Heard))
+		}
+		out = append(out, a)
 	}
 	return out
 }
@@ -70,6 +74,9 @@
 		if a.GetAgeMs() >= 0 {
 			r.Limit = advisory.Limit{Named: a.GetLimited(), Rate: max(a.GetLimit(), 0), Heard: receivedAt.Add(-milliseconds(a.GetAgeMs()))}
 		}
+		if a.GetHasBrittle() {
+			r.Brittle = advisory.Brittle{Named: a.GetBrittle(), MaxRejections: max(a.GetMaxRejections(), 0), Heard: receivedAt.Add(-milliseconds(a.GetBrittleAgeMs()))}
+		}
 		out = append(out, r)
 	}
 	return out
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -134,7 +134,7 @@
 	}
 	s.Broadcaster.Advisories.Merge(readAdvisories(r.GetLimits(), clock.Now()), "request")
 	choice := s.PlacementOwner.Place(r.GetTicket(), r.GetService(), criteria)
-	return &pb.PlaceReply{Target: choice.Target, WaitUs: choice.Wait.Microseconds(), RetryAfterUs: choice.RetryAfter.Microseconds()}, nil
+	return &pb.PlaceReply{Target: choice.Target, WaitUs: choice.Wait.Microseconds(), RetryAfterUs: choice.RetryAfter.Microseconds(), Full: choice.Full}, nil
 }
 
 // Note implements pb.FleetServer. It ignores notes of unknown kinds.
@@ -281,7 +281,7 @@
 	if err != nil {
 		return placement.Choice{}, err
 	}
-	return placement.Choice{Target: reply.GetTarget(), Wait: microseconds(reply.GetWaitUs()), RetryAfter: microseconds(reply.GetRetryAfterUs())}, nil
+	return placement.Choice{Target: reply.GetTarget(), Wait: microseconds(reply.GetWaitUs()), RetryAfter: microseconds(reply.GetRetryAfterUs()), Full: reply.GetFull()}, nil
 }
 
 // wireNoteKinds maps the kinds of notes to those of the protocol.
