--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -272,6 +272,9 @@
 // Answered records the answer of a target on a direct connection.
 func (p *Paths) Answered() { p.Breaks.Answered() }
 
+// IsIsolated reports whether this process can't connect to any target that its peers reach.
+func (p *Paths) IsIsolated() bool { return p.Table.Isolated() }
+
 // Broke records that the direct connection to a target broke before its answer ended. It returns
 // true if the cause is this process's path.
 func (p *Paths) Broke(address string) (isOwnPath bool) {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -76,6 +76,8 @@
 	// Broke records that a direct connection broke before its answer ended, and returns true
 	// if the cause is this process's path to the target.
 	Broke(address string) (isOwnPath bool)
+	// IsIsolated reports whether this process can't connect to any target that its peers reach.
+	IsIsolated() bool
 	// ConfirmsRefusal reports whether peers, too, get a connection to an address refused.
 	ConfirmsRefusal(ctx context.Context, address string) bool
 }
@@ -391,11 +393,21 @@
 }
 
 // markOwnPath returns the error of a read from c, marked with hookhall.ErrOwnPath if the cause is
-// this process's path to the target. It is not called for connections that this process closed.
+// this process's path to the target. A request that was out of time is so marked if this
+// process is isolated; one whose client left says nothing.
 func (p *Pool) markOwnPath(ctx context.Context, c *conn, err error) error {
 	var misdirected *hookhall.Error
-	switch {
-	case p.Paths == nil, ctx.Err() != nil, c.relay != "", errors.As(err, &misdirected), !p.Paths.Broke(c.address):
+	if p.Paths == nil || c.relay != "" || errors.As(err, &misdirected) {
+		return err
+	}
+	isOwnPath := false
+	switch ctx.Err() {
+	case nil:
+		isOwnPath = p.Paths.Broke(c.address)
+	case context.DeadlineExceeded:
+		isOwnPath = p.Paths.IsIsolated()
+	}
+	if !isOwnPath {
 		return err
 	}
 	return &ownPathError{err}
