advisory: record no advisory in an entry that is pruned

Prune removes the entry of a target that announces nothing any more. An answer, a peer's report or the pause of an earlier incarnation that had found the entry just before was recorded in the removed one: the limit or pause was lost, and the count of restricted targets never fell again, so that each request looked for restrictions. Entries are marked as removed, and recorders look again.

By the same reading, grants and rooms of a removed entry touch nothing else.

--- a/internal/state/advisory/registry.go
+++ b/internal/state/advisory/registry.go
@@ -78,7 +78,8 @@
 // Registry stores the advisories of targets by incarnation. It is safe for concurrent use.
 type Registry struct {
 	entries sync.Map // hookhall.Incarnation to *entry
-	// restrictedCount is the number of entries for which Status.restricted is true. While it is 0, a lookup costs a single atomic load.
+	// restrictedCount is the number of entries for which Status.restricted is true. While it is
+	// 0, a lookup costs a single atomic load.
 	restrictedCount atomic.Int64
 }
 
@@ -93,6 +94,8 @@
 	rejections    rejections
 	// restricted is set while Registry.restrictedCount counts the entry.
 	restricted bool
+	// removed is set once Prune has removed the entry from the registry.
+	removed bool
 }
 
 // find returns the entry of an incarnation, or nil.
@@ -112,10 +115,18 @@
 	return r.find(incarnation)
 }
 
-// findOrAdd returns the entry of an incarnation, which it adds if there is none.
-func (r *Registry) findOrAdd(incarnation hookhall.Incarnation) *entry {
-	e, _ := r.entries.LoadOrStore(incarnation, &entry{})
-	return e.(*entry)
+// lock returns the entry of an incarnation with its lock held. It adds one if there is none, also
+// in place of one that is pruned meanwhile.
+func (r *Registry) lock(incarnation hookhall.Incarnation) *entry {
+	for {
+		loaded, _ := r.entries.LoadOrStore(incarnation, &entry{})
+		e := loaded.(*entry)
+		e.mu.Lock()
+		if !e.removed {
+			return e
+		}
+		e.mu.Unlock()
+	}
 }
 
 // setRestricted sets whether Registry.restrictedCount counts an entry. e.mu must be held.
@@ -137,8 +148,7 @@
 	if a == (hookhall.Advisory{}) && r.find(incarnation) == nil {
 		return Change{}
 	}
-	e := r.findOrAdd(incarnation)
-	e.mu.Lock()
+	e := r.lock(incarnation)
 	defer e.mu.Unlock()
 	change := Change{Before: e.status}
 	s := &e.status
@@ -172,8 +182,7 @@
 	if !report.Limit.Named && !report.Brittle.Named && !report.Leaving && r.find(incarnation) == nil {
 		return Change{}
 	}
-	e := r.findOrAdd(incarnation)
-	e.mu.Lock()
+	e := r.lock(incarnation)
 	defer e.mu.Unlock()
 	change := Change{Before: e.status, Notify: report.Leaving && !e.status.Leaving}
 	e.status.Leaving = e.status.Leaving || report.Leaving
@@ -203,8 +212,7 @@
 	if !old.PausedUntil.After(now) || now.Sub(old.PauseHeard) > maxRestartDetectionDelay {
 		return
 	}
-	e := r.findOrAdd(current)
-	e.mu.Lock()
+	e := r.lock(current)
 	defer e.mu.Unlock()
 	e.status.PausedUntil = later(e.status.PausedUntil, old.PausedUntil)
 	e.status.PauseHeard = later(e.status.PauseHeard, old.PauseHeard)
@@ -232,6 +240,7 @@
 		current := isCurrent(k.(hookhall.Incarnation))
 		r.setRestricted(e, current && e.status.restricted(now))
 		if !current || !(e.restricted || e.status.Leaving) {
+			e.removed = true
 			r.entries.Delete(k)
 		}
 		return true
