forward: report an expired retry grant as such

A retry that was granted and then waited for its stages until the grant had expired ended as target-refused, though no target was asked: operators looked for a full service. It ends as retry-budget now, a cause that existed and nothing used. TestExpiredRetryGrant failed before.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -252,7 +252,7 @@
 		return a
 	}
 	if !r.revalidateRetry(now) {
-		a.err = hookhall.Errorf(hookhall.NotRun, hookhall.CauseRefused, "the repeat was granted too long ago")
+		a.err = hookhall.Errorf(hookhall.NotRun, hookhall.CauseBudget, "the retry was granted too long ago")
 		a.recordEnd()
 		return a
 	}
--- a/internal/coordination/forward/ownpath_test.go
+++ b/internal/coordination/forward/ownpath_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// TestExpiredRetryGrant guards against a retry that was granted too long ago and that is reported as
+// a refusal by the target, which has not been asked.
+func TestExpiredRetryGrant(t *testing.T) {
+	r := newFailingRequest(nil)
+	r.retryAccount = budget.Decision{Granted: true}
+	r.retryGrantedAt = clock.Now().Add(-time.Minute)
+	// The bucket has been full since.
+	r.Budget = budget.New(budget.Limits{Slack: 1, Ratio: 1, Window: time.Second}, func(time.Time) quota.Position { return quota.Position{Count: 1} }, clock.Now())
+	r.Budget.RecordRequest("", clock.Now())
+	r.Budget.Spend("", clock.Now())
+	if a := r.send(t.Context(), hookhall.Target{ID: "target"}, ""); a.err.Cause != hookhall.CauseBudget || a.err.Verdict != hookhall.NotRun {
+		t.Errorf("%v", a.err)
+	}
+	if r.attempts != 0 {
+		t.Error("it counts as an attempt")
+	}
+}
+
 // TestUnsentAttemptCostsNoRetry guards against a retry budget that is spent on requests that never
 // reached a target, and against retries without budget of those that did.
 func TestUnsentAttemptCostsNoRetry(t *testing.T) {
