catalog: forget the address that a target has left

A target that is listed at another address stayed listed at the old one, too, until another target took it: connections there were counted as its own, and with relays a peer would have connected to it. TestAddressOfMovedTarget failed before; a target that has taken the address since keeps it.

--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -50,6 +50,8 @@
 		t.ColdLeft = time.Minute
 	}
 	t.Leaving = strings.HasSuffix(string(b), "leaving")
+	// "at 10.0.0.1:80" is the address.
+	fmt.Sscanf(string(b), "at %s", &t.Address)
 	if string(b) == "bad" {
 		return t, errors.New("bad")
 	}
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -173,6 +173,7 @@
 		c.log.Info("target leaving", "target", t.ID, "service", t.Pool, "from", from)
 	}
 	if t.Pool != e.target.Pool || t.Address != e.target.Address {
+		c.listingsByAddress.CompareAndDelete(e.target.Address, listingOf(e)) // another target may have taken the address
 		c.unindex(e)
 		e.target = t
 		c.index(e)
