upstream: informational answers don't use up the answers of a request

A target that sent four informational answers (1xx) before its answer failed the call as misdirected, with the verdict may-have-run. They are counted apart now, up to 64. TestReplies has ten of them before an answer (failed before), and a thousand.

--- a/internal/transport/upstream/conn_test.go
+++ b/internal/transport/upstream/conn_test.go
@@ -55,6 +55,12 @@
 	}},
 	{name: "surplus bytes", complete: true, raw: func(id string) string { return fixedLengthAnswer(id, "") + fixedLengthAnswer("other", "") }},
 	{name: "answer to another request first", complete: true, kept: true, raw: func(id string) string { return fixedLengthAnswer("late", "") + fixedLengthAnswer(id, "") }},
+	{name: "informational answers first", complete: true, kept: true, raw: func(id string) string {
+		return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 10) + fixedLengthAnswer(id, "")
+	}},
+	{name: "informational answers without an end", raw: func(id string) string {
+		return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000) + fixedLengthAnswer(id, "")
+	}},
 	{name: "only an answer to another request", close: true, raw: func(string) string { return fixedLengthAnswer("late", "") }},
 	{name: "cut in the body", close: true, raw: func(id string) string { return strings.TrimSuffix(fixedLengthAnswer(id, ""), id) }},
 	{name: "cut in the head", close: true, raw: func(id string) string { return fixedLengthAnswer(id, "")[:20] }},
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -38,8 +38,10 @@
 	resetWaitMargin = 2 * time.Millisecond
 	maxResetWait    = 25 * time.Millisecond
 	// maxSkippedAnswers bounds the answers that are read for one request, those to
-	// earlier requests and informational ones (1xx) included.
+	// earlier requests included, and maxInformational the informational ones (1xx) beside
+	// them.
 	maxSkippedAnswers = 4
+	maxInformational  = 64
 	// maxSkippedBytes bounds the bytes read of the body of one skipped answer.
 	maxSkippedBytes = 1 << 20
 	// unknownRelay stands for a relay that does not state its address.
@@ -460,14 +462,16 @@
 // readHead skips answers to earlier requests and returns the one for which matches
 // returns true; nil accepts any answer.
 func readHead(c *conn, request *http.Request, matches func(int, http.Header) bool) (*http.Response, error) {
-	for range maxSkippedAnswers {
+	for final, informational := 0, 0; final < maxSkippedAnswers && informational <= maxInformational; {
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			informational++
 			continue
 		}
+		final++
 		if matches == nil || matches(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
