--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -170,6 +170,52 @@
 	}
 }
 
+// BenchmarkRelayedStream measures a connection through a peer, with a request and an answer of 24
+// events: the sender, the relay and the target together.
+func BenchmarkRelayedStream(b *testing.B) {
+	const events, eventBytes = 24, 100
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = c.Read(make([]byte, 1024))
+				for range events {
+					_, _ = c.Write(make([]byte, eventBytes))
+				}
+			}()
+		}
+	}()
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := grpc.NewServer()
+	pb.RegisterFleetServer(s, &Server{Relayer: directRelayer{}})
+	go func() { _ = s.Serve(peers) }()
+	defer s.Stop()
+	client := NewClients(log.New(io.Discard)).Client(peers.Addr().String())
+	for b.Loop() {
+		c, err := client.Relay(b.Context(), hookhall.RelayRequest{Address: l.Addr().String()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = c.Write(make([]byte, 500))
+		if n, err := io.Copy(io.Discard, c); err != nil || n != events*eventBytes {
+			b.Fatal(n, err)
+		}
+		_ = c.Close()
+	}
+}
+
 // TestRelayFailures checks what a caller learns of a connection that was not opened.
 func TestRelayFailures(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
