--- a/internal/coordination/members/doc.go
+++ b/internal/coordination/members/doc.go
@@ -15,8 +15,9 @@
 // time, whatever the store lists.
 //
 // Shared work, named by a key, has one owner among the members that are eligible: strong
-// enough, and not lagging. A lagging process declines ownership until its timers fire
-// on time again. The roles, which are brokers and placement owners of services, are spread
+// enough, not lagging, and not cut off from the targets. A lagging process declines
+// ownership until its timers fire on time again, and one that can't connect to targets,
+// which others can, until it can. The roles, which are brokers and placement owners of services, are spread
 // over the eligible members.
 //
 // A process that the store does not answer learns the list from the leaders' updates and, if
--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -98,75 +98,88 @@
 	return p.connectHedged(ctx, address, urgency, direct)
 }
 
-// relayResult is the outcome of a connection that a relay was asked for.
-type relayResult struct {
-	conn net.Conn
-	err  error
-}
-
-// errNoHedge is the result of a hedge that asked no relay.
-var errNoHedge = errors.New("no relay was asked")
-
 // connectHedged opens a connection directly, or through a relay if that fails or is slow.
 func (p *Paths) connectHedged(ctx context.Context, address string, urgency int, direct func(context.Context) (net.Conn, error)) (net.Conn, error) {
 	directCtx, cancelDirect := context.WithCancel(ctx)
 	defer cancelDirect()
-	relayCtx, cancelRelay := context.WithCancel(ctx)
-	defer cancelRelay()
-	hedged := make(chan relayResult, 1)
-	due := clock.Now().Add(hedgeDelay)
-	timer := time.AfterFunc(hedgeDelay, func() {
-		now := clock.Now()
-		if now.Sub(due) > maxHedgeLateness || !p.Table.MayRelay(address, now) {
-			hedged <- relayResult{nil, errNoHedge}
-			return
-		}
-		c, err := p.relay(relayCtx, hookhall.RelayRequest{Address: address, Urgency: urgency})
-		hedged <- relayResult{c, err}
-		if err == nil {
-			cancelDirect()
-		}
-	})
+	h := p.startHedge(ctx, hookhall.RelayRequest{Address: address, Urgency: urgency}, cancelDirect)
+	defer h.cancel()
 	c, err := direct(directCtx)
-	wasHedged := !timer.Stop()
 	if err == nil {
-		if wasHedged {
-			cancelRelay()
-			go closeLate(hedged)
-		}
+		h.discard()
 		p.recordConnected(address)
 		return c, nil
 	}
-	var result relayResult
-	if wasHedged {
-		result = <-hedged
-	}
+	relayed, wasAsked := h.take()
 	if errors.Is(ctx.Err(), context.Canceled) {
-		if result.conn != nil {
-			_ = result.conn.Close()
+		if relayed != nil {
+			_ = relayed.Close()
 		}
 		return nil, err
 	}
 	failure := failureOf(err)
 	p.recordFailed(address, failure, err)
-	if !wasHedged || errors.Is(result.err, errNoHedge) {
-		if !p.Table.MayRelay(address, clock.Now()) {
-			return nil, err
-		}
-		result.conn, result.err = p.relay(ctx, hookhall.RelayRequest{Address: address, Urgency: urgency, AwaitReset: failure == reach.Reset})
+	if !wasAsked && p.Table.MayRelay(address, clock.Now()) {
+		relayed, _ = p.relay(ctx, hookhall.RelayRequest{Address: address, Urgency: urgency, AwaitReset: failure == reach.Reset})
 	}
-	if result.err != nil {
-		return nil, err // the direct error says more
+	if relayed == nil {
+		return nil, err // says more than the error of the relay
 	}
 	p.recordDetour(address, failure)
-	return result.conn, nil
+	return relayed, nil
+}
+
+// hedge is an attempt through a relay that begins if the direct one is slow.
+type hedge struct {
+	cancel context.CancelFunc
+	timer  *time.Timer
+	// wasAsked is set if a relay was asked. It may be read once result has a value.
+	wasAsked bool
+	result   chan net.Conn // has one value once the timer has fired: nil if there is no connection
 }
 
-// closeLate closes the connection of a relay that comes after the direct one.
-func closeLate(hedged <-chan relayResult) {
-	if r := <-hedged; r.conn != nil {
-		_ = r.conn.Close()
+// startHedge asks a relay after hedgeDelay, and calls onConnected if it has connected.
+func (p *Paths) startHedge(ctx context.Context, request hookhall.RelayRequest, onConnected func()) *hedge {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hedge{cancel: cancel, result: make(chan net.Conn, 1)}
+	due := clock.Now().Add(hedgeDelay)
+	h.timer = time.AfterFunc(hedgeDelay, func() {
+		now := clock.Now()
+		if now.Sub(due) > maxHedgeLateness || !p.Table.MayRelay(request.Address, now) {
+			h.result <- nil
+			return
+		}
+		h.wasAsked = true
+		c, err := p.relay(ctx, request)
+		h.result <- c
+		if err == nil {
+			onConnected()
+		}
+	})
+	return h
+}
+
+// take ends the hedge, waits for its connection if one was asked for, and returns that, nil if there
+// is none.
+func (h *hedge) take() (c net.Conn, wasAsked bool) {
+	if h.timer.Stop() {
+		return nil, false
 	}
+	c = <-h.result
+	return c, h.wasAsked
+}
+
+// discard ends the hedge and closes its connection, without waiting for it.
+func (h *hedge) discard() {
+	h.cancel()
+	if h.timer.Stop() {
+		return
+	}
+	go func() {
+		if c := <-h.result; c != nil {
+			_ = c.Close()
+		}
+	}()
 }
 
 // recordConnected records a direct connection.
--- a/internal/state/reach/table.go
+++ b/internal/state/reach/table.go
@@ -29,25 +29,12 @@
 )
 
 const (
-	// isolationCount is how many targets in a row have to be unreachable for this process
-	// alone for it to be isolated.
-	isolationCount = 3
-	// evidenceLifetime is how long a detour counts for an isolation.
-	evidenceLifetime = 3 * time.Second
 	// downLifetime is how long no relay is asked for a target that relays did not reach.
 	downLifetime = time.Second
 	// minProbeInterval is the time until the first probe of a target with a detour. It doubles
 	// with each failed probe, up to maxProbeInterval.
 	minProbeInterval = 500 * time.Millisecond
 	maxProbeInterval = 4 * time.Second
-	// isolatedProbeInterval is the time between two probes, of any targets, while isolated.
-	isolatedProbeInterval = 250 * time.Millisecond
-	// minPasses is how many probes in a row have to succeed to end an isolation. An isolation
-	// that begins within flapTime of the last one's end takes twice as many as that, up to
-	// maxPasses.
-	minPasses = 2
-	maxPasses = 8
-	flapTime  = 10 * time.Second
 	// unusedLifetime is how long a detour or an isolation is kept that no request uses.
 	unusedLifetime = 10 * time.Second
 )
@@ -80,18 +67,6 @@
 	probeInterval time.Duration
 }
 
-// isolation is the state in which this process can't connect to any target.
-type isolation struct {
-	isActive bool
-	since    time.Time
-	endedAt  time.Time // of the last one; zero if there was none
-	// wanted are the targets that requests needed since, with the time of the last one.
-	wanted       map[string]time.Time
-	passes       int // probes in a row that succeeded
-	passesNeeded int
-	nextProbe    time.Time
-}
-
 // Path returns the path of a new connection to a target for a request.
 func (t *Table) Path(address string, now time.Time) Path {
 	if t.active.Load() == 0 {
@@ -212,53 +187,6 @@
 	}
 }
 
-// beginIsolation begins an isolation. t.mu must be held.
-func (t *Table) beginIsolation(now time.Time) {
-	i := &t.isolation
-	needed := minPasses
-	if !i.endedAt.IsZero() && now.Sub(i.endedAt) < flapTime {
-		needed = min(2*i.passesNeeded, maxPasses)
-	}
-	*i = isolation{isActive: true, since: now, endedAt: i.endedAt, wanted: map[string]time.Time{}, passesNeeded: needed, nextProbe: now.Add(isolatedProbeInterval)}
-	for address, at := range t.suspects {
-		i.wanted[address] = at
-	}
-	t.active.Add(1)
-}
-
-// endIsolation ends the isolation. Detours stay for targets whose latest probe failed; for the
-// others requests try the direct path first. t.mu must be held.
-func (t *Table) endIsolation(now time.Time) {
-	for address, r := range t.byAddress {
-		if now.Sub(r.failedAt) >= time.Duration(t.isolation.passesNeeded+1)*isolatedProbeInterval {
-			t.remove(address)
-		}
-	}
-	t.isolation = isolation{endedAt: now, passesNeeded: t.isolation.passesNeeded}
-	t.active.Add(-1)
-}
-
-// Isolated reports whether this process can't connect to any target, as far as it knows.
-func (t *Table) Isolated() bool {
-	if t.active.Load() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isolation.isActive
-}
-
-// InDoubt reports whether this process can't connect to several targets, so that its own path may
-// be the cause.
-func (t *Table) InDoubt() bool {
-	if t.active.Load() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isolation.isActive || len(t.byAddress) >= isolationCount
-}
-
 // NextProbe returns a target to probe now, and false if none is due. It drops detours and
 // isolations that no request has used for unusedLifetime.
 func (t *Table) NextProbe(now time.Time) (address string, ok bool) {
@@ -281,24 +209,6 @@
 	return "", false
 }
 
-// nextIsolatedProbe is NextProbe while isolated: any of the targets that requests have
-// needed, in the random order of the map. t.mu must be held.
-func (t *Table) nextIsolatedProbe(now time.Time) (address string, ok bool) {
-	i := &t.isolation
-	if now.Before(i.nextProbe) {
-		return "", false
-	}
-	i.nextProbe = now.Add(isolatedProbeInterval)
-	for address, usedAt := range i.wanted {
-		if now.Sub(usedAt) < unusedLifetime {
-			return address, true
-		}
-		delete(i.wanted, address)
-	}
-	t.endIsolation(now)
-	return "", false
-}
-
 // NeedsProbes reports whether there are detours or an isolation.
 func (t *Table) NeedsProbes() bool {
 	if t.active.Load() == 0 {
