gateway, fleet: a planned stop waits for the connections relayed for peers

What callers saw, in a test: a stream at a gateway that is cut off ended after 1.6 s with an unexpected EOF, because the gateway that relayed it got SIGTERM.

A stop waited for the requests of its own clients only, and ended the relayed connections with its servers. And the gateway that is cut off closed its connection to the relay within 2 s of the relay's leaving the list of members (cut after 2.6 s with the first cause mended).

A stop now refuses further connections for peers from its start, and waits for those that are open, within the same grace period; a client that carries relayed connections is not closed as unused.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -363,7 +363,8 @@
 	return errors.Wrap(err, "gateway")
 }
 
-// stop carries out the planned stop and returns when no request is in progress. At
+// stop carries out the planned stop and returns when no request is in progress and no connection is
+// relayed for a peer. At
 // killMargin before the end of the grace period it ends the remaining requests, which
 // takes up to finalAnswersTimeout, and logs how many were cut off.
 func (g *Gateway) stop() {
@@ -371,6 +372,7 @@
 	notice := time.Duration(g.settings.Bounds.NoticeMS) * time.Millisecond
 	grace := time.Duration(g.settings.Bounds.GraceMS)*time.Millisecond - killMargin
 	g.stopping.Store(true)
+	g.relayer.Refuse()
 	g.log.Info("Stopping.", "in_progress", g.drain.InFlight(), "notice", notice, "grace", grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
@@ -380,6 +382,10 @@
 	g.clientsListener.StopAccepting()
 	retry.Sleep(ctx, keepAliveDrainPeriod)
 	remaining := g.drain.RefuseAndWait(ctx)
+	relayed := g.relayer.Drain(ctx)
+	if relayed > 0 {
+		g.log.Warn("stop period over with connections relayed for peers", "relayed", relayed)
+	}
 	if remaining == 0 {
 		return
 	}
--- a/internal/coordination/paths/paths_test.go
+++ b/internal/coordination/paths/paths_test.go
@@ -428,6 +428,23 @@
 		r.IsOverloaded = func() bool { return true }
 		check(t, r, request(0), hookhall.RelayOverloaded)
 	})
+	t.Run("a process that stops", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRelayer(newWorld(t, connects))
+			c := check(t, r, request(0), "")
+			r.Refuse()
+			check(t, r, request(0), hookhall.RelayOverloaded)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if n := r.Drain(ctx); n != 1 || ctx.Err() == nil {
+				t.Errorf("%d connections are open after the drain", n)
+			}
+			time.AfterFunc(time.Second, func() { _ = c.Close() })
+			if n := r.Drain(t.Context()); n != 0 {
+				t.Errorf("%d connections are open", n)
+			}
+		})
+	})
 	t.Run("an isolated process asks no other one", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, refused, connects)
--- a/internal/coordination/paths/relayer.go
+++ b/internal/coordination/paths/relayer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/state/reach"
 )
 
@@ -36,7 +37,21 @@
 	// MaxConnections is how many relayed connections may be open.
 	MaxConnections int
 
-	open atomic.Int64
+	open     atomic.Int64
+	refusing atomic.Bool
+}
+
+// drainPollInterval is how often Drain looks for open connections.
+const drainPollInterval = 10 * time.Millisecond
+
+// Refuse makes the Relayer open no further connections.
+func (r *Relayer) Refuse() { r.refusing.Store(true) }
+
+// Drain waits until no connection is open or ctx ends, and returns how many are open.
+func (r *Relayer) Drain(ctx context.Context) int64 {
+	for r.open.Load() > 0 && retry.Sleep(ctx, drainPollInterval) {
+	}
+	return r.open.Load()
 }
 
 // Open opens a connection for a peer. Its error is a *hookhall.RelayError.
@@ -63,7 +78,7 @@
 		return nil, &hookhall.RelayError{Failure: hookhall.RelayUnknownTarget, Detail: request.TargetID + " is not listed at " + request.Address}
 	case r.Paths.Table.Isolated():
 		return nil, &hookhall.RelayError{Failure: hookhall.RelayCutOff, Detail: "this gateway reaches no target itself"}
-	case r.IsOverloaded() || !r.admit(request.Urgency):
+	case r.refusing.Load() || r.IsOverloaded() || !r.admit(request.Urgency):
 		return nil, &hookhall.RelayError{Failure: hookhall.RelayOverloaded, Detail: "this gateway relays no further connections"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
--- a/internal/transport/fleet/clients.go
+++ b/internal/transport/fleet/clients.go
@@ -69,12 +69,13 @@
 	return p
 }
 
-// CloseUnused closes the connections to all addresses for which inUse returns false.
+// CloseUnused closes the connections to all addresses for which inUse returns false, but for those
+// that carry relayed connections: a peer that stops has left the list of members.
 func (c *Clients) CloseUnused(inUse func(address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for a, p := range c.byAddress {
-		if !inUse(a) {
+		if !inUse(a) && p.relayed.Load() == 0 {
 			p.close()
 			delete(c.byAddress, a)
 		}
@@ -93,6 +94,7 @@
 	err     error                                          // set if the address is invalid; all calls return it
 	onLoads func(broker string, loads []hookhall.PoolLoad) // Clients.ObserveLoads
 	link    atomic.Pointer[link]
+	relayed atomic.Int64 // connections to targets that are open through the peer
 
 	mu        sync.Mutex
 	lastCheck time.Time // when the last check of the connection began
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -125,7 +126,8 @@
 		cancel()
 		return nil, &hookhall.RelayError{Failure: hookhall.RelayFailure(outcome.GetFailure()), Detail: c.address + ": " + outcome.GetDetail()}
 	}
-	return &relayConn{stream: stream, cancel: cancel, address: relayAddress(r.Address)}, nil
+	c.relayed.Add(1)
+	return &relayConn{stream: stream, cancel: cancel, release: func() { c.relayed.Add(-1) }, address: relayAddress(r.Address)}, nil
 }
 
 // openRelay opens a stream and returns the outcome of its connection.
@@ -158,8 +160,10 @@
 type relayConn struct {
 	stream  pb.Fleet_RelayClient
 	cancel  context.CancelFunc
+	release func()       // called once when the connection is closed
 	address relayAddress // of the target
-	unread  []byte       // received and not read yet
+	once    sync.Once
+	unread  []byte // received and not read yet
 }
 
 // relayAddress is the address of a target.
@@ -206,6 +210,7 @@
 
 // Close implements net.Conn. It closes the connection to the target as well.
 func (c *relayConn) Close() error {
+	c.once.Do(c.release)
 	c.cancel()
 	return nil
 }
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+// TestRelayedConnectionKeepsClient guards against answers that are cut off because the peer that relays
+// them has left the list of members, as it does when it stops.
+func TestRelayedConnectionKeepsClient(t *testing.T) {
+	address := startTarget(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	peer, _ := startRelay(t, &Server{Relayer: directRelayer{}})
+	clients := NewClients(log.New(io.Discard))
+	c := openThrough(t, clients.Client(peer.address), address)
+	clients.CloseUnused(func(string) bool { return false })
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	readPart(t, c, "x")
+	for range 2 {
+		_ = c.Close()
+	}
+	clients.CloseUnused(func(string) bool { return false })
+	if len(clients.byAddress) != 0 {
+		t.Error("the client is kept")
+	}
+}
+
 // TestRelayedClose guards against targets that work on for a client that has left: a connection that
 // is closed here is closed at the target within half a second, also while the target sends.
 func TestRelayedClose(t *testing.T) {
