--- a/internal/coordination/paths/relayer.go
+++ b/internal/coordination/paths/relayer.go
@@ -94,7 +94,7 @@
 	return &countedConn{Conn: c, release: func() { r.open.Add(-1) }}, nil
 }
 
-// relayFailures has what a peer is told of a failed connection.
+// relayFailures has the failure that a peer receives for each failure of a direct attempt.
 var relayFailures = map[reach.Failure]hookhall.RelayFailure{
 	reach.Refused: hookhall.RelayRefused, reach.Reset: hookhall.RelayReset, reach.TimedOut: hookhall.RelayTimedOut,
 }
--- a/internal/state/reach/breaks.go
+++ b/internal/state/reach/breaks.go
@@ -17,8 +17,8 @@
 	breakLifetime = time.Second
 )
 
-// Breaks tells whether connections to targets break because of the targets or because of this
-// process's path to them. The zero Breaks has seen none. It is safe for concurrent use.
+// Breaks distinguishes connections that break because of their targets from those that break because
+// of this process's path. The zero Breaks has seen none. It is safe for concurrent use.
 type Breaks struct {
 	count atomic.Int64 // targets in brokeAt; nothing is locked while it is 0
 
--- a/internal/state/reach/doc.go
+++ b/internal/state/reach/doc.go
@@ -8,7 +8,7 @@
 //
 // A failed connection shows only that this process can't reach a target. Whether the target is
 // down, or the path of this process is broken, takes a second observer: a relay that tries
-// the same target. A Table therefore tells three findings apart. A target without a record is
+// the same target. A Table therefore distinguishes three findings. A target without a record is
 // reachable. One that failed here and that a relay reached has a detour: requests use relays.
 // One that neither this process nor relays reach is down, and fails as it would without relays.
 //
--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -24,7 +24,7 @@
 	// relayChunkBytes is the largest number of bytes of a connection in one message.
 	relayChunkBytes = 16 << 10
 	// relayIdleTimeout is how long a relayed connection may be silent: the process that
-	// opened it may be gone without a word.
+	// opened it may have failed without closing it.
 	relayIdleTimeout = time.Minute
 )
 
