balance: observations of an idle target lose weight with time

What callers saw: nothing failed; one of two healthy targets of a service got no request at all, from any gateway.

Cause: a target without answers was assumed to take 20 ms. Where the first answer of another one took 1 ms, the former was never tried. Its class: what a gateway has seen of a target had no age. One whose last answers were slow, or failures, got nothing until the others were loaded to a multiple of their slots, and so could never show that it had recovered; the failure rate has the same effect on engines.

Change: a target that has not answered is as fast as the fastest one known. While no call is in progress there, the observed latency and failure rate halve in 5 s, so that the next call goes there at some time; its answer then counts with the weight that the old ones have lost. A call in progress ends the decay, so that a target that is still slow gets one call at a time.

Ruled out: a pause or an ejection of the target (its status has none), the links of the gateways that are not cut off.

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -39,7 +39,7 @@
 func (a *attempt) recordRead(atStart bool) {
 	a.activeCall.Read()
 	duration := clock.Since(a.began)
-	a.activeCall.Succeeded(duration)
+	a.activeCall.Succeeded(duration, clock.Now())
 	a.rolloutAttempt.Answered(duration, false)
 	if !atStart {
 		duration = 0
--- a/internal/coordination/forward/load_test.go
+++ b/internal/coordination/forward/load_test.go
@@ -52,7 +52,7 @@
 					a.reply.Info.InvalidLoad = "1,x"
 				}
 				r.recordLoad(a)
-				a.activeCall.Succeeded(time.Duration(100+20*i) * time.Millisecond)
+				a.activeCall.Succeeded(time.Duration(100+20*i)*time.Millisecond, now)
 				a.activeCall.End()
 			}
 			if got, _ := tracker.Choose(list, balance.Criteria{}, now); got.ID != c.want {
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -193,7 +193,7 @@
 		switch note.Kind {
 		case PromptRead:
 			request.activeCall.ReadWithin(note.Took, now)
-			request.activeCall.Succeeded(now.Sub(request.placedAt))
+			request.activeCall.Succeeded(now.Sub(request.placedAt), now)
 			continue
 		case Failed:
 			request.activeCall.Failed(true, now)
--- a/internal/state/balance/choice.go
+++ b/internal/state/balance/choice.go
@@ -97,6 +97,9 @@
 			open[i].pace = pool.Median
 		}
 	}
+	if !criteria.IsEngineCall {
+		setUnknownLatencies(open)
+	}
 	nextHolder := int32(-1)
 	if criteria.IsEngineCall && criteria.SharedPart != "" {
 		nextHolder = markHolders(open, v, criteria)
@@ -126,6 +129,25 @@
 	return index
 }
 
+// setUnknownLatencies sets the latencies of targets that have not answered yet to the lowest known
+// one, so that they get calls too.
+func setUnknownLatencies(open []candidate) {
+	lowest := math.Inf(1)
+	for i := range open {
+		if latency := open[i].nextLatency; latency > 0 {
+			lowest = min(lowest, latency)
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		lowest = defaultLatency
+	}
+	for i := range open {
+		if open[i].nextLatency == 0 {
+			open[i].nextLatency = lowest
+		}
+	}
+}
+
 // markHolders sets holdsPart of the candidates that presumably cache the shared part. If any
 // candidate was sent the part recently, those that were do, otherwise the preferred target, so
 // that all processes send the part to the same one. A new target that becomes the preferred one
--- a/internal/state/balance/doc.go
+++ b/internal/state/balance/doc.go
@@ -24,6 +24,10 @@
 // meanwhile. A choice that would make streams pause for longer than their routes allow costs as
 // much as one that misses the latency target, for each such stream.
 //
+// What was observed of a target loses weight while it is idle, and a target without answers
+// counts as fast as the fastest one: otherwise one that was slow, or came later, would get no
+// call that shows its latency.
+//
 // # Invariants
 //
 //   - A target that is leaving, or that the caller has excluded, is not chosen.
--- a/internal/state/balance/incarnation_test.go
+++ b/internal/state/balance/incarnation_test.go
@@ -34,7 +34,7 @@
 		}, prompt("", 0, 100), true},
 		"a slow pace": {func(b *Tracker, t hookhall.Target) {
 			call := b.Begin(t, Criteria{}, now)
-			call.Succeeded(10 * time.Second)
+			call.Succeeded(10*time.Second, now)
 			call.End()
 		}, Criteria{}, true},
 	} {
@@ -45,7 +45,7 @@
 				// The other target is a little worse than one without a record.
 				b.Begin(list[1], prompt("", 0, 2000), now)
 				call := b.Begin(list[1], Criteria{}, now)
-				call.Succeeded(100 * time.Millisecond)
+				call.Succeeded(100*time.Millisecond, now)
 				call.End()
 			}
 			c.before(b, list[0])
--- a/internal/state/balance/record.go
+++ b/internal/state/balance/record.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,9 @@
 	// reportLifetime is how long a target's report of its slowdown is used: it changes many
 	// times a second.
 	reportLifetime = 500 * time.Millisecond
+	// observationHalfLife is the time in which the observations of an idle target lose half of
+	// their weight.
+	observationHalfLife = 5 * time.Second
 )
 
 // record holds the state of one incarnation of a target as observed by this process.
@@ -54,8 +58,9 @@
 	ejectedUntil time.Time
 	refusedUntil time.Time            // end of the pause after a refusal
 	partLastUsed map[string]time.Time // by prompt part
-	lastUsed     time.Time
-	coldRequests []time.Time // requests of the last coldWindow that were sent while cold
+	observedAt   time.Time            // when a call began or its outcome was seen last
+	sampleWeight float64              // of the next latency; 0 if it has the usual one
+	coldRequests []time.Time          // requests of the last coldWindow that were sent while cold
 
 	slowdown      float64 // reported by the target; 1 for usual, 0 if it is not known
 	slowdownAt    time.Time
@@ -90,11 +95,15 @@
 	call.overlap = r.unreadTokens
 	r.tokensBegun += int64(call.unreadTokens)
 	call.tokensBegun = r.tokensBegun
+	if recency := r.recency(now); recency < 1 {
+		r.failureRate *= recency
+		r.sampleWeight = max(r.sampleWeight, 1-recency)
+	}
+	r.observedAt = now
 	r.inflight++
 	r.reading++
 	r.unreadTokens += call.unreadTokens
 	r.heldTokens += call.heldTokens
-	r.lastUsed = now
 	for _, part := range criteria.Parts {
 		if r.partLastUsed == nil {
 			r.partLastUsed = map[string]time.Time{}
@@ -109,6 +118,17 @@
 	return ok && now.Sub(lastUsed) < partRetention
 }
 
+// recency returns the weight that earlier observations have, from 0 to 1. It falls while the target
+// is idle, so that a target whose last answers were slow or failures is tried again: nothing else
+// would show that it has recovered. A call in progress is such a trial. r.mu must be held.
+func (r *record) recency(now time.Time) float64 {
+	idle := now.Sub(r.observedAt)
+	if r.inflight > 0 || idle <= 0 {
+		return 1
+	}
+	return math.Exp2(-idle.Seconds() / observationHalfLife.Seconds())
+}
+
 // read counts a prompt with the given unread tokens as read.
 func (r *record) read(tokens int) {
 	r.mu.Lock()
@@ -126,9 +146,10 @@
 }
 
 // succeeded counts an answer with the given latency and ends any pause.
-func (r *record) succeeded(latency time.Duration) {
+func (r *record) succeeded(latency time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observedAt = now
 	r.failures = 0
 	r.refusals = 0
 	r.ejectedUntil, r.refusedUntil = time.Time{}, time.Time{}
@@ -137,7 +158,8 @@
 	if r.avgLatency == 0 {
 		r.avgLatency = sample
 	}
-	r.avgLatency += (sample - r.avgLatency) / smoothing
+	r.avgLatency += (sample - r.avgLatency) * max(r.sampleWeight, 1./smoothing)
+	r.sampleWeight = 0
 }
 
 // failed counts a failure. A hard failure (no connection, silence) ejects the target
@@ -145,6 +167,7 @@
 func (r *record) failed(hard bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observedAt = now
 	r.failures++
 	r.failureRate += (1 - r.failureRate) / smoothing
 	if !hard && r.failures < softFailureThreshold {
@@ -159,6 +182,7 @@
 func (r *record) refused(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.observedAt = now
 	pause := min(minRefusalPause<<min(r.refusals, 8), maxRefusalPause)
 	r.refusals++
 	r.refusedUntil = now.Add(pause)
@@ -186,6 +210,7 @@
 	unreadTokens int
 	heldTokens   int
 	avgLatency   float64 // in nanoseconds; 0 before the first answer
+	nextLatency  float64 // expected of the next call, in nanoseconds; 0 if it is not known
 	failureRate  float64
 	ejectedUntil time.Time
 	refusedUntil time.Time
@@ -202,7 +227,8 @@
 	if now.Sub(r.slowdownAt) >= reportLifetime {
 		slowdown = 0
 	}
-	return snapshot{r.inflight, r.reading, r.unreadTokens, r.heldTokens, r.avgLatency, r.failureRate, r.ejectedUntil, r.refusedUntil, r.holdsPart(part, now), r.pace, slowdown}
+	recency := r.recency(now)
+	return snapshot{r.inflight, r.reading, r.unreadTokens, r.heldTokens, r.avgLatency, r.avgLatency * recency, r.failureRate * recency, r.ejectedUntil, r.refusedUntil, r.holdsPart(part, now), r.pace, slowdown}
 }
 
 // sweep removes prompt parts whose last use is longer ago than partRetention.
--- a/internal/state/balance/reference_test.go
+++ b/internal/state/balance/reference_test.go
@@ -93,8 +93,21 @@
 		}
 		nextHolder = PreferredTarget(criteria.SharedPart, eligible)
 	}
+	// A target that has not answered is as fast as the fastest, unlike in the first reference.
+	lowestLatency := math.Inf(1)
+	for _, o := range open {
+		if o.nextLatency > 0 {
+			lowestLatency = min(lowestLatency, o.nextLatency)
+		}
+	}
+	if math.IsInf(lowestLatency, 1) {
+		lowestLatency = 20e6
+	}
 	minCost := math.Inf(1)
 	for _, o := range open {
+		if o.nextLatency == 0 {
+			o.nextLatency = lowestLatency
+		}
 		if jitter := drawUnit(draws); hasFree && isFull(o) {
 			continue
 		} else if cost := referenceCost(o.target, o.snapshot, criteria, holdsPart(o), o.target.ID == nextHolder) + jitter; cost < minCost {
@@ -107,10 +120,7 @@
 // referenceCost is the cost of a target in referenceChoice, without the random part.
 func referenceCost(t hookhall.Target, s snapshot, criteria Criteria, holdsPart, becomesHolder bool) float64 {
 	if !criteria.IsEngineCall {
-		latency := s.avgLatency
-		if latency == 0 {
-			latency = 20e6
-		}
+		latency := s.nextLatency
 		return latency / 1e6 * (1 + float64(s.inflight+1)/float64(max(t.Slots, 1))) * (1 + 6*s.failureRate)
 	}
 	waitTime, readTime, cost := float64(s.unreadTokens)/50, float64(criteria.OwnTokens)/50, float64(s.inflight)
@@ -218,7 +228,7 @@
 				case 1:
 					call.Refused(now)
 				default:
-					call.Succeeded(time.Duration(r.IntN(400)) * time.Millisecond)
+					call.Succeeded(time.Duration(r.IntN(400))*time.Millisecond, now)
 				}
 				if k := r.IntN(len(calls)); r.IntN(20) > 0 {
 					calls[k].End()
--- a/internal/state/balance/slowdown_test.go
+++ b/internal/state/balance/slowdown_test.go
@@ -40,7 +40,7 @@
 						t.Errorf("two invalid reports count as first: %v, %v", first, second)
 					}
 				}
-				call.Succeeded(c.latencies[i])
+				call.Succeeded(c.latencies[i], now)
 				call.End()
 			}
 			for range 10 {
--- a/internal/state/balance/tracker.go
+++ b/internal/state/balance/tracker.go
@@ -44,8 +44,7 @@
 	// slowdown on the latency that is expected of it.
 	minSlowdownFactor = 0.5
 	maxSlowdownFactor = 2.0
-	// defaultLatency is the latency, in nanoseconds, assumed of a target that has not
-	// answered yet.
+	// defaultLatency is the latency, in nanoseconds, assumed of targets if none has answered yet.
 	defaultLatency = float64(20 * time.Millisecond)
 )
 
@@ -236,10 +235,7 @@
 // running streams count only if isUneven is set.
 func expectedCost(t *hookhall.Target, s *snapshot, criteria *Criteria, becomesHolder, isUneven bool, jitter float64) (cost, pauseCost float64) {
 	if !criteria.IsEngineCall {
-		latency := s.avgLatency
-		if latency == 0 {
-			latency = defaultLatency
-		}
+		latency := s.nextLatency
 		if s.slowdown > 0 {
 			// Many gateways read the same report: it must not move all their calls.
 			latency *= min(max(s.slowdown, minSlowdownFactor), maxSlowdownFactor)
@@ -360,7 +356,9 @@
 }
 
 // Succeeded counts an answer whose header arrived after latency.
-func (c *ActiveCall) Succeeded(latency time.Duration) { c.record.succeeded(latency) }
+func (c *ActiveCall) Succeeded(latency time.Duration, now time.Time) {
+	c.record.succeeded(latency, now)
+}
 
 // LoadReported records the load report of an answer.
 func (c *ActiveCall) LoadReported(report hookhall.LoadReport, now time.Time) {
--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -134,7 +134,7 @@
 			for i, latency := range []time.Duration{400 * time.Millisecond, 20 * time.Millisecond} {
 				for range 20 {
 					call := b.Begin(list[i], Criteria{}, now)
-					call.Succeeded(latency)
+					call.Succeeded(latency, now)
 					call.End()
 				}
 			}
@@ -162,7 +162,7 @@
 		// Without these answers a target has the default latency, which is higher than
 		// that of the others, and may never be chosen, as expectedCost is partly random.
 		for _, c := range list {
-			b.Begin(c, Criteria{}, now).Succeeded(time.Millisecond)
+			b.Begin(c, Criteria{}, now).Succeeded(time.Millisecond, now)
 		}
 		for at := now; at.Before(now.Add(5 * time.Second)); at = at.Add(20 * time.Millisecond) {
 			c, ok := b.Choose(list, Criteria{}, at)
@@ -174,7 +174,7 @@
 				calls++
 				call.Refused(at)
 			} else {
-				call.Succeeded(time.Millisecond)
+				call.Succeeded(time.Millisecond, now)
 			}
 			call.End()
 		}
@@ -194,7 +194,7 @@
 		b := NewTracker()
 		callsToRefusing(b, "t0", "t1", "t2")
 		call := b.Begin(list[0], Criteria{}, now)
-		call.Succeeded(time.Millisecond)
+		call.Succeeded(time.Millisecond, now)
 		call.End()
 		if b.Status(hookhall.Incarnation{ID: "t0"}, now).Full || !b.Status(hookhall.Incarnation{ID: "t1"}, now).Full {
 			t.Error("t0 is in a pause, or t1 is not")
