crashes: a content that is not refused can be evicted

Simultaneous crashes while running a recently served content count as one for the status, but each of them counted when a place in the ledger was needed. A content with several of them was neither refused nor evicted, so that a mass crash could fill the ledger, and crashes of another content were not recorded until the entries expired.

The eviction now uses the published status, which counts once. The second way to count is gone. TestSimultaneousCrashesAreEvicted fails without the change ("0 crashes, want 1").

--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -220,20 +220,22 @@
 	return true
 }
 
-// evictOne removes one of the contents for which among returns true and whose uncleared
-// crashes are too few to refuse them: the one with the fewest, and among equals the oldest.
-// It reports whether there was one. l.mu must be held.
+// evictOne removes one of the contents for which among returns true and that are not refused: the
+// one with the fewest crashes as Status counts them, and among equals the oldest. It reports
+// whether there was one. l.mu must be held.
 func (l *Ledger) evictOne(among func(c *content) bool) bool {
 	var (
 		digest Digest
 		chosen *content
 	)
+	fewest := 0
 	for d, c := range l.contents {
-		if !among(c) || c.unclearedCount() >= l.limits.MinCrashes {
+		status := l.Status(d)
+		if !among(c) || status.refused {
 			continue
 		}
-		if chosen == nil || c.unclearedCount() < chosen.unclearedCount() || (c.unclearedCount() == chosen.unclearedCount() && c.firstReported.Before(chosen.firstReported)) {
-			digest, chosen = d, c
+		if chosen == nil || status.Crashes < fewest || (status.Crashes == fewest && c.firstReported.Before(chosen.firstReported)) {
+			digest, chosen, fewest = d, c, status.Crashes
 		}
 	}
 	if chosen == nil {
@@ -260,18 +262,6 @@
 	return list
 }
 
-// unclearedCount returns the number of crashes that are not cleared, simultaneous ones
-// included. The ledger's mu must be held.
-func (c *content) unclearedCount() int {
-	n := 0
-	for _, crash := range c.crashes {
-		if !crash.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
 // publish updates the status of a content for readers. l.mu must be held.
 func (l *Ledger) publish(d Digest) {
 	var s Status
--- a/internal/state/crashes/ledger_test.go
+++ b/internal/state/crashes/ledger_test.go
@@ -270,6 +270,22 @@
 	}
 }
 
+// TestSimultaneousCrashesAreEvicted guards against contents that are not refused and occupy the
+// ledger until their crashes expire, so that none of another content is recorded.
+func TestSimultaneousCrashesAreEvicted(t *testing.T) {
+	l := NewLedger(limits)
+	for content := range byte(limits.MaxContents) {
+		for n := range limits.MinCrashes {
+			crash := newCrash(content, n)
+			crash.Account, crash.RecentlyServed = fmt.Sprint("account-", content), true
+			l.Merge([]Crash{crash}, start)
+		}
+		wantStatus(t, l, content, 1, false)
+	}
+	l.Merge([]Crash{newCrash(200, 1)}, start)
+	wantStatus(t, l, 200, 1, false)
+}
+
 var sink Digest
 
 // BenchmarkDigestOf measures the digest of requests by size of the body.
