crashes: ledgers that got the same reports count the same

Gateways may report a crash with different knowledge of whether its content was served recently. The first report to arrive decided, the checksum did not include it, and crashes reported at the same time were counted in the order of a map: gateways refused a content, or did not, for as long as the crashes counted. An earlier time of a report was stored but not published.

A crash is now one of a recently served content once any gateway says so, as with its clearing; it is passed on and part of the checksum. Crashes at one time have an order, and an earlier time is published. TestMergeServed fails without the change: 3 and 4 crashes after the same reports.

--- a/internal/state/crashes/crash.go
+++ b/internal/state/crashes/crash.go
@@ -20,7 +20,7 @@
 	Incarnation hookhall.Incarnation // the incarnation that crashed
 	// Software is what the target ran: its service and version.
 	Software string
-	// RecentlyServed is set if the reporting process had served the content shortly before
+	// RecentlyServed is set if a reporting process had served the content shortly before
 	// the crash, which shows that not every target that runs it crashes.
 	RecentlyServed bool
 	// Cleared is set once a target has given a complete response to the content.
@@ -38,5 +38,8 @@
 	if c.Cleared {
 		b = append(b, 1)
 	}
+	if c.RecentlyServed {
+		b = append(b, 2)
+	}
 	return xxhash.Sum64(b)
 }
--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -74,8 +74,8 @@
 }
 
 // Merge merges reported crashes into the ledger, except those older than Limits.Retention
-// and those for whose content there is no capacity. It returns those that are new or newly
-// cleared.
+// and those for whose content there is no capacity. It returns those that are new, newly cleared,
+// or newly known to be of a recently served content.
 func (l *Ledger) Merge(reported []Crash, now time.Time) (changed []Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,8 +88,8 @@
 	return changed
 }
 
-// merge merges one crash and reports whether it is new or newly cleared. It returns false
-// as well if there is no capacity for its content. l.mu must be held.
+// merge merges one crash and reports whether it is new, newly cleared, or newly known to be of a
+// recently served content. It returns false as well if there is no capacity for its content. l.mu must be held.
 func (l *Ledger) merge(crash Crash) bool {
 	c := l.contents[crash.Content]
 	if c == nil {
@@ -110,12 +110,12 @@
 	}
 	if crash.ReportedAt.Before(known.ReportedAt) {
 		known.ReportedAt = crash.ReportedAt // the first report counts, whichever process received it
+		l.publish(crash.Content)
 	}
-	if crash.Cleared && !known.Cleared {
-		known.Cleared = true
-		return true
-	}
-	return false
+	isNews := crash.Cleared && !known.Cleared || crash.RecentlyServed && !known.RecentlyServed
+	known.Cleared = known.Cleared || crash.Cleared
+	known.RecentlyServed = known.RecentlyServed || crash.RecentlyServed
+	return isNews
 }
 
 // Clear clears the crashes of a content after a complete response of a target, and returns
@@ -180,12 +180,15 @@
 			list = append(list, *crash)
 		}
 	}
-	slices.SortFunc(list, func(a, b Crash) int {
-		return cmp.Or(strings.Compare(a.Incarnation.ID, b.Incarnation.ID), cmp.Compare(a.Incarnation.Start, b.Incarnation.Start))
-	})
+	slices.SortFunc(list, func(a, b Crash) int { return compareIncarnations(&a, &b) })
 	return list
 }
 
+// compareIncarnations compares the targets of two crashes by ID and start.
+func compareIncarnations(a, b *Crash) int {
+	return cmp.Or(strings.Compare(a.Incarnation.ID, b.Incarnation.ID), cmp.Compare(a.Incarnation.Start, b.Incarnation.Start))
+}
+
 // checksumMargin is how long before its expiry a crash is left out of the checksum, because
 // processes count the age of a crash from times that differ by the transmission time of the
 // report.
@@ -254,11 +257,12 @@
 	l.publish(d)
 }
 
-// sortedCrashes returns the crashes in the order of their first reports. The ledger's mu
+// sortedCrashes returns the crashes in the order of their first reports, those of one time in that
+// of their targets, so that all processes count the same. The ledger's mu
 // must be held.
 func (c *content) sortedCrashes() []*Crash {
 	list := slices.Collect(maps.Values(c.crashes))
-	slices.SortFunc(list, func(a, b *Crash) int { return a.ReportedAt.Compare(b.ReportedAt) })
+	slices.SortFunc(list, func(a, b *Crash) int { return cmp.Or(a.ReportedAt.Compare(b.ReportedAt), compareIncarnations(a, b)) })
 	return list
 }
 
--- a/internal/state/crashes/ledger_test.go
+++ b/internal/state/crashes/ledger_test.go
@@ -270,6 +270,42 @@
 	}
 }
 
+// TestMergeServed guards against ledgers that count the crashes of a content differently because
+// processes reported a crash with different knowledge of whether the content was served.
+func TestMergeServed(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		var reports []Crash
+		for range 12 {
+			crash := newCrash(1, r.IntN(4))
+			crash.RecentlyServed = r.IntN(2) == 0
+			crash.ReportedAt = start.Add(time.Duration(r.IntN(3)) * simultaneousWindow / 2)
+			reports = append(reports, crash)
+		}
+		ledgers := [2]*Ledger{NewLedger(limits), NewLedger(limits)}
+		for _, l := range ledgers {
+			r.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+			for _, crash := range reports {
+				l.Merge([]Crash{crash}, start)
+			}
+		}
+		a, b := ledgers[0].Status(Digest{1}), ledgers[1].Status(Digest{1})
+		if a.Crashes != b.Crashes || a.Refused() != b.Refused() || !a.FirstReported.Equal(b.FirstReported) {
+			t.Fatalf("seed %d: %+v and %+v after the same reports", seed, a, b)
+		}
+	}
+	t.Run("the checksum tells it", func(t *testing.T) {
+		crash := newCrash(1, 1)
+		l := NewLedger(limits)
+		l.Merge([]Crash{crash}, start)
+		before := l.Checksum(start)
+		crash.RecentlyServed = true
+		if changed := l.Merge([]Crash{crash}, start); len(changed) != 1 || l.Checksum(start) == before {
+			t.Errorf("%d changes, checksum %d after %d", len(changed), l.Checksum(start), before)
+		}
+	})
+}
+
 // TestSimultaneousCrashesAreEvicted guards against contents that are not refused and occupy the
 // ledger until their crashes expire, so that none of another content is recorded.
 func TestSimultaneousCrashesAreEvicted(t *testing.T) {
