--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -75,7 +75,7 @@
 	if account.Rate == 0 && account.Concurrency == 0 {
 		return func() {}, nil
 	}
-	allocation := l.allocations.Allocation(account.Name)
+	allocation := l.allocations.Allocation(account.Name, clock.Now())
 	for i := 0; i < maxRefills; i++ {
 		decision, retryAfter := allocation.Spend(account, clock.Now())
 		switch decision {
@@ -112,9 +112,10 @@
 // concurrent requests of the account. It returns false if the owner didn't answer.
 func (l *Limits) refill(ctx context.Context, account *hookhall.Account, allocation *share.Allocation) bool {
 	answered, _, _ := l.leaseCalls.Do(account.Name, func() (any, error) {
-		lease, answered := l.requestLease(context.WithoutCancel(ctx), account.Name, allocation.Want(account, clock.Now()))
+		want := allocation.Want(account, clock.Now())
+		lease, answered := l.requestLease(context.WithoutCancel(ctx), account.Name, want)
 		if answered {
-			allocation.ApplyLease(lease, clock.Now())
+			allocation.ApplyLease(want, lease, clock.Now())
 		}
 		return answered, nil
 	})
@@ -162,7 +163,7 @@
 	for retry.Sleep(ctx, retry.Jitter(renewInterval)) {
 		snapshot := l.tables.Current().Snapshot
 		for _, name := range l.allocations.DueRenewals(clock.Now()) {
-			account, allocation := snapshot.Accounts[name], l.allocations.Allocation(name)
+			account, allocation := snapshot.Accounts[name], l.allocations.Allocation(name, clock.Now())
 			if account == nil {
 				continue
 			}
@@ -172,7 +173,7 @@
 				want.Concurrency = 0
 			}
 			if lease, ok := l.requestLease(ctx, name, want); ok {
-				allocation.ApplyLease(lease, clock.Now())
+				allocation.ApplyLease(want, lease, clock.Now())
 			}
 		}
 		l.grants.Sweep(clock.Now())
--- a/internal/state/share/allocation.go
+++ b/internal/state/share/allocation.go
@@ -47,6 +47,10 @@
 	demand      float64
 	windowCount float64
 	windowStart time.Time
+	// lookedUpAt is when Allocations returned it last. removed is set once Allocations has dropped
+	// it.
+	lookedUpAt time.Time
+	removed    bool
 	// fallbackLimiter limits the rate while the owner does not answer; nil before the
 	// first such request.
 	fallbackLimiter *rate.Limiter
@@ -58,13 +62,26 @@
 	byAccount sync.Map // account name to *Allocation
 }
 
-// Allocation returns the allocation of an account and creates it if necessary.
-func (a *Allocations) Allocation(account string) *Allocation {
-	v, ok := a.byAccount.Load(account)
-	if !ok {
-		v, _ = a.byAccount.LoadOrStore(account, &Allocation{})
+// Allocation returns the allocation of an account and creates it if necessary. The caller may use
+// it for up to idleTimeout.
+func (a *Allocations) Allocation(account string, now time.Time) *Allocation {
+	for {
+		v, ok := a.byAccount.Load(account)
+		if !ok {
+			v, _ = a.byAccount.LoadOrStore(account, &Allocation{})
+		}
+		if allocation := v.(*Allocation); allocation.lookUp(now) {
+			return allocation
+		}
 	}
-	return v.(*Allocation)
+}
+
+// lookUp records a use, and returns false if the allocation was removed.
+func (a *Allocation) lookUp(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lookedUpAt = now
+	return !a.removed
 }
 
 // Decision is the result of Spend.
@@ -139,8 +156,9 @@
 }
 
 // ApplyLease adds the rate units of a lease and replaces the concurrency units. If the lease
-// has a retry delay and lacks units, requests are denied for up to shortRetryDelay.
-func (a *Allocation) ApplyLease(lease hookhall.ShareLease, now time.Time) {
+// has a retry delay and lacks units that were wanted, requests are denied for up to
+// shortRetryDelay.
+func (a *Allocation) ApplyLease(want hookhall.ShareDemand, lease hookhall.ShareLease, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !lease.Limited {
@@ -154,7 +172,9 @@
 		a.tokensExpireAt = now.Add(LeaseTime)
 	}
 	a.units, a.unitsExpireAt = lease.Concurrency, now.Add(LeaseTime)
-	if lease.Rate == 0 && lease.RetryAfter > 0 || lease.Concurrency <= a.inUse && lease.RetryAfter > 0 {
+	lacksRate := want.Rate > 0 && lease.Rate == 0
+	lacksConcurrency := want.Concurrency > 0 && lease.Concurrency <= a.inUse
+	if lease.RetryAfter > 0 && (lacksRate || lacksConcurrency) {
 		a.availableAt = now.Add(lease.RetryAfter)
 		a.deniedUntil = now.Add(min(lease.RetryAfter, shortRetryDelay))
 	}
@@ -186,19 +206,18 @@
 
 // DueRenewals returns the names of accounts whose leased concurrency is in use or not
 // expired, and has less than three quarters of LeaseTime left. It also removes
-// allocations without requests in progress whose demand window began more than
-// idleTimeout ago.
+// allocations without requests in progress that were not looked up for idleTimeout.
 func (a *Allocations) DueRenewals(now time.Time) []string {
 	var names []string
 	a.byAccount.Range(func(k, v any) bool {
 		allocation := v.(*Allocation)
 		allocation.mu.Lock()
+		defer allocation.mu.Unlock()
 		if allocation.units > 0 && (allocation.inUse > 0 || now.Before(allocation.unitsExpireAt)) && allocation.unitsExpireAt.Sub(now) < LeaseTime*3/4 {
 			names = append(names, k.(string))
 		}
-		idle := allocation.inUse == 0 && now.Sub(allocation.windowStart) > idleTimeout
-		allocation.mu.Unlock()
-		if idle {
+		if allocation.inUse == 0 && now.Sub(allocation.lookedUpAt) > idleTimeout {
+			allocation.removed = true
 			a.byAccount.Delete(k)
 		}
 		return true
--- a/internal/state/share/grants.go
+++ b/internal/state/share/grants.go
@@ -38,6 +38,7 @@
 	// ownedSince is when this process began to own the account.
 	ownedSince time.Time
 	lastUsed   time.Time
+	removed    bool // Sweep has dropped it
 }
 
 // grant is the concurrency that one entry has leased.
@@ -57,14 +58,8 @@
 		return lease
 	}
 	lease.Limited = true
-	v, ok := g.accounts.Load(a.Name)
-	if !ok {
-		v, _ = g.accounts.LoadOrStore(a.Name, &account{grants: map[string]*grant{}, ownedSince: now})
-	}
-	owned := v.(*account)
-	owned.mu.Lock()
+	owned := g.lockAccount(a.Name, now)
 	defer owned.mu.Unlock()
-	owned.lastUsed = now
 	if a.Rate > 0 && want.Rate > 0 {
 		lease.Rate, lease.RetryAfter = owned.leaseRate(a.Rate, want.Rate, now)
 	}
@@ -77,6 +72,23 @@
 	return lease
 }
 
+// lockAccount returns the state of an account with its mu locked, and creates it if necessary.
+func (g *Grants) lockAccount(name string, now time.Time) *account {
+	for {
+		v, ok := g.accounts.Load(name)
+		if !ok {
+			v, _ = g.accounts.LoadOrStore(name, &account{grants: map[string]*grant{}, ownedSince: now})
+		}
+		owned := v.(*account)
+		owned.mu.Lock()
+		if !owned.removed {
+			owned.lastUsed = now
+			return owned
+		}
+		owned.mu.Unlock()
+	}
+}
+
 // leaseRate takes up to count tokens from the bucket and returns their number. If it
 // takes none, the duration is the time until the next token.
 func (a *account) leaseRate(ratePerSecond float64, count int64, now time.Time) (int64, time.Duration) {
@@ -167,9 +179,9 @@
 	g.accounts.Range(func(k, v any) bool {
 		a := v.(*account)
 		a.mu.Lock()
-		idle := now.Sub(a.lastUsed) > idleTimeout
-		a.mu.Unlock()
-		if idle {
+		defer a.mu.Unlock()
+		if now.Sub(a.lastUsed) > idleTimeout {
+			a.removed = true
 			g.accounts.Delete(k)
 		}
 		return true
--- a/internal/state/share/share_test.go
+++ b/internal/state/share/share_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,28 +97,28 @@
 	now := time.Unix(1e9, 0)
 	a := &hookhall.Account{Name: "a", Rate: 10, Concurrency: 2}
 	Convey("An allocation", t, func() {
-		allocation := (&Allocations{}).Allocation("a")
+		allocation := (&Allocations{}).Allocation("a", now)
 		spend := func(at time.Time) Decision { d, _ := allocation.Spend(a, at); return d }
 		Convey("asks the owner first, spends the lease, and asks again", func() {
 			So(spend(now), ShouldEqual, Ask)
-			allocation.ApplyLease(hookhall.ShareLease{Limited: true, Rate: 2, Concurrency: 2}, now)
+			allocation.ApplyLease(allocation.Want(a, now), hookhall.ShareLease{Limited: true, Rate: 2, Concurrency: 2}, now)
 			So(spend(now), ShouldEqual, Pass)
 			So(spend(now), ShouldEqual, Pass)
 			So(spend(now), ShouldEqual, Ask)
 		})
 		Convey("does not spend expired units", func() {
-			allocation.ApplyLease(hookhall.ShareLease{Limited: true, Rate: 2, Concurrency: 2}, now)
+			allocation.ApplyLease(allocation.Want(a, now), hookhall.ShareLease{Limited: true, Rate: 2, Concurrency: 2}, now)
 			So(spend(now.Add(2*LeaseTime)), ShouldEqual, Ask)
 		})
 		Convey("does not exceed its concurrency units", func() {
-			allocation.ApplyLease(hookhall.ShareLease{Limited: true, Rate: 9, Concurrency: 1}, now)
+			allocation.ApplyLease(allocation.Want(a, now), hookhall.ShareLease{Limited: true, Rate: 9, Concurrency: 1}, now)
 			So(spend(now), ShouldEqual, Pass)
 			So(spend(now), ShouldEqual, Ask)
 			allocation.Done()
 			So(spend(now), ShouldEqual, Pass)
 		})
 		Convey("denies requests after a refusal and returns the time until units are available", func() {
-			allocation.ApplyLease(hookhall.ShareLease{Limited: true, RetryAfter: time.Second}, now)
+			allocation.ApplyLease(allocation.Want(a, now), hookhall.ShareLease{Limited: true, RetryAfter: time.Second}, now)
 			d, after := allocation.Spend(a, now)
 			So(d, ShouldEqual, Deny)
 			So(after, ShouldEqual, time.Second)
@@ -132,15 +133,71 @@
 	})
 }
 
+// TestRenewalDoesNotDeny guards against requests that are refused though units are left, because a
+// renewal asks for no rate and is granted less concurrency than it asks for.
+func TestRenewalDoesNotDeny(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	a := &hookhall.Account{Name: "a", Rate: 10, Concurrency: 4}
+	allocation := (&Allocations{}).Allocation("a", now)
+	allocation.ApplyLease(allocation.Want(a, now), hookhall.ShareLease{Limited: true, Rate: 5, Concurrency: 3}, now)
+	for range 2 {
+		if d, _ := allocation.Spend(a, now); d != Pass {
+			t.Fatalf("decision %v", d)
+		}
+	}
+	renewal := allocation.Want(a, now)
+	renewal.Rate = 0
+	allocation.ApplyLease(renewal, hookhall.ShareLease{Limited: true, Concurrency: 3, RetryAfter: LeaseTime / 4}, now)
+	if d, after := allocation.Spend(a, now); d != Pass {
+		t.Errorf("decision %v, retry after %v", d, after)
+	}
+}
+
+// TestSweepDuringUse guards against state that is removed as idle while a request uses it: the
+// units of the request would count no more, at its entry or at the owner.
+func TestSweepDuringUse(t *testing.T) {
+	const tries = 30000
+	now := time.Unix(1e9, 0)
+	later := now.Add(idleTimeout + time.Second)
+	a := &hookhall.Account{Name: "a", Concurrency: 4}
+	race := func(sweep, use func()) {
+		var wg sync.WaitGroup
+		wg.Go(sweep)
+		wg.Go(use)
+		wg.Wait()
+	}
+	t.Run("at an entry", func(t *testing.T) {
+		for range tries {
+			var allocations Allocations
+			allocations.Allocation("a", now)
+			var used *Allocation
+			race(func() { allocations.DueRenewals(later) }, func() { used = allocations.Allocation("a", later) })
+			if allocations.Allocation("a", later) != used {
+				t.Fatal("the allocation in use was removed")
+			}
+		}
+	})
+	t.Run("at the owner", func(t *testing.T) {
+		for range tries {
+			var grants Grants
+			grants.Lease(a, "e1", hookhall.ShareDemand{Account: "a", Concurrency: 1}, 2, now)
+			race(func() { grants.Sweep(later) }, func() { grants.Lease(a, "e1", hookhall.ShareDemand{Account: "a", Concurrency: 1}, 2, later) })
+			if grants.Len() == 0 {
+				t.Fatal("the lease was removed")
+			}
+		}
+	})
+}
+
 // BenchmarkSpend measures concurrent spending from one account.
 func BenchmarkSpend(b *testing.B) {
 	allocations, a := &Allocations{}, &hookhall.Account{Name: "a", Concurrency: 1 << 40}
-	allocations.Allocation("a").ApplyLease(hookhall.ShareLease{Limited: true, Concurrency: 1 << 40}, time.Now().Add(time.Hour))
+	allocations.Allocation("a", time.Now()).ApplyLease(hookhall.ShareDemand{Concurrency: 1}, hookhall.ShareLease{Limited: true, Concurrency: 1 << 40}, time.Now().Add(time.Hour))
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		now := time.Now()
 		for pb.Next() {
-			allocation := allocations.Allocation("a")
+			allocation := allocations.Allocation("a", now)
 			if d, _ := allocation.Spend(a, now); d == Pass {
 				allocation.Done()
 			}
