claim: the retry delay includes the margin of the wait for a lost pair

A client whose key belongs to a lost pair was told to come back after the rest of the retention. The claims of the pair count as expired a tenth of it later, so that the client was refused a second time and then every 200 ms. Both now use one function. TestLostPairRetryAfter fails without the change: ClaimLost after the 1m0s that the client was told to wait.

--- a/internal/state/claim/owner.go
+++ b/internal/state/claim/owner.go
@@ -50,13 +50,12 @@
 }
 
 // incompleteReply returns ClaimLost with the delay before the next attempt:
-// fetchRetryDelay while records are being fetched, or the rest of the retention, without
-// the margin of MarkPairLost, while claims that a lost pair may have granted can be
-// unexpired. sl.mu must be held.
+// fetchRetryDelay while records are being fetched, or the rest of the wait for a lost pair.
+// sl.mu must be held.
 func (s *Store) incompleteReply(sl *slot, now time.Time) hookhall.ClaimReply {
 	reply := hookhall.ClaimReply{Outcome: hookhall.ClaimLost, Epoch: sl.epoch, RetryAfter: fetchRetryDelay}
 	for _, since := range sl.lostSince {
-		if d := s.retention - now.Sub(since); d > reply.RetryAfter {
+		if d := s.lostWait() - now.Sub(since); d > reply.RetryAfter {
 			reply.RetryAfter = d
 		}
 	}
--- a/internal/state/claim/standby.go
+++ b/internal/state/claim/standby.go
@@ -137,10 +137,12 @@
 // it was seen to be gone.
 const lostMarginDivisor = 10
 
+// lostWait returns how long after the loss of a pair all its claims have expired.
+func (s *Store) lostWait() time.Duration { return s.retention + s.retention/lostMarginDivisor }
+
 // MarkPairLost records that both members of the pair that served the slot at
-// missing.Epoch are known to have ended. Repeated calls return true once the retention
-// and its margin have passed since the first call: every claim of that epoch has
-// expired, and the epoch counts as complete. The slot must be below view.SlotCount.
+// missing.Epoch are known to have ended. Repeated calls return true once lostWait has passed
+// since the first call: every claim of that epoch has expired, and the epoch counts as complete. The slot must be below view.SlotCount.
 func (s *Store) MarkPairLost(missing MissingEpoch, now time.Time) bool {
 	sl := &s.slots[missing.Slot]
 	sl.mu.Lock()
@@ -150,7 +152,7 @@
 		sl.lostSince[missing.Epoch] = now
 		return false
 	}
-	if now.Sub(since) < s.retention+s.retention/lostMarginDivisor {
+	if now.Sub(since) < s.lostWait() {
 		return false
 	}
 	sl.completeEpochs[missing.Epoch] = true
--- a/internal/state/claim/store_test.go
+++ b/internal/state/claim/store_test.go
@@ -204,3 +204,31 @@
 		})
 	})
 }
+
+// TestLostPairRetryAfter guards against clients that are told to come back before a lost pair's
+// claims count as expired, and are refused again.
+func TestLostPairRetryAfter(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	member := hookhall.Member{ID: "b#1", Instance: "b", Hall: "h1"}
+	v := view.Leave(view.Join(view.Join(&hookhall.View{}, hookhall.Member{ID: "a#1", Instance: "a", Hall: "h1"}), member), "a#1", true)
+	store := New(member.ID, time.Minute)
+	store.Advance(v)
+	slot := view.SlotOf("k")
+	repair := func(now time.Time) {
+		for _, missing := range store.MissingEpochs() {
+			store.MarkPairLost(missing, now)
+		}
+	}
+	repair(now)
+	request := hookhall.ClaimRequest{Epoch: v.Epoch, Key: "k", Origin: member.ID, Token: 1}
+	reply, _ := store.Begin(request, now)
+	if reply.Outcome != hookhall.ClaimLost {
+		t.Fatalf("outcome %v, complete through %d of %d", reply.Outcome, store.slots[slot].completeThrough, v.Epoch)
+	}
+	for range len(store.MissingEpochs()) { // one lost epoch of each slot at a time
+		repair(now.Add(reply.RetryAfter))
+	}
+	if later, _ := store.Begin(request, now.Add(reply.RetryAfter)); later.Outcome != hookhall.ClaimGranted {
+		t.Errorf("outcome %v after the %v that the client was told to wait, retry after %v", later.Outcome, reply.RetryAfter, later.RetryAfter)
+	}
+}
