claim: a key's writes stay within its epoch

The low 24 bits of a Sequence count the writes of a key within an epoch. Nothing bounded them: the next write had the Sequence of a write of the next epoch, and could hide a grant there. Such a key is now refused until the epoch changes or the record expires. TestExhaustedSequence fails without the change.

--- a/internal/state/claim/owner.go
+++ b/internal/state/claim/owner.go
@@ -40,6 +40,9 @@
 	if request.Token == 0 {
 		return hookhall.ClaimReply{Outcome: hookhall.ClaimRefused, Epoch: sl.epoch}, nil
 	}
+	if old != nil && (old.Sequence+2)>>sequenceBits > sl.epoch { // the claim and its end are two writes
+		return hookhall.ClaimReply{Outcome: hookhall.ClaimRefused, Epoch: sl.epoch, RetryAfter: fetchRetryDelay}, nil
+	}
 	return s.openClaim(sl, request, old, now)
 }
 
@@ -85,7 +88,8 @@
 }
 
 // sequenceBits is the number of low bits of a record's Sequence that count the writes of
-// its key within one epoch, up to some 16 million; the higher bits are the epoch.
+// its key within one epoch; the higher bits are the epoch. After some 16 million writes, the key is
+// refused until the epoch changes or its record expires.
 const sequenceBits = 24
 
 // nextSequence returns a Sequence above that of every write of earlier epochs, including
--- a/internal/state/claim/store_test.go
+++ b/internal/state/claim/store_test.go
@@ -232,3 +232,19 @@
 		t.Errorf("outcome %v after the %v that the client was told to wait, retry after %v", later.Outcome, reply.RetryAfter, later.RetryAfter)
 	}
 }
+
+// TestExhaustedSequence guards against writes of a key whose Sequence is that of a later epoch, and
+// which would hide a grant there.
+func TestExhaustedSequence(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	owner, _, v := newStorePair("k")
+	first, grant := owner.Begin(newClaimRequest("k", 1), now)
+	if grant == nil {
+		t.Fatalf("no grant: %+v", first)
+	}
+	owner.Complete(grant, false)
+	owner.slots[view.SlotOf("k")].records["k"].Sequence = (v.Epoch+1)<<sequenceBits - 2
+	if reply, grant := owner.Begin(newClaimRequest("k", 2), now); grant != nil || reply.Outcome != hookhall.ClaimRefused || reply.RetryAfter == 0 {
+		t.Errorf("grant %+v, reply %+v", grant, reply)
+	}
+}
