routing: the retry budget does not pass its bound

The bound was compared before the share of a call was added, so that a budget just below it, or concurrent calls, raised it above. TestRetryBudgetIsBounded fails without the change (3990 becomes 4040).

--- a/internal/state/routing/pool.go
+++ b/internal/state/routing/pool.go
@@ -205,8 +205,12 @@
 // EarnRetryShare adds the share of one call, retryShare, to the retry budget, up to
 // retryBurst. It is called once per call.
 func (p *Pool) EarnRetryShare() {
-	if p.retryBudget.Load() < retryBurst*1000 {
-		p.retryBudget.Add(int64(retryShare * 1000))
+	for {
+		budget := p.retryBudget.Load()
+		earned := min(budget+int64(retryShare*1000), retryBurst*1000)
+		if earned == budget || p.retryBudget.CompareAndSwap(budget, earned) {
+			return
+		}
 	}
 }
 
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -156,6 +156,19 @@
 	})
 }
 
+// TestRetryBudgetIsBounded guards against calls that raise the retry budget above its maximum.
+func TestRetryBudgetIsBounded(t *testing.T) {
+	const maximum = retryBurst * 1000
+	for budget, want := range map[int64]int64{0: retryShare * 1000, maximum - 10: maximum, maximum: maximum} {
+		p := poolOf(1)
+		p.retryBudget.Store(budget)
+		p.EarnRetryShare()
+		if got := p.retryBudget.Load(); got != want {
+			t.Errorf("a budget of %d thousandths becomes %d, not %d", budget, got, want)
+		}
+	}
+}
+
 // BenchmarkPick measures Pick among 4 and among 32 targets, the usual numbers for an entry.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{4, 32} {
