table: a deletion that names a column is refused

An edit with Delete and a column was checked as a cell, and then deleted the whole row. It is now an invalid cell. The case of TestApply fails without the change; TestRoundTrip made such edits itself and now makes deletions of rows.

--- a/internal/state/table/document.go
+++ b/internal/state/table/document.go
@@ -213,11 +213,14 @@
 }
 
 // checkEdits returns CellErrors with one entry for each invalid edit, nil when there are
-// none. It does not check deletions of rows.
+// none. A deletion is one of a whole row, so that it must not name a column.
 func checkEdits(edits []hookhall.Edit) error {
 	var invalid CellErrors
 	for _, e := range edits {
-		if e.Delete && e.Column == "" {
+		if e.Delete {
+			if e.Column != "" {
+				invalid = append(invalid, &CellError{e.Sheet, e.Row, e.Column, "a deletion is of a whole row and names no column"})
+			}
 			continue
 		}
 		if err := CheckCell(e.Sheet, e.Row, e.Column, e.Value); err != nil {
--- a/internal/state/table/table_test.go
+++ b/internal/state/table/table_test.go
@@ -51,6 +51,12 @@
 			_, err := d.Apply("two", []hookhall.Edit{newEdit("acme", "key_sha256", key, ""), newEdit("other", "key_sha256", key, "")})
 			So(err, ShouldNotBeNil)
 		})
+		Convey("rejects a deletion that names a column, and keeps the row", func() {
+			_, err := d.Apply("two", []hookhall.Edit{{Sheet: hookhall.SheetAccounts, Row: "acme", Column: "rate", Delete: true}})
+			var invalid CellErrors
+			So(errors.As(err, &invalid), ShouldBeTrue)
+			So(invalid[0].Column, ShouldEqual, "rate")
+		})
 		Convey("deletes a row, and keeps its replaced chunk listed for retiredVersions versions", func() {
 			old := d.Root.Chunks
 			n, err := d.Apply("two", []hookhall.Edit{{Sheet: hookhall.SheetAccounts, Row: "acme", Delete: true}})
@@ -105,7 +111,10 @@
 		rows := rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,6}`), 1, 30).Draw(t, "rows")
 		for i, row := range rows {
 			e := newEdit(row, "weight", rapid.SampledFrom([]string{"1", "2", "3", ""}).Draw(t, "value"), "")
-			e.Force, e.Delete = true, i%7 == 6
+			e.Force = true
+			if i%7 == 6 {
+				e = hookhall.Edit{Sheet: e.Sheet, Row: row, Delete: true}
+			}
 			n, err := d.Apply("x", []hookhall.Edit{e})
 			if err != nil {
 				t.Fatal(err)
