claims: a grant whose reply names another key is released

An origin that got a grant for another key or token refused the request, but did not release the grant that its own request may have got: the key stayed held for the retention, for the same caller too. TestMisdirectedGrantIsReleased fails without the change.

--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -232,9 +232,11 @@
 }
 
 // verifyReply returns an error if the reply is for another key, or grants the
-// claim to a token other than the requested one.
+// claim to a token other than the requested one. The grant that the request may have
+// got nevertheless is released.
 func (c *Claims) verifyReply(reply hookhall.ClaimReply, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
 	if reply.Record.Key != q.Key || reply.Outcome == hookhall.ClaimGranted && reply.Record.Token != q.Token {
+		c.releaseUnused(q)
 		return reply, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseMisdirected, "the owner answered for another key")
 	}
 	return reply, nil
--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -41,6 +41,8 @@
 	// beforeCopy and afterCopy, if set, are called before and after a standby stores a copy.
 	beforeCopy func(hookhall.Record)
 	afterCopy  func(hookhall.Record)
+	// editReply, if set, changes the reply of an owner.
+	editReply func(*hookhall.ClaimReply)
 }
 
 // peerLink is the client of one entry of a group.
@@ -101,7 +103,13 @@
 }
 
 func (l peerLink) Claim(ctx context.Context, q hookhall.ClaimRequest) (hookhall.ClaimReply, error) {
-	return deliverCall(ctx, l, func() hookhall.ClaimReply { return l.to.Handle(ctx, q) })
+	return deliverCall(ctx, l, func() hookhall.ClaimReply {
+		reply := l.to.Handle(ctx, q)
+		if l.group.editReply != nil {
+			l.group.editReply(&reply)
+		}
+		return reply
+	})
 }
 
 func (l peerLink) Settle(ctx context.Context, s hookhall.Settlement) (hookhall.CopyReply, error) {
@@ -183,6 +191,32 @@
 	})
 }
 
+// TestMisdirectedGrantIsReleased guards against a key that stays held for the whole retention because
+// the owner's reply named another key or token, so that the origin doesn't use the grant.
+func TestMisdirectedGrantIsReleased(t *testing.T) {
+	for name, edit := range map[string]func(*hookhall.ClaimReply){
+		"another key":   func(r *hookhall.ClaimReply) { r.Record.Key = "other" },
+		"another token": func(r *hookhall.ClaimReply) { r.Record.Token++ },
+	} {
+		Convey("The owner's reply is for "+name, t, func() {
+			p := newPair()
+			key := p.keyOwnedBy("a")
+			var first sync.Once
+			p.editReply = func(r *hookhall.ClaimReply) { first.Do(func() { edit(r) }) }
+			ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancel()
+			_, _, err := p.entries["b"].Acquire(ctx, key, 1)
+			So(hookhall.AsError(err).Cause, ShouldEqual, hookhall.CauseMisdirected)
+			So(p.entries["b"].Drain(ctx), ShouldBeNil)
+			Convey("and a later submission gets the grant", func() {
+				ticket, _, err := p.entries["b"].Acquire(ctx, key, 1)
+				So(err, ShouldBeNil)
+				So(ticket, ShouldNotBeNil)
+			})
+		})
+	}
+}
+
 // TestGrantAfterLostReplyIsSettled guards against the loss of a run's answer: a retried
 // request has a new token, and a settlement with the token of the request whose reply was
 // lost would be refused.
