--- a/internal/coordination/catalog/pools.go
+++ b/internal/coordination/catalog/pools.go
@@ -32,7 +32,7 @@
 // markAllDirty makes the next snapshot rebuild all services. c.mu must be held.
 func (c *Catalog) markAllDirty() {
 	for pool := range c.entriesByPool {
-		c.changesByPool[pool] = &poolChanges{needsRebuild: true}
+		c.changesByPool[pool] = &poolChanges{needsRebuild: true, entries: map[*entry]bool{}}
 	}
 }
 
--- a/internal/coordination/catalog/pools_test.go
+++ b/internal/coordination/catalog/pools_test.go
@@ -53,3 +53,16 @@
 		}
 	})
 }
+
+// TestChangeAfterMarkAllDirty guards against a crash when a target changes before the snapshot that
+// rebuilds all services is made.
+func TestChangeAfterMarkAllDirty(t *testing.T) {
+	c := newCatalog(newFakeStore())
+	c.ApplyReading(Reading{Revision: 1, Items: []hookhall.Item{targetItem(1, "ready")}, Began: time.Now()}, "store")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.markAllDirty()
+	for _, e := range c.entriesByKey {
+		c.markDirty(e)
+	}
+}
