catalog: a table that is lost again is logged again

The line that the store has no table came once per process. A table that was there and is lost, as after a restore of the store, was not logged if the process had started without one. TestMissingTableIsLoggedAgain fails without the change.

--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -222,6 +223,22 @@
 	return New(s, fakeSchema{}, log.New(io.Discard))
 }
 
+// TestMissingTableIsLoggedAgain guards against a lost table that no log line tells, because the store
+// had none when the process started.
+func TestMissingTableIsLoggedAgain(t *testing.T) {
+	var lines bytes.Buffer
+	c := New(newFakeStore(), fakeSchema{}, log.New(&lines))
+	found := []hookhall.Item{{Key: fakeSchema{}.RoutingKey(), Value: []byte("1"), Revision: 1}}
+	for range 2 {
+		c.logNoTable()
+		c.logNoTable()
+		c.applyStoredTable(found, time.Now())
+	}
+	if n := strings.Count(lines.String(), "store has no table"); n != 2 {
+		t.Errorf("logged %d times in two periods without a table", n)
+	}
+}
+
 // runCatalog runs a catalog and f in virtual time.
 func runCatalog(t *testing.T, s *fakeStore, f func(c *Catalog)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -78,10 +78,10 @@
 	}
 }
 
-// logNoTable logs, once per process, that operators have not written a table.
+// logNoTable logs that the store has no table, once until it has one again.
 func (c *Catalog) logNoTable() {
 	if !c.isTableMissing.Swap(true) {
-		c.log.Info("store has no table yet")
+		c.log.Info("store has no table")
 	}
 }
 
@@ -146,6 +146,7 @@
 	if newest.Revision == 0 {
 		return false
 	}
+	c.isTableMissing.Store(false)
 	if c.ApplyTable(newest.Value, newest.Revision, "store", began) {
 		c.OnStoreRead()
 	}
