pipeline: estimates take no size that they don't use

estimateKey and estimateRest had the length of the input as a parameter, and ignored it. Series are by pipeline, stage and limit of generated tokens.

--- a/internal/coordination/pipeline/run.go
+++ b/internal/coordination/pipeline/run.go
@@ -221,7 +221,7 @@
 	if x.policy.NoEarlyRefusal {
 		return nil
 	}
-	need := x.estimateRest(0, len(x.request.Input))
+	need := x.estimateRest(0)
 	longestWait := time.Duration(0)
 	retryAfter := time.Duration(0)
 	for _, stage := range x.pipeline.Stages {
@@ -248,12 +248,11 @@
 
 // estimateRest returns the expected duration of the stages from an index on, without
 // the waits at gates. The next stage counts with its high estimate and those after
-// it with their medians, because it is unlikely that all of them are slow. size is
-// the length of the input in bytes, for estimateKey.
-func (x *run) estimateRest(first, size int) time.Duration {
+// it with their medians, because it is unlikely that all of them are slow.
+func (x *run) estimateRest(first int) time.Duration {
 	var sum time.Duration
 	for i := first; i < len(x.pipeline.Stages); i++ {
-		expected := x.estimates.Get(x.estimateKey(i, size))
+		expected := x.estimates.Get(x.estimateKey(i))
 		if i == first {
 			sum += expected.P90
 		} else {
@@ -264,9 +263,8 @@
 }
 
 // estimateKey returns the key of the series of estimates for stage i. If the number
-// of generated tokens is limited, there is a series per bucket of that limit. size,
-// the length of the input in bytes, is not used.
-func (x *run) estimateKey(i, size int) estimate.Key {
+// of generated tokens is limited, there is a series per bucket of that limit.
+func (x *run) estimateKey(i int) estimate.Key {
 	key := estimate.Key{Pipeline: x.pipeline.Name, Stage: x.pipeline.Stages[i].Name}
 	if n := x.maxTokens(i); n > 0 {
 		key.Size = estimate.Bucket(n)
--- a/internal/coordination/pipeline/stage.go
+++ b/internal/coordination/pipeline/stage.go
@@ -116,10 +116,10 @@
 	item := &admission.Item{
 		Account: s.account.Name, Weight: s.weight, Priority: s.priority,
 		LatestStart: s.request.Deadline,
-		Cost:        s.estimates.Get(s.estimateKey(s.index, len(s.input))).Median.Seconds(),
+		Cost:        s.estimates.Get(s.estimateKey(s.index)).Median.Seconds(),
 	}
 	if !s.policy.NoEarlyRefusal {
-		item.LatestStart = item.LatestStart.Add(-s.estimateRest(s.index, len(s.input)))
+		item.LatestStart = item.LatestStart.Add(-s.estimateRest(s.index))
 		if now.After(item.LatestStart) {
 			return s.deadlineError(pool, now)
 		}
@@ -173,7 +173,7 @@
 	target.End(now.Sub(began), false, now)
 	target.RecordReport(result.Load, now)
 	pool.Gate.Feedback(result.QueueTime, now.Sub(began)-result.QueueTime, now)
-	s.estimates.Observe(s.estimateKey(s.index, len(s.input)), now.Sub(began), now)
+	s.estimates.Observe(s.estimateKey(s.index), now.Sub(began), now)
 	return result.Output, nil
 }
 
@@ -193,7 +193,7 @@
 		// The time until the cancellation is a lower bound of the call's duration, so
 		// it goes into the estimates: a stage that has become slow must not be
 		// estimated by its fast calls alone.
-		s.estimates.Observe(s.estimateKey(s.index, len(s.input)), took, now)
+		s.estimates.Observe(s.estimateKey(s.index), took, now)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			target.EndAtDeadline(took)
 			return hookhall.Errorf(failure.Verdict, hookhall.CauseDeadline, "the deadline passed at target %s", target.ID)
