hookhallctl: a missing command is an error

Without a command the program printed nothing and exited with 0, so that a script with an empty variable went on. TestCommandIsRequired fails without the change.

--- a/cmd/hookhallctl/cmd/root.go
+++ b/cmd/hookhallctl/cmd/root.go
@@ -110,7 +110,6 @@
 func newParser() (*flags.Parser, error) {
 	p := flags.NewNamedParser(programName, flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = rootDescription
-	p.SubcommandsOptional = true
 	if _, err := p.AddGroup("Options", "", &options); err != nil {
 		return nil, err
 	}
