--- a/cmd/hookhallctl/cmd/hashkey.go
+++ b/cmd/hookhallctl/cmd/hashkey.go
@@ -9,6 +9,8 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 const hashKeyDescription = `Prints the SHA-256 of an account's key, for the cell key_sha256. The key is read
@@ -20,14 +22,18 @@
 type hashKeyCommand struct{}
 
 // Execute implements flags.Commander. It hashes the first line of standard
-// input, without the space around it.
+// input, without the space around it. An empty line is an error.
 func (c *hashKeyCommand) Execute([]string) error {
 	scanner := bufio.NewScanner(stdin)
 	scanner.Scan()
 	if err := scanner.Err(); err != nil {
 		return err
 	}
-	sum := sha256.Sum256([]byte(strings.TrimSpace(scanner.Text())))
+	key := strings.TrimSpace(scanner.Text())
+	if key == "" {
+		return errors.New("hash-key: no key on the first line of standard input")
+	}
+	sum := sha256.Sum256([]byte(key))
 	fmt.Fprintln(stdout, hex.EncodeToString(sum[:]))
 	return nil
 }
