--- a/cmd/hookhallctl/cmd/crashes.go
+++ b/cmd/hookhallctl/cmd/crashes.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -40,7 +41,7 @@
 // lists the refused contents.
 func (c *crashesCommand) Execute([]string) error {
 	if c.Lift != "" {
-		_, err := c.callGateway(http.MethodDelete, "/crashes/"+c.Lift)
+		_, err := c.callGateway(http.MethodDelete, "/crashes/"+url.PathEscape(c.Lift))
 		return err
 	}
 	body, err := c.callGateway(http.MethodGet, "/crashes")
