hookhallctl: trace sorts by time

Times were compared as text: one with a fraction came before the same second without, and one of another zone anywhere. TestTraceSortsByTime fails without the change.

--- a/cmd/hookhallctl/cmd/trace.go
+++ b/cmd/hookhallctl/cmd/trace.go
@@ -10,8 +10,9 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"sort"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -42,9 +43,27 @@
 // maxLineBytes bounds a log line; a longer one ends the command with an error.
 const maxLineBytes = 1 << 20
 
-// timeField matches the time of a log line. Times are compared as strings.
+// timeField matches the time of a log line.
 var timeField = regexp.MustCompile(`\btime=(\S+)`)
 
+// timeLayouts are those in which a log line may have its time. The fraction of a second is
+// optional in both.
+var timeLayouts = []string{time.RFC3339, "2006-01-02T15:04:05"}
+
+// compareTimes compares two lines by time. Lines without a valid time come first.
+func compareTimes(a, b logLine) int { return parseTime(a.Time).Compare(parseTime(b.Time)) }
+
+// parseTime returns the time of a log line, the zero time if it is not valid. A time without a
+// zone counts as UTC.
+func parseTime(s string) time.Time {
+	for _, layout := range timeLayouts {
+		if t, err := time.Parse(layout, s); err == nil {
+			return t
+		}
+	}
+	return time.Time{}
+}
+
 // Execute implements flags.Commander. It prints the log lines that name the request,
 // and returns an error if there are none.
 func (c *traceCommand) Execute([]string) error {
@@ -63,7 +82,7 @@
 	if len(matches) == 0 {
 		return errors.Errorf("no log line names the request %s; check the ID and the log files", c.Args.Request)
 	}
-	sort.SliceStable(matches, func(i, j int) bool { return matches[i].Time < matches[j].Time })
+	slices.SortStableFunc(matches, compareTimes)
 	if options.JSON {
 		return printJSON(matches)
 	}
--- a/cmd/hookhallctl/cmd/trace_test.go
+++ b/cmd/hookhallctl/cmd/trace_test.go
@@ -50,3 +50,14 @@
 		t.Errorf("request that no line names: got error %v, want one that names r3", err)
 	}
 }
+
+// TestTraceSortsByTime guards against lines that are sorted as text: by the digits of a fraction, or
+// by the time of another zone.
+func TestTraceSortsByTime(t *testing.T) {
+	inOrder := []string{"no time", "2026-01-01T00:00:00", "2026-01-01T00:00:00.1", "2026-01-01T02:00:01+02:00", "2026-01-01T00:00:01.25Z", "2026-01-01T00:00:01.5Z"}
+	for i := range inOrder[1:] {
+		if a, b := (logLine{Time: inOrder[i]}), (logLine{Time: inOrder[i+1]}); compareTimes(a, b) >= 0 || compareTimes(b, a) <= 0 {
+			t.Errorf("%s is not before %s", a.Time, b.Time)
+		}
+	}
+}
