hookhallctl: an edit may take as long as the admin waits

A call ended after 15 s though admin.accept_ms may be 60 s: the edit was submitted again, up to three times, and reported as failed while the admin still waited for the entries.

--- a/cmd/hookhallctl/cmd/client.go
+++ b/cmd/hookhallctl/cmd/client.go
@@ -14,16 +14,19 @@
 
 	"github.com/google/uuid"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/app/settings"
 	"github.com/hookhall/hookhall/internal/coordination/tables"
 	"github.com/hookhall/hookhall/internal/transport/operators"
 	"github.com/pkg/errors"
 )
 
 const (
-	// callTimeout bounds one call, from connecting to the last byte of the
-	// answer. It is longer than the default of the setting admin.accept_ms (5 s),
-	// so that the admin reports the outcome of an edit first.
+	// callTimeout bounds one call other than an edit, from connecting to the last byte
+	// of the answer.
 	callTimeout = 15 * time.Second
+	// editTimeout bounds one call with an edit. It is longer than the admin may take to
+	// report the outcome.
+	editTimeout = settings.MaxAccept + callTimeout
 	// maxEditAttempts is the number of times that an edit is submitted under one
 	// ID while its outcome is unknown.
 	maxEditAttempts = 3
@@ -51,7 +54,7 @@
 		return 0, err
 	}
 	req.Header.Set("Authorization", "Bearer "+options.Token)
-	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	resp, err := (&http.Client{Timeout: timeoutOf(path)}).Do(req)
 	if err != nil {
 		return 0, err
 	}
@@ -66,6 +69,14 @@
 	return resp.StatusCode, json.Unmarshal(answer, result)
 }
 
+// timeoutOf returns the bound for a call to a path of the admin.
+func timeoutOf(path string) time.Duration {
+	if path == operators.PathEdits {
+		return editTimeout
+	}
+	return callTimeout
+}
+
 // responseError returns the detail of an operators.EditFailure, or the status
 // and the body of any other answer.
 func responseError(status int, answer []byte) error {
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -103,6 +103,9 @@
 	AcceptMS      int    `toml:"accept_ms"`      // ms that an edit may take to be in force at the entries
 }
 
+// MaxAccept is the largest value of admin.accept_ms.
+const MaxAccept = time.Minute
+
 // DefaultEntry returns the defaults of all keys that have one; the other keys must be
 // set.
 func DefaultEntry() Entry {
@@ -153,7 +156,7 @@
 	c := &checker{}
 	c.address("admin.listen", s.Admin.Listen)
 	c.secret("admin.operator_token", s.Admin.OperatorToken)
-	c.inRange("admin.accept_ms", s.Admin.AcceptMS, 100, 60000)
+	c.inRange("admin.accept_ms", s.Admin.AcceptMS, 100, int(MaxAccept.Milliseconds()))
 	c.platform(s.Platform)
 	c.fleet(s.Fleet)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
