members: keys of gateways that left expire everywhere

Only leaders dropped them, when they made an update. A process that never leads kept the key of each gateway that ever left. TestRemovedKeysExpire fails without the change (100 keys are kept).

--- a/internal/coordination/members/follow.go
+++ b/internal/coordination/members/follow.go
@@ -230,5 +230,6 @@
 // removeKey removes a key from the list as of now. m.mu must be held.
 func (m *Members) removeKey(key string, now time.Time) {
 	delete(m.listingByKey, key)
+	m.expireRemovedKeys(now)
 	m.keyRemovedAt[key] = now
 }
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -95,7 +95,7 @@
 
 	mu                    sync.Mutex // guards the fields below
 	listingByKey          map[string]listing
-	keyRemovedAt          map[string]time.Time         // when keys were removed; expired entries are deleted by OutgoingUpdate
+	keyRemovedAt          map[string]time.Time         // when keys were removed; for updateRetention
 	rejectedRevisionByKey map[string]hookhall.Revision // last revision of keys with invalid records
 	addressRemovedAt      map[string]time.Time         // when addresses were removed; expired entries are deleted by QuotaPosition
 	hasList               bool                         // a list was read from the store or received from a peer
--- a/internal/coordination/members/update.go
+++ b/internal/coordination/members/update.go
@@ -72,18 +72,24 @@
 			update.Changed = append(update.Changed, l.item)
 		}
 	}
-	for key, removedAt := range m.keyRemovedAt {
-		if now.Sub(removedAt) <= updateRetention {
-			update.Gone = append(update.Gone, key)
-		} else {
-			delete(m.keyRemovedAt, key)
-		}
+	m.expireRemovedKeys(now)
+	for key := range m.keyRemovedAt {
+		update.Gone = append(update.Gone, key)
 	}
 	sort.Slice(update.Changed, func(i, j int) bool { return update.Changed[i].Key < update.Changed[j].Key })
 	sort.Strings(update.Gone)
 	return update
 }
 
+// expireRemovedKeys drops the removed keys that updates no longer contain. m.mu must be held.
+func (m *Members) expireRemovedKeys(now time.Time) {
+	for key, removedAt := range m.keyRemovedAt {
+		if now.Sub(removedAt) > updateRetention {
+			delete(m.keyRemovedAt, key)
+		}
+	}
+}
+
 // ApplyUpdate applies an update that a leader sent. If this process lacks earlier changes,
 // its digest differs and it reads the list from the store.
 func (m *Members) ApplyUpdate(update Update, now time.Time) {
--- a/internal/coordination/members/update_test.go
+++ b/internal/coordination/members/update_test.go
@@ -270,3 +270,18 @@
 		done.Wait()
 	})
 }
+
+// TestRemovedKeysExpire guards against the keys of all gateways that ever left, which a process that
+// is no leader kept.
+func TestRemovedKeysExpire(t *testing.T) {
+	m := New(member(1), nil, log.New(io.Discard))
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range 100 {
+		m.removeKey(fmt.Sprint("gone-", i), now.Add(time.Duration(i)*updateRetention))
+	}
+	if len(m.keyRemovedAt) > 2 {
+		t.Errorf("%d removed keys are kept", len(m.keyRemovedAt))
+	}
+}
