entry: servers that fail during a start end the process

A start waits for the key-value service and the peers. Servers that failed meanwhile were noticed only after it, which may be never. Their end now ends the start. TestServersFailDuringStart fails without the change (still starting after 20 s).

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -232,9 +232,14 @@
 		}()
 	}
 	served := make(chan error, 1)
-	go func() { served <- e.app.Run() }()
+	starting, endStart := context.WithCancel(ctx)
+	defer endStart()
+	go func() {
+		served <- e.app.Run()
+		endStart()
+	}()
 	e.log.Info("Listening.", "callers", e.CallersAddress(), "peers", e.PeersAddress(), "member", e.fleet.Self().ID)
-	e.start(ctx)
+	e.start(starting)
 	var err error
 	select {
 	case err = <-served:
