--- a/internal/protocol/wire/problem.go
+++ b/internal/protocol/wire/problem.go
@@ -38,6 +38,7 @@
 	hookhall.CauseUnauthorized: http.StatusUnauthorized,
 	hookhall.CauseTooLarge:     http.StatusRequestEntityTooLarge,
 	hookhall.CauseNoPipeline:   http.StatusNotFound,
+	hookhall.CauseNoRoute:      http.StatusNotFound,
 	hookhall.CauseLimit:        http.StatusTooManyRequests,
 	hookhall.CauseDeadline:     http.StatusGatewayTimeout,
 	hookhall.CauseOverload:     http.StatusServiceUnavailable,
