members: a process follows the store while no leader sends updates

Cause, from a trace of two failures: with all leaders cut off, the others read the store 3 s after the last update, and a read counted as an update. They then slept for another 3 s, instead of watching, and did not learn that the store had removed the leaders 0.9 s after the read; so there was no leader to tell those that were cut off. Between reads every 3 s nothing was known, for as long as no leader sent updates, and each read lists all members.

Only updates count now. After the first read a process waits for one as before, so that starts cost no watch. TestSilentLeaders fails without the change: changes are known up to 3 s late, and the list is read again and again.

--- a/internal/coordination/members/adopt.go
+++ b/internal/coordination/members/adopt.go
@@ -92,7 +92,7 @@
 			m.keptRemoved = true
 		}
 	}
-	m.revision, m.confirmedAt, m.hasGap = list.Revision, now, false
+	m.revision, m.updatedAt, m.hasGap = list.Revision, now, false
 	m.learnedFrom = SourcePeer
 	m.markListKnown(now)
 	m.publish()
--- a/internal/coordination/members/follow.go
+++ b/internal/coordination/members/follow.go
@@ -86,7 +86,10 @@
 		}
 	}
 	revision = max(revision, 1)
-	m.revision, m.confirmedAt, m.hasGap, m.keptRemoved = revision, now, false, false
+	if m.revision == 0 {
+		m.updatedAt = now // a leader is about to send its first update
+	}
+	m.revision, m.hasGap, m.keptRemoved = revision, false, false
 	m.learnedFrom = SourceStore
 	m.markListKnown(now)
 	m.publish()
@@ -123,7 +126,7 @@
 		return false
 	}
 	m.restoreSeenAt = time.Time{}
-	if !isLeader && !m.hasGap && now.Sub(m.confirmedAt) < maxUpdateAge {
+	if !isLeader && !m.hasGap && now.Sub(m.updatedAt) < maxUpdateAge {
 		return false
 	}
 	m.hasGap = true
@@ -150,7 +153,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision = max(m.revision, revision)
-	m.confirmedAt = now
 	for _, item := range events {
 		m.applyItem(item, now)
 	}
--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -106,7 +106,7 @@
 	restoreSeenAt    time.Time
 	restoredRevision hookhall.Revision
 	revision         hookhall.Revision // store revision of the list; 0 before it was first read
-	confirmedAt      time.Time         // when the list was last read, or confirmed by a watch or an update
+	updatedAt        time.Time         // when an update last confirmed the list; at first when it was read
 	hasGap           bool              // an update was missed or a restore ended: the list has to be read
 	keptRemoved      bool              // because of a restore, members were kept that the adopted list lacks
 	learnedFrom      Source            // of the last change of the list
--- a/internal/coordination/members/update.go
+++ b/internal/coordination/members/update.go
@@ -97,7 +97,7 @@
 	defer m.mu.Unlock()
 	if update.Revision < m.revision || update.Revision == 0 {
 		if update.Digest == m.digest() {
-			m.confirmedAt = now // the same list, at an older revision than this process has read
+			m.updatedAt = now // the same list, at an older revision than this process has read
 		}
 		return
 	}
@@ -118,7 +118,7 @@
 		m.hasGap = true
 	} else {
 		m.noteRestore(update.Revision, now)
-		m.confirmedAt, m.revision = now, update.Revision
+		m.updatedAt, m.revision = now, update.Revision
 	}
 	if isChanged {
 		m.learnedFrom = SourcePeer
@@ -139,5 +139,5 @@
 		m.hasGap = false
 		return false
 	}
-	return m.revision > 0 && now.Sub(m.confirmedAt) < maxUpdateAge
+	return m.revision > 0 && now.Sub(m.updatedAt) < maxUpdateAge
 }
--- a/internal/coordination/members/update_test.go
+++ b/internal/coordination/members/update_test.go
@@ -179,6 +179,34 @@
 	})
 }
 
+// TestSilentLeaders guards against a process that reads the list every few seconds, and knows of no
+// change between, while no leader sends updates.
+func TestSilentLeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		m := New(member(1), s, log.New(io.Discard))
+		m.IsLeader = func() bool { return false }
+		done.Go(func() { m.follow(ctx) })
+		s.write(member(1), false)
+		time.Sleep(2 * maxUpdateAge) // the updates have stopped
+		reads := s.callCount("range")
+		for n := 2; n < 12; n++ {
+			s.write(member(n), false)
+			time.Sleep(maxUpdateAge / 4)
+			if m.Count() != n {
+				t.Errorf("%d members are listed %v after the change, want %d", m.Count(), maxUpdateAge/4, n)
+			}
+		}
+		if got := s.callCount("range") - reads; got != 0 {
+			t.Errorf("the list was read %d times", got)
+		}
+		cancel()
+		done.Wait()
+	})
+}
+
 // TestRandomUpdateLoss guards against a process that misses updates without noticing: whatever
 // update is lost, it has the leader's list if its digest matches, and reads if it does not.
 func TestRandomUpdateLoss(t *testing.T) {
