targets: refreshes of the pools don't overlap

A start refreshes the pools while the loop does. Both could make a pool of one name, so that the calls in the queue of the one that was replaced counted nowhere, and Pool.Update must not run twice at once. No test shows it: the overlap takes a start whose list arrives within the same millisecond.

--- a/internal/coordination/targets/directory.go
+++ b/internal/coordination/targets/directory.go
@@ -94,6 +94,7 @@
 	backend     hookhall.Backend
 	policy      Policy
 	log         *log.Logger
+	refreshMu   sync.Mutex // held by Refresh
 	poolsByName atomic.Pointer[map[string]*Pool]
 }
 
@@ -176,9 +177,10 @@
 }
 
 // Refresh rebuilds the pools from the list of instances and the table. It does
-// nothing as long as no list has been read. If two calls overlap, the pools of the
-// one that ends last stay.
+// nothing as long as no list has been read.
 func (d *Directory) Refresh(now time.Time) {
+	d.refreshMu.Lock()
+	defer d.refreshMu.Unlock()
 	listing := d.fleet.LatestListing()
 	if listing == nil {
 		return
