standin: a removal ends watches, malformed faults are refused

Tests that remove a key waited for the end of the watch, and a test whose fault was malformed went on without it. Both tests of faults_test.go fail without the change (10 s; status 200).

--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -111,11 +111,13 @@
 		l.writeList(w, r)
 	case r.URL.Path == "/standin/faults":
 		var faults struct{ Down bool }
-		if json.NewDecoder(r.Body).Decode(&faults) == nil {
-			l.mu.Lock()
-			l.down = faults.Down
-			l.mu.Unlock()
+		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
 		}
+		l.mu.Lock()
+		l.down = faults.Down
+		l.mu.Unlock()
 	case r.Method == http.MethodPut:
 		var instance hookhall.Instance
 		if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
--- a/internal/standin/keyvalue.go
+++ b/internal/standin/keyvalue.go
@@ -273,6 +273,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.pairs, key)
+	k.notifyWatches()
 	reply(w, true)
 }
 
