--- a/internal/lab/slopes.go
+++ b/internal/lab/slopes.go
@@ -85,29 +85,39 @@
 	return nil
 }
 
+// withLab runs measure on a lab, and stops it.
+func withLab(s Settings, measure func(*Lab) error) error {
+	lab, err := Start(s)
+	if err != nil {
+		return err
+	}
+	defer lab.Stop()
+	return measure(lab)
+}
+
 // measureEntries prints the idle cost by number of entries, and the cost of a join of one
 // more.
 func measureEntries(_ context.Context, out io.Writer) error {
 	fmt.Fprintln(out, "entries, idle, 6 targets, no accounts; then one joins")
 	for _, n := range []int{3, 9, 20, 40} {
-		lab, err := Start(Settings{EntryCount: n, AdjustEntry: useDefaultTiming, Pools: []PoolSettings{{"p", 6, standin.TargetSettings{Capacity: 8}}}})
-		if err != nil {
-			return err
-		}
-		lab.printIdleCost(out, fmt.Sprintf("  %d entries", n))
-		before, began := lab.takeSample(), time.Now()
-		if err := lab.startEntry(n); err != nil {
-			return err
-		}
-		if err := lab.AwaitReady(); err != nil {
+		if err := withLab(Settings{EntryCount: n, AdjustEntry: useDefaultTiming, Pools: []PoolSettings{{"p", 6, standin.TargetSettings{Capacity: 8}}}}, func(lab *Lab) error {
+			lab.printIdleCost(out, fmt.Sprintf("  %d entries", n))
+			before, began := lab.takeSample(), time.Now()
+			if err := lab.startEntry(n); err != nil {
+				return err
+			}
+			if err := lab.AwaitReady(); err != nil {
+				return err
+			}
+			took := time.Since(began)
+			after := lab.takeSample()
+			fmt.Fprintf(out, "    a join: %v until all are ready; service %d reads, %d watches, %d writes, %d bytes; peers %d bytes; cpu %v in all\n",
+				took.Round(time.Millisecond), after.keyValueStats.Reads-before.keyValueStats.Reads, after.keyValueStats.Watches-before.keyValueStats.Watches, after.keyValueStats.Writes-before.keyValueStats.Writes,
+				after.keyValueBytes-before.keyValueBytes, after.peerBytes-before.peerBytes, (after.cpu - before.cpu).Round(time.Millisecond))
+			return nil
+		}); err != nil {
 			return err
 		}
-		took := time.Since(began)
-		after := lab.takeSample()
-		fmt.Fprintf(out, "    a join: %v until all are ready; service %d reads, %d watches, %d writes, %d bytes; peers %d bytes; cpu %v in all\n",
-			took.Round(time.Millisecond), after.keyValueStats.Reads-before.keyValueStats.Reads, after.keyValueStats.Watches-before.keyValueStats.Watches, after.keyValueStats.Writes-before.keyValueStats.Writes,
-			after.keyValueBytes-before.keyValueBytes, after.peerBytes-before.peerBytes, (after.cpu - before.cpu).Round(time.Millisecond))
-		lab.Stop()
 	}
 	return nil
 }
@@ -116,12 +126,12 @@
 func measureTargets(_ context.Context, out io.Writer) error {
 	fmt.Fprintln(out, "targets in one pool, 3 entries, idle")
 	for _, n := range []int{20, 100, 620} {
-		lab, err := Start(Settings{EntryCount: 3, AdjustEntry: useDefaultTiming, Pools: []PoolSettings{{"p", n, standin.TargetSettings{Capacity: 8}}}})
-		if err != nil {
+		if err := withLab(Settings{EntryCount: 3, AdjustEntry: useDefaultTiming, Pools: []PoolSettings{{"p", n, standin.TargetSettings{Capacity: 8}}}}, func(lab *Lab) error {
+			lab.printIdleCost(out, fmt.Sprintf("  %d targets", n))
+			return nil
+		}); err != nil {
 			return err
 		}
-		lab.printIdleCost(out, fmt.Sprintf("  %d targets", n))
-		lab.Stop()
 	}
 	return nil
 }
@@ -130,35 +140,35 @@
 func measureAccounts(_ context.Context, out io.Writer) error {
 	fmt.Fprintln(out, "accounts in the table, 9 entries")
 	for _, n := range []int{100, 1000, 8200} {
-		lab, err := Start(Settings{EntryCount: 9, AdjustEntry: useDefaultTiming})
-		if err != nil {
-			return err
-		}
-		before := lab.takeSample()
-		var edits []hookhall.Edit
-		for i := 0; i < n; i++ {
-			row := fmt.Sprintf("account-%05d", i)
-			for column, value := range map[string]string{"key_sha256": fmt.Sprintf("%064x", i+1), "priority": "5", "rate": "10"} {
-				edits = append(edits, hookhall.Edit{Sheet: hookhall.SheetAccounts, Row: row, Column: column, Value: value, Force: true})
+		if err := withLab(Settings{EntryCount: 9, AdjustEntry: useDefaultTiming}, func(lab *Lab) error {
+			before := lab.takeSample()
+			var edits []hookhall.Edit
+			for i := 0; i < n; i++ {
+				row := fmt.Sprintf("account-%05d", i)
+				for column, value := range map[string]string{"key_sha256": fmt.Sprintf("%064x", i+1), "priority": "5", "rate": "10"} {
+					edits = append(edits, hookhall.Edit{Sheet: hookhall.SheetAccounts, Row: row, Column: column, Value: value, Force: true})
+				}
 			}
-		}
-		if _, err := lab.Edit("many", edits); err != nil {
-			return err
-		}
-		if err := lab.awaitVersion(1); err != nil {
-			return err
-		}
-		after := lab.takeSample()
-		worst, sum, err := lab.timeCellEdits()
-		if err != nil {
+			if _, err := lab.Edit("many", edits); err != nil {
+				return err
+			}
+			if err := lab.awaitVersion(1); err != nil {
+				return err
+			}
+			after := lab.takeSample()
+			worst, sum, err := lab.timeCellEdits()
+			if err != nil {
+				return err
+			}
+			edited := lab.takeSample()
+			fmt.Fprintf(out, "  %5d accounts  heap %+.0f KB an entry; one cell: in force everywhere after %v (worst of %d, mean %v), %.0f B read from the service an entry, %.1f calls an entry\n",
+				n, float64(int64(after.heap)-int64(before.heap))/1024/9, worst.Round(time.Millisecond), timedEditCount, (sum / timedEditCount).Round(time.Millisecond),
+				float64(edited.keyValueBytes-after.keyValueBytes)/9/timedEditCount,
+				float64(edited.keyValueStats.Reads+edited.keyValueStats.Watches-after.keyValueStats.Reads-after.keyValueStats.Watches)/9/timedEditCount)
+			return nil
+		}); err != nil {
 			return err
 		}
-		edited := lab.takeSample()
-		fmt.Fprintf(out, "  %5d accounts  heap %+.0f KB an entry; one cell: in force everywhere after %v (worst of %d, mean %v), %.0f B read from the service an entry, %.1f calls an entry\n",
-			n, float64(after.heap-before.heap)/1024/9, worst.Round(time.Millisecond), timedEditCount, (sum / timedEditCount).Round(time.Millisecond),
-			float64(edited.keyValueBytes-after.keyValueBytes)/9/timedEditCount,
-			float64(edited.keyValueStats.Reads+edited.keyValueStats.Watches-after.keyValueStats.Reads-after.keyValueStats.Watches)/9/timedEditCount)
-		lab.Stop()
 	}
 	return nil
 }
@@ -220,18 +230,18 @@
 		if variant.limit != "" {
 			fleet.ExtraEdits = []hookhall.Edit{{Sheet: hookhall.SheetAccounts, Row: "venues", Column: "rate", Value: variant.limit, Force: true}}
 		}
-		lab, err := Start(fleet)
-		if err != nil {
+		if err := withLab(fleet, func(lab *Lab) error {
+			before := lab.takeSample()
+			answered := lab.runClosedLoop(ctx, requests, variant.repeatable)
+			after := lab.takeSample()
+			elapsed := float64(after.at.Sub(before.at).Seconds())
+			fmt.Fprintf(out, "  %-24s answered %d in %.1f s; peers %.0f B a request, cpu %.0f us a request in all, heap %+.0f B a request\n",
+				variant.name, answered, elapsed, float64(after.peerBytes-before.peerBytes)/requests, (after.cpu-before.cpu).Seconds()*1e6/requests,
+				float64(int64(after.heap)-int64(before.heap))/requests)
+			return nil
+		}); err != nil {
 			return err
 		}
-		before := lab.takeSample()
-		answered := lab.runClosedLoop(ctx, requests, variant.repeatable)
-		after := lab.takeSample()
-		elapsed := float64(after.at.Sub(before.at).Seconds())
-		fmt.Fprintf(out, "  %-24s answered %d in %.1f s; peers %.0f B a request, cpu %.0f us a request in all, heap %+.0f B a request\n",
-			variant.name, answered, elapsed, float64(after.peerBytes-before.peerBytes)/requests, (after.cpu-before.cpu).Seconds()*1e6/requests,
-			float64(int64(after.heap)-int64(before.heap))/requests)
-		lab.Stop()
 	}
 	return nil
 }
