tests: a check that could not fail, and a panic without an answer

TestEngines compared the preferred engine of a list with that of the same list. It now compares it with that of the reversed list, and without other engines. ownerOf indexed an empty list if no entry answered; it now returns -1 for both.

--- a/internal/state/balance/tracker_test.go
+++ b/internal/state/balance/tracker_test.go
@@ -41,7 +41,12 @@
 		}
 		Convey("a shared part goes to its preferred engine", func() {
 			So(choose(prompt("p", 10000, 100)), ShouldEqual, PreferredTarget("p", list))
-			So(PreferredTarget("p", list), ShouldEqual, PreferredTarget("p", list[:6]))
+			reversed := slices.Clone(list)
+			slices.Reverse(reversed)
+			So(PreferredTarget("p", reversed), ShouldEqual, PreferredTarget("p", list))
+			others := slices.DeleteFunc(slices.Clone(list), func(c hookhall.Target) bool { return c.ID == PreferredTarget("p", list) })
+			So(PreferredTarget("p", others), ShouldNotEqual, PreferredTarget("p", list))
+			So(PreferredTarget("p", slices.DeleteFunc(reversed, func(c hookhall.Target) bool { return c.ID == others[0].ID })), ShouldEqual, PreferredTarget("p", list))
 		})
 		Convey("an engine that holds a part keeps it when a new engine becomes the preferred one", func() {
 			holder := PreferredTarget("p", list[:3])
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -44,14 +44,14 @@
 // ownerOf returns the indexes of a key's owner, its standby and the last other entry, by the
 // view of the first entry that answers; an index is -1 if there is no such entry.
 func (c *cluster) ownerOf(account, key string) (owner, standby, other int) {
-	var pairIDs []string
+	var pairIDs [2]string
 	for _, p := range c.entries {
 		s, err := p.state()
 		if err != nil {
 			continue
 		}
 		pair := view.PairOf(s.Members, view.SlotOf(account+"/"+key))
-		pairIDs = []string{pair.Owner.Instance, pair.Standby.Instance}
+		pairIDs = [2]string{pair.Owner.Instance, pair.Standby.Instance}
 		break
 	}
 	owner, standby, other = -1, -1, -1
