forward: a target that may have run a request is not asked again

Once all targets of a service had been tried and the last one refused, all of them became candidates again, also those that failed and may have run the request. Only those that did not run it do now. TestFailedTargetStaysExcluded fails without the change (nothing stays excluded).

--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -417,9 +417,21 @@
 		return false
 	}
 	r.logFailedAttempt(a, target, "another target")
+	if a.err.Verdict == hookhall.NotRun {
+		r.notRunAt = append(r.notRunAt, target.ID)
+	}
 	if a.err.Cause == hookhall.CauseRefused && len(r.tried) >= len(r.Catalog.Targets(r.service)) {
-		clear(r.tried)
+		r.readmitNotRun()
 		return retry.Sleep(ctx, allRefusedPause)
 	}
 	return true
 }
+
+// readmitNotRun makes the targets that did not run the request candidates again. Those that may have
+// run it stay excluded.
+func (r *request) readmitNotRun() {
+	for _, id := range r.notRunAt {
+		delete(r.tried, id)
+	}
+	r.notRunAt = nil
+}
--- a/internal/coordination/forward/ownpath_test.go
+++ b/internal/coordination/forward/ownpath_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"testing"
 	"time"
 
@@ -104,6 +105,42 @@
 	}
 }
 
+// noMeter counts nothing.
+type noMeter struct{ Meter }
+
+func (noMeter) Retried(string) {}
+
+// oneCatalog has the targets of one service.
+type oneCatalog struct {
+	Catalog
+	targets []hookhall.Target
+}
+
+func (c oneCatalog) Targets(string) []hookhall.Target { return c.targets }
+
+// TestFailedTargetStaysExcluded guards against a request that is sent to a target again which may have
+// run it, because all others refused it.
+func TestFailedTargetStaysExcluded(t *testing.T) {
+	failed, full, gone := hookhall.Target{ID: "failed"}, hookhall.Target{ID: "full"}, hookhall.Target{ID: "gone"}
+	r := newFailingRequest(nil)
+	r.Catalog = oneCatalog{targets: []hookhall.Target{failed, full, gone}}
+	r.Budget = budget.New(budget.Limits{Slack: 1, Ratio: 1, Window: time.Second}, func(time.Time) quota.Position { return quota.Position{Count: 1} }, clock.Now())
+	r.Meter = noMeter{}
+	for _, c := range []struct {
+		target  hookhall.Target
+		verdict hookhall.Verdict
+		cause   hookhall.Cause
+	}{{failed, hookhall.MayHaveRun, hookhall.CauseTruncated}, {gone, hookhall.NotRun, hookhall.CauseConnection}, {full, hookhall.NotRun, hookhall.CauseRefused}} {
+		r.Budget.RecordRequest(r.service, clock.Now())
+		if !r.prepareRetry(t.Context(), &attempt{err: hookhall.Errorf(c.verdict, c.cause, "failed")}, c.target) {
+			t.Fatalf("no retry after %s", c.target.ID)
+		}
+	}
+	if want := map[string]bool{failed.ID: true}; !maps.Equal(r.tried, want) {
+		t.Errorf("excluded after all were tried: %v, want %v", r.tried, want)
+	}
+}
+
 // TestUnsentAttemptCostsNoRetry guards against a retry budget that is spent on requests that never
 // reached a target, and against retries without budget of those that did.
 func TestUnsentAttemptCostsNoRetry(t *testing.T) {
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -61,6 +61,7 @@
 	maxEventGap      time.Duration // longest time between two events of a stream
 	criteria         balance.Criteria
 	tried            map[string]bool // excluded targets: they refused the request, may have run it, or would crash
+	notRunAt         []string        // those of tried that did not run the request
 	isResultLost     bool            // a target did not find a result of a stage
 	stageReruns      int             // how often the stages ran again
 	attempts         int             // how often the request was sent
