claim: lost pairs are waited for at the same time

Found while reading the retry delay: only the newest missing epoch of a slot was returned for repair. If its pair was lost, an earlier lost epoch was looked at after the wait, and waited for in turn: a key stayed refused for the retention once for each lost pair, and each refusal named the rest of one wait only.

The missing epochs now go on behind those that are known to be lost. The state dump counts slots as before. TestLostPairsAreWaitedForTogether fails without the change (ClaimLost, retry after 1m6s, once the wait has passed).

--- a/internal/coordination/fleet/repair.go
+++ b/internal/coordination/fleet/repair.go
@@ -91,8 +91,10 @@
 		}
 		pair := view.PairOf(members, n.Slot).Members()
 		for _, m := range pair {
-			if m.ID != f.self.ID {
-				slotsByMember[m.ID] = append(slotsByMember[m.ID], n.Slot)
+			slots := slotsByMember[m.ID]
+			// missing is in the order of slots.
+			if m.ID != f.self.ID && (len(slots) == 0 || slots[len(slots)-1] != n.Slot) {
+				slotsByMember[m.ID] = append(slots, n.Slot)
 				addressByMember[m.ID] = m.Address
 			}
 		}
--- a/internal/state/claim/standby.go
+++ b/internal/state/claim/standby.go
@@ -106,30 +106,39 @@
 }
 
 // MissingEpochs returns, for each slot whose pair includes this process and whose records
-// are incomplete, the newest epoch that is missing. The newest is fetched first because
-// the members that served it usually hold all earlier ones too.
+// are incomplete, the newest epoch that is missing. It is fetched first because the members
+// that served it usually hold all earlier ones too. Those whose pair is lost are followed by
+// earlier ones, so that the waits for several lost pairs pass at the same time.
 func (s *Store) MissingEpochs() []MissingEpoch {
 	var missing []MissingEpoch
 	for i := range s.slots {
 		sl := &s.slots[i]
 		sl.mu.Lock()
-		if sl.pair.Has(s.self) && !sl.isComplete() {
-			missing = append(missing, MissingEpoch{Slot: uint32(i), Epoch: sl.newestMissingEpoch()})
+		if sl.pair.Has(s.self) {
+			for _, epoch := range sl.missingEpochs() {
+				missing = append(missing, MissingEpoch{Slot: uint32(i), Epoch: epoch})
+			}
 		}
 		sl.mu.Unlock()
 	}
 	return missing
 }
 
-// newestMissingEpoch returns the newest epoch of which grants may be missing. The slot
-// must be incomplete, so that there is one above completeThrough. sl.mu must be held.
-func (sl *slot) newestMissingEpoch() uint64 {
-	for epoch := sl.epoch - 1; epoch > sl.completeThrough; epoch-- {
-		if !sl.completeEpochs[epoch] {
-			return epoch
+// missingEpochs returns the epochs of which grants may be missing, the newest first, up to the
+// first one whose pair is not known to be lost. sl.mu must be held.
+func (sl *slot) missingEpochs() []uint64 {
+	var epochs []uint64
+	for epoch := sl.epoch; epoch > sl.completeThrough+1; {
+		epoch--
+		if sl.completeEpochs[epoch] {
+			continue
+		}
+		epochs = append(epochs, epoch)
+		if _, isLost := sl.lostSince[epoch]; !isLost {
+			break
 		}
 	}
-	return sl.completeThrough
+	return epochs
 }
 
 // lostMarginDivisor is the divisor of the retention that gives the margin added to the
@@ -195,13 +204,16 @@
 // Summary returns the current counts; it locks one slot at a time, so they are not of
 // one instant.
 func (s *Store) Summary() Summary {
-	sum := Summary{Epoch: s.Placement().View.Epoch, Missing: len(s.MissingEpochs())}
+	sum := Summary{Epoch: s.Placement().View.Epoch}
 	for i := range s.slots {
 		sl := &s.slots[i]
 		sl.mu.Lock()
 		if sl.pair.Owner != nil && sl.pair.Owner.ID == s.self {
 			sum.Owned++
 		}
+		if sl.pair.Has(s.self) && !sl.isComplete() {
+			sum.Missing++
+		}
 		if sl.pair.Standby != nil && sl.pair.Standby.ID == s.self {
 			sum.Standby++
 		}
