peers: an address that is none fails calls instead of the process

The error of a connection that can't be made was stored and read by no call: the first call to such an address, which a view may contain, ended the process. TestInvalidAddress panics without the change.

--- a/internal/transport/peers/client.go
+++ b/internal/transport/peers/client.go
@@ -145,7 +145,21 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithUnaryInterceptor(c.addCredentials),
 	)
-	return &client{conn: conn, err: err, rpc: pb.NewPeerClient(conn)}
+	if err != nil {
+		return &client{rpc: pb.NewPeerClient(failedConn{err})}
+	}
+	return &client{conn: conn, rpc: pb.NewPeerClient(conn)}
+}
+
+// failedConn fails all calls with the error of a connection that can't be made.
+type failedConn struct{ err error }
+
+// Invoke implements grpc.ClientConnInterface.
+func (c failedConn) Invoke(context.Context, string, any, any, ...grpc.CallOption) error { return c.err }
+
+// NewStream implements grpc.ClientConnInterface.
+func (c failedConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, c.err
 }
 
 // addCredentials is the interceptor that adds the protocol version and the secret to
@@ -157,8 +171,7 @@
 
 // client implements hookhall.Peer.
 type client struct {
-	conn *grpc.ClientConn
-	err  error // set if the address is invalid
+	conn *grpc.ClientConn // nil if the address is invalid
 	rpc  pb.PeerClient
 }
 
