batch: a target short of memory waits for a full call under overload

The overload did not end with its cause.

Cause: a target with memory for a few results got a call of as many pieces. A call has a fixed time (240 ms of 438 there), so that small calls, half of all, made 640 pieces a second where memory allows 726 and 687 are asked for. Half-full targets then release few results at a time, which makes the next call small.

Change: under overload, while enough pieces wait for full calls, a target whose memory allows only a small call waits for the results that are expected to be released, by the average time for which results are held, and at most for the part of the fixed time that the small call wastes.

Ruled out before: a smaller minimum share, a smaller rate in the capacity.

TestNextAllocations lets the wait pass first, so that its dispatch goes through the jobs as before.

--- a/internal/state/batch/adopt.go
+++ b/internal/state/batch/adopt.go
@@ -33,7 +33,8 @@
 			continue
 		}
 		bytes := min(r.Bytes, q.spec.ResultMemory)
-		w.results[r.Handle] = heldResult{bytes, now.Add(min(r.Remaining, q.spec.ResultRetention))}
+		expiry := now.Add(min(r.Remaining, q.spec.ResultRetention))
+		w.results[r.Handle] = heldResult{bytes, expiry.Add(-q.spec.ResultRetention), expiry}
 		q.workersByHandle[r.Handle] = w
 		q.addBytes(w, bytes)
 		adopted++
--- a/internal/state/batch/cost_test.go
+++ b/internal/state/batch/cost_test.go
@@ -70,6 +70,7 @@
 	q := newLoadedQueue(100, 19)
 	for _, w := range q.workerList { // a dispatch that goes through all jobs and makes no call
 		w.bytes = q.spec.ResultMemory
+		w.memoryShortSince = at(-400) // they have waited for memory long enough
 	}
 	if n := testing.AllocsPerRun(20, func() { q.Next(at(400)) }); n != 0 {
 		t.Errorf("%v allocations without calls", n)
--- a/internal/state/batch/fill.go
+++ b/internal/state/batch/fill.go
@@ -45,9 +45,40 @@
 	for _, w := range q.idle {
 		if !w.isPaused(now) && (q.canary.allows() || !q.canary.includes(w)) && (q.admits == nil || q.admits(w.Target)) {
 			q.expireResults(w, now)
-			h.list = append(h.list, w)
+			if !q.awaitsMemory(w, now) {
+				h.list = append(h.list, w)
+			}
+		}
+	}
+}
+
+// awaitsMemory reports whether w gets no call yet because its free memory allows only a small one
+// under overload, while enough pieces wait for full calls and results are about to be released. The
+// fixed time of small calls would make them the limit of the pool, so that an overload outlasts its
+// cause. The wait is at most the part of that time that the small call wastes.
+func (q *Queue) awaitsMemory(w *worker, now time.Time) bool {
+	missing := float64(q.maxPieces()) - q.freePieces(w)
+	if missing <= 0 || !q.order.isOverloaded || q.waitingCount < q.maxPieces()*len(q.idle) {
+		w.memoryShortSince = time.Time{}
+		return false
+	}
+	if w.memoryShortSince.IsZero() {
+		w.memoryShortSince = now
+	}
+	q.memoryShortAt = now
+	end := w.memoryShortSince.Add(time.Duration(missing / float64(q.maxPieces()) * float64(q.spec.CallTime)))
+	return now.Before(end) && q.expectedRelease(w, end) >= missing*q.waitingBytes/float64(q.waitingCount)
+}
+
+// expectedRelease returns the bytes of the results of w that are expected to be released until end.
+func (q *Queue) expectedRelease(w *worker, end time.Time) float64 {
+	bytes := 0.0
+	for _, r := range w.results {
+		if !r.made.Add(q.holdTime).After(end) {
+			bytes += r.bytes
 		}
 	}
+	return bytes
 }
 
 // expireResults removes the results of w that the pool itself has dropped by now.
@@ -129,6 +160,7 @@
 	b.OverdueAfter = w.overdueAfter(b.Expected)
 	b.InputsReadAfter = max(time.Duration(inputsReadShare*float64(q.spec.CallTime)), minInputsReadDelay)
 	w.calls = append(w.calls, b)
+	w.memoryShortSince = time.Time{}
 	q.updateIdle(w)
 	return b
 }
--- a/internal/state/batch/queue.go
+++ b/internal/state/batch/queue.go
@@ -79,11 +79,13 @@
 	waitingCount   int
 	waitingBytes   float64 // size of the results of these pieces
 	arrivals       [hookhall.UrgencyLevels]average
-	starts         average // pieces that were put into calls
+	starts         average       // pieces that were put into calls
+	holdTime       time.Duration // average time until a result is released; 0 before the first one
 	accounts       accounts
 	levels         levels
 	epoch          time.Time // the first dispatch
 	dispatch       uint64    // counts the calls of Next
+	dispatchedAt   time.Time // the last dispatch
 	// crashesUnrecorded is set while no crashes are recorded, so that no job is refused.
 	crashesUnrecorded bool
 	// The following are reused from one dispatch to the next.
@@ -425,6 +427,7 @@
 // Done or Withdraw at the end of each call.
 func (q *Queue) Next(now time.Time) []*Batch {
 	q.dispatch++
+	q.dispatchedAt = now
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
--- a/internal/state/batch/replay_test.go
+++ b/internal/state/batch/replay_test.go
@@ -228,6 +228,55 @@
 	}
 }
 
+// TestSmallCallsAwaitMemory guards against small calls to a target whose results are about to be
+// released while enough pieces wait for full ones, and against targets that wait in vain.
+func TestSmallCallsAwaitMemory(t *testing.T) {
+	spec := hookhall.PoolSpec{Slots: 1, MaxBatch: 8, CallTime: 160 * time.Millisecond, ResultMemory: 12, ResultRetention: 4 * time.Second}
+	for name, c := range map[string]struct {
+		waiting    int
+		latest     int           // milliseconds, the latest start
+		holdTime   time.Duration // as observed before
+		releasedAt int           // milliseconds after the first call, 0 for never
+		wantAt     int           // milliseconds after the first call
+		wantPieces int
+	}{
+		"released soon":          {waiting: 20, latest: 400, releasedAt: 30, wantAt: 30, wantPieces: 8},
+		"usually held for long":  {waiting: 20, latest: 400, holdTime: time.Second, releasedAt: 30, wantAt: 0, wantPieces: 4},
+		"not released":           {waiting: 20, latest: 400, wantAt: 80, wantPieces: 4},
+		"released after waiting": {waiting: 20, latest: 400, releasedAt: 90, wantAt: 80, wantPieces: 4},
+		"less than a full call":  {waiting: 7, latest: 400, wantAt: 0, wantPieces: 4},
+		"all can start in time":  {waiting: 20, latest: 5000, wantAt: 0, wantPieces: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := NewQueue()
+			q.Configure(spec, targets("a"))
+			for i := range 8 + c.waiting {
+				j, _ := newJob(fmt.Sprint("j", i), 1, c.latest, 10000)
+				j.ResultBytes = 1
+				q.Add(j)
+			}
+			first := q.Next(at(0))[0]
+			results := successResults(first)
+			q.Done(first, results, at(160))
+			q.holdTime = c.holdTime
+			for ms := 0; ms <= 200; ms += 10 {
+				if ms == c.releasedAt && ms > 0 {
+					for _, r := range results {
+						q.Free([]string{r.Handle})
+					}
+				}
+				if calls := q.Next(at(160 + ms)); len(calls) > 0 {
+					if len(calls[0].Pieces) != c.wantPieces || ms != c.wantAt {
+						t.Errorf("a call of %d pieces after %d ms, not of %d after %d ms", len(calls[0].Pieces), ms, c.wantPieces, c.wantAt)
+					}
+					return
+				}
+			}
+			t.Error("no further call")
+		})
+	}
+}
+
 // TestMemoryIsReserved guards against a large urgent job that never starts because small,
 // less urgent jobs take each result's memory as it is released.
 func TestMemoryIsReserved(t *testing.T) {
--- a/internal/state/batch/results.go
+++ b/internal/state/batch/results.go
@@ -127,7 +127,7 @@
 	if len(w.results) == 0 || expiry.Before(w.firstExpiry) {
 		w.firstExpiry = expiry
 	}
-	w.results[r.Handle] = heldResult{j.ResultBytes, expiry}
+	w.results[r.Handle] = heldResult{j.ResultBytes, now, expiry}
 	q.workersByHandle[r.Handle] = w
 	q.addBytes(w, j.ResultBytes)
 	j.handles[index] = r.Handle
@@ -178,12 +178,23 @@
 // Free records that results were released, so that their memory is available at once.
 func (q *Queue) Free(handles []string) {
 	for _, h := range handles {
-		if w := q.releaseResult(h); w != nil {
+		if w := q.workersByHandle[h]; w != nil {
+			q.recordHoldTime(q.dispatchedAt.Sub(w.results[h].made))
+			q.releaseResult(h)
 			w.noMemoryUntil = time.Time{}
 		}
 	}
 }
 
+// recordHoldTime includes the time for which a result was held in the average.
+func (q *Queue) recordHoldTime(held time.Duration) {
+	held = max(held, 0)
+	if q.holdTime == 0 {
+		q.holdTime = held
+	}
+	q.holdTime += (held - q.holdTime) / holdTimeSmoothing
+}
+
 // releaseResult removes one result and its bytes. It returns the worker that held the
 // result, or nil if it is unknown.
 func (q *Queue) releaseResult(handle string) *worker {
--- a/internal/state/batch/worker.go
+++ b/internal/state/batch/worker.go
@@ -31,6 +31,9 @@
 	// share in pools whose fixed time is short: it is some 20 round trips between halls.
 	inputsReadShare    = 0.5
 	minInputsReadDelay = 80 * time.Millisecond
+	// holdTimeSmoothing determines the average time for which results are held: a new sample has
+	// weight 1/holdTimeSmoothing.
+	holdTimeSmoothing = 32
 	// maxOverdueSlowdown limits the slowdown that extends the time until a call is overdue.
 	maxOverdueSlowdown = 2.0
 )
@@ -46,6 +49,9 @@
 	pausedUntil   time.Time             // no calls until then, because of failed ones
 	failures      int                   // consecutive failed calls
 	slowdown      float64               // moving average of actual to expected call duration; 1 is as expected
+	// memoryShortSince is when its free memory began to allow only a small call, zero if it
+	// allows a full one.
+	memoryShortSince time.Time
 	// removed is set while calls are in progress on a target that is no longer listed.
 	removed   bool
 	idleIndex int // in Queue.idle, -1 if it is not there
@@ -56,6 +62,7 @@
 // heldResult is a result that occupies a target's memory.
 type heldResult struct {
 	bytes  float64
+	made   time.Time
 	expiry time.Time // when the pool drops it
 }
 
