quarantine: a failing test for mass crashes that a newcomer reports

Traced: the ordinary content was refused, for a minute, since targets that ended at once count as one only if the gateway that reports them has served the content recently.

--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -213,3 +213,22 @@
 		})
 	}
 }
+
+// TestServedElsewhere guards against a content that is refused for a minute because many targets
+// crashed at once while running it: a gateway that has just started reported that, which had not
+// served the content as others had.
+func TestServedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, _ := newQuarantine(&fakeProber{}, fakeCatalog{})
+		content := crashes.Digest{1}
+		q.Served(func() crashes.Digest { return content })
+		var reported []crashes.Crash
+		for _, id := range []string{"a", "b", "c"} {
+			reported = append(reported, crashes.Crash{Content: content, Incarnation: target(id).Incarnation(), Software: "s v1", ReportedAt: time.Now()})
+		}
+		q.Merge(reported, "a gateway that has just started")
+		if s := q.Standing(func() crashes.Digest { return content }); s.Refused() {
+			t.Errorf("refused after %d crashes at once, though it was served before", s.Crashes)
+		}
+	})
+}
