catalog: a copy's target stays out also where an update showed the restore first

Cause: what a restored copy lists of a target that has left is ignored up to the revision of the first full reading after the restore. That revision was recorded only if the reading itself was the first sign of the new era. Where a peer's update or repair came first, the process's own reading took the copy for current: "target listed again", 1.4 s after it had left, until the platform wrote its keys again.

The base is now that of the first full reading in each era, whatever showed the era.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -122,8 +122,8 @@
 	// syncedRevision is the latest revision up to which updates of peers were complete, as shown
 	// by their digest.
 	syncedRevision hookhall.Revision
-	// eraBaseRevision is the store's revision at the first full reading of the targets after a
-	// restore from an older copy. olderTableEra is the last era in which the store had an older
+	// eraBaseRevision is the store's revision at the first full reading of the targets in the
+	// latest era that was read. olderTableEra is the last era in which the store had an older
 	// table than the one in force.
 	eraBaseRevision hookhall.Revision
 	olderTableEra   uint64
--- a/internal/coordination/catalog/restored_test.go
+++ b/internal/coordination/catalog/restored_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestRestoredTargetsAfterUpdate guards against a target that has left and is used again, since a
+// peer's update showed the new era before this process read the restored copy itself.
+func TestRestoredTargetsAfterUpdate(t *testing.T) {
+	c := quietCatalog()
+	read := func(at hookhall.Revision, items ...hookhall.Item) {
+		c.ApplyReading(Reading{Revision: at, Items: items, Began: time.Now()}, "store")
+	}
+	read(revisionIn(1, 10), targetItem(revisionIn(1, 10), "born 5 ready"))
+	read(revisionIn(1, 11))
+	if fresh, gap := c.ApplyUpdate(Update{Revision: revisionIn(2, 4), Began: time.Now()}, "peer"); !fresh || gap {
+		t.Fatalf("update applied: %v, with a gap: %v", fresh, gap)
+	}
+	read(revisionIn(2, 4), targetItem(revisionIn(2, 4), "born 5 ready"))
+	if listed, _ := targetStatus(c); listed {
+		t.Error("the copy's target is usable")
+	}
+	read(revisionIn(2, 9), targetItem(revisionIn(2, 9), "born 5 ready"))
+	if listed, _ := targetStatus(c); !listed {
+		t.Error("the target is not usable after it has written its key again")
+	}
+}
+
 // TestRestoredHalls checks that evacuated halls stay so until operators have had the time to write
 // the evacuation again, or have readmitted them.
 func TestRestoredHalls(t *testing.T) {
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -209,7 +209,7 @@
 	}
 	now := clock.Now()
 	restored := c.isLaterEra(r.Revision)
-	if restored {
+	if r.Revision.Era() > c.eraBaseRevision.Era() { // an update may have shown the era before
 		c.eraBaseRevision = r.Revision
 	}
 	listed := make(map[string]bool, len(r.Items))
