--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -223,7 +223,7 @@
 	return New(s, fakeSchema{}, log.New(io.Discard))
 }
 
-// TestMissingTableIsLoggedAgain guards against a lost table that no log line tells, because the store
+// TestMissingTableIsLoggedAgain guards against the loss of a table that is not logged, because the store
 // had none when the process started.
 func TestMissingTableIsLoggedAgain(t *testing.T) {
 	var lines bytes.Buffer
--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -295,7 +295,7 @@
 }
 
 // ConfirmsRefusal reports whether peers, too, get a connection to a target refused that refused one
-// of this process. Without a peer that can tell, it is true only if there are no peers that
+// of this process. Without a peer to compare with, it is true only if there are no peers that
 // relay.
 func (p *Paths) ConfirmsRefusal(ctx context.Context, address string) bool {
 	c, err := p.relay(ctx, hookhall.RelayRequest{Address: address})
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -32,8 +32,8 @@
 	})
 }
 
-// TestMalformedFaultsAreRefused guards against a test that believes in an outage which the stand-in
-// did not understand.
+// TestMalformedFaultsAreRefused guards against a test that runs without its outage because the stand-in
+// ignored a request that it could not decode.
 func TestMalformedFaultsAreRefused(t *testing.T) {
 	answer := httptest.NewRecorder()
 	NewInstances(0).ServeHTTP(answer, httptest.NewRequest(http.MethodPut, "/standin/faults", strings.NewReader("down")))
--- a/internal/state/advisory/rooms.go
+++ b/internal/state/advisory/rooms.go
@@ -21,7 +21,7 @@
 	slotReturnTime = time.Second
 )
 
-// rejections is what the rejections by a brittle target tell of its room.
+// rejections holds what the rejections by a brittle target show about its capacity.
 type rejections struct {
 	withheld    int       // slots that are not used
 	changedAt   time.Time // of withheld
--- a/internal/state/claim/store_test.go
+++ b/internal/state/claim/store_test.go
@@ -205,8 +205,8 @@
 	})
 }
 
-// TestLostPairRetryAfter guards against clients that are told to come back before a lost pair's
-// claims count as expired, and are refused again.
+// TestLostPairRetryAfter guards against a retry delay that ends before a lost pair's claims count
+// as expired, so that the client is refused again.
 func TestLostPairRetryAfter(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	member := hookhall.Member{ID: "b#1", Instance: "b", Hall: "h1"}
@@ -227,7 +227,7 @@
 	}
 	repair(now.Add(reply.RetryAfter))
 	if later, _ := store.Begin(request, now.Add(reply.RetryAfter)); later.Outcome != hookhall.ClaimGranted {
-		t.Errorf("outcome %v after the %v that the client was told to wait, retry after %v", later.Outcome, reply.RetryAfter, later.RetryAfter)
+		t.Errorf("outcome %v after the %v of the retry delay, retry after %v", later.Outcome, reply.RetryAfter, later.RetryAfter)
 	}
 }
 
--- a/internal/transport/sockets/sockets_test.go
+++ b/internal/transport/sockets/sockets_test.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// TestDeadTargetIsNoticed guards against requests that wait for a target which is gone without a
-// word until their deadlines.
+// TestDeadTargetIsNoticed guards against requests that wait until their deadlines for a target whose
+// host was lost and sends no reset.
 func TestDeadTargetIsNoticed(t *testing.T) {
 	for name, writeFirst := range map[string]bool{"before the request arrives": false, "while the answer is awaited": true} {
 		t.Run(name, func(t *testing.T) {
