fleet: a comparison of ledgers passes on that a content was served

The checksum of a ledger includes whether a crash is of a recently served content, but missingFrom, which decides what a peer is sent after a comparison, left it out: two ledgers that differ in it only were compared after each pause and stayed different, and the gateway that lacks it refused the content for up to ten minutes.

The new case of TestMissingFrom fails without the change.

--- a/internal/transport/fleet/crashes.go
+++ b/internal/transport/fleet/crashes.go
@@ -99,21 +99,22 @@
 	return len(fresh)+len(missing) > 0
 }
 
-// missingFrom returns the crashes of own that are not in theirs, or are cleared only in own.
+// missingFrom returns the crashes of own that are not in theirs, and those that only own knows to be
+// cleared or of a recently served content.
 func missingFrom(own, theirs []crashes.Crash) []crashes.Crash {
 	type key struct {
 		content     crashes.Digest
 		incarnation hookhall.Incarnation
-		cleared     bool
 	}
-	known := map[key]bool{}
-	for _, e := range theirs {
-		known[key{e.Content, e.Incarnation, e.Cleared}] = true
+	known := map[key]crashes.Crash{}
+	for _, crash := range theirs {
+		known[key{crash.Content, crash.Incarnation}] = crash
 	}
 	var missing []crashes.Crash
-	for _, e := range own {
-		if !known[key{e.Content, e.Incarnation, e.Cleared}] && !known[key{e.Content, e.Incarnation, true}] {
-			missing = append(missing, e)
+	for _, crash := range own {
+		their, isKnown := known[key{crash.Content, crash.Incarnation}]
+		if !isKnown || (crash.Cleared && !their.Cleared) || (crash.RecentlyServed && !their.RecentlyServed) {
+			missing = append(missing, crash)
 		}
 	}
 	return missing
--- a/internal/transport/fleet/crashes_test.go
+++ b/internal/transport/fleet/crashes_test.go
@@ -49,6 +49,10 @@
 		e.Cleared = true
 		return e
 	}
+	unserved := func(e crashes.Crash) crashes.Crash {
+		e.RecentlyServed = false
+		return e
+	}
 	one, two := crashOf(1, "t1"), crashOf(1, "t2")
 	for name, c := range map[string]struct {
 		own, theirs []crashes.Crash
@@ -59,6 +63,8 @@
 		"one is unknown here":             {[]crashes.Crash{one}, []crashes.Crash{one, two}, 0},
 		"one is cleared only here":        {[]crashes.Crash{clear(one)}, []crashes.Crash{one}, 1},
 		"one is cleared only at the peer": {[]crashes.Crash{one}, []crashes.Crash{clear(one)}, 0},
+		"one was served only here":        {[]crashes.Crash{one}, []crashes.Crash{unserved(one)}, 1},
+		"one was served only at the peer": {[]crashes.Crash{unserved(one)}, []crashes.Crash{one}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := missingFrom(c.own, c.theirs); len(got) != c.want {
