quarantine: gateways that served a content say so when others report crashes

Many targets ended at once while they ran an ordinary content, a gateway that had just started reported the crashes, and all gateways refused the content: crashes at once count as one only if the content was recently served, and only the reporter was asked for that.

A gateway that receives such a report now adds what it knows itself, and broadcasts the crashes to which it added something. What was known is no news, so that a report is added to at most once by each gateway, and relayed only by those to which it is new.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -143,17 +143,44 @@
 }
 
 // Merge merges crashes of a peer or of the store into the ledger, and returns those that are
-// new here or newly cleared.
+// new here or newly cleared. Where this process has recently served a content and the reporter had
+// not, it tells the other gateways.
 func (q *Quarantine) Merge(list []crashes.Crash, from string) []crashes.Crash {
-	fresh := q.Ledger.Merge(list, clock.Now())
+	now := clock.Now()
+	list, servedHere := q.addServed(list, now)
+	fresh := q.Ledger.Merge(list, now)
 	if len(fresh) == 0 {
 		return nil
 	}
-	q.log.Info("crashes received", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Incarnation.ID, "cleared", fresh[0].Cleared)
+	q.log.Info("crashes received", "count", len(fresh), "from", from, "content", fresh[0].Content, "target", fresh[0].Incarnation.ID,
+		"cleared", fresh[0].Cleared, "served_here", len(servedHere))
 	q.updateRefusals()
+	var additions []crashes.Crash
+	for _, crash := range fresh {
+		if servedHere[crash.Content] {
+			additions = append(additions, crash)
+		}
+	}
+	if len(additions) > 0 {
+		q.enqueue(additions)
+	}
 	return fresh
 }
 
+// addServed returns a copy of list in which the crashes of contents that this process has recently
+// served say so, and the contents to which that was added.
+func (q *Quarantine) addServed(list []crashes.Crash, now time.Time) (marked []crashes.Crash, servedHere map[crashes.Digest]bool) {
+	marked, servedHere = slices.Clone(list), map[crashes.Digest]bool{}
+	for i := range marked {
+		crash := &marked[i]
+		if !crash.RecentlyServed && q.recentlyServed.Has(crash.Content, now) {
+			crash.RecentlyServed = true
+			servedHere[crash.Content] = true
+		}
+	}
+	return marked, servedHere
+}
+
 // All returns all crashes in the ledger, also cleared ones.
 func (q *Quarantine) All() []crashes.Crash { return q.Ledger.All() }
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -232,3 +232,38 @@
 		}
 	})
 }
+
+// TestServedIsReportedOnce guards against a gateway that refuses a content since only another one
+// had served it, and against gateways that tell each other again and again.
+func TestServedIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q, broadcast := newQuarantine(&fakeProber{}, fakeCatalog{})
+		other, reported := newQuarantine(&fakeProber{}, fakeCatalog{})
+		served := crashes.Digest{1}
+		q.Served(func() crashes.Digest { return served })
+		crash := func(content crashes.Digest, id string) crashes.Crash {
+			return crashes.Crash{Content: content, Incarnation: target(id).Incarnation(), Software: "s v1", ReportedAt: time.Now()}
+		}
+		list := []crashes.Crash{crash(served, "a"), crash(served, "b"), crash(served, "c"), crash(crashes.Digest{2}, "a")}
+		other.Merge(list, "a gateway that has just started")
+		q.Merge(list, "a gateway that has just started")
+		q.Merge(list, "a gateway that has just started")
+		time.Sleep(broadcastDelay)
+		synctest.Wait()
+		if len(*broadcast) != 3 {
+			t.Errorf("%d crashes reported of 3 that are of a content served here: %v", len(*broadcast), *broadcast)
+		}
+		other.Merge(*broadcast, "q")
+		if s := other.Standing(func() crashes.Digest { return served }); s.Refused() {
+			t.Errorf("refused after %d crashes at once, though it was served elsewhere", s.Crashes)
+		}
+		if now := time.Now(); q.Checksum(now) != other.Checksum(now) {
+			t.Error("the ledgers differ")
+		}
+		time.Sleep(broadcastDelay)
+		synctest.Wait()
+		if len(*reported) != 0 {
+			t.Errorf("reported again: %v", *reported)
+		}
+	})
+}
--- a/internal/state/crashes/crash.go
+++ b/internal/state/crashes/crash.go
@@ -20,7 +20,7 @@
 	Incarnation hookhall.Incarnation // the incarnation that crashed
 	// Software is what the target ran: its service and version.
 	Software string
-	// RecentlyServed is set if a reporting process had served the content shortly before
+	// RecentlyServed is set if any process had served the content shortly before it learned of
 	// the crash, which shows that not every target that runs it crashes.
 	RecentlyServed bool
 	// Cleared is set once a target has given a complete response to the content.
