fleet: results of a stage whose origin has left are freed

A broker that had made the pieces of a stage when the process that asked for them left, or whose reply could not be sent, kept the results: nobody else knew their handles, and their room at the target stayed taken until they expired. A stage that is cancelled earlier was freed already.

The reply is not sent once the call has ended, and its results are freed then, as they are if sending fails. Both mean that the other side has not got it. What stays is a reply that is on its way when the origin leaves.

TestResultsOfLostReply fails without the change: "the results were not freed".

--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -82,7 +82,14 @@
 	if last == nil {
 		return errHandedOver
 	}
-	return stream.Send(last)
+	err := stream.Context().Err()
+	if err == nil {
+		err = stream.Send(last)
+	}
+	if err != nil {
+		s.Broker.Free(r.GetService(), last.GetHandles()) // nobody else knows of them
+	}
+	return err
 }
 
 // runStage runs the stage and returns the last reply, nil if the pool was handed over. It calls
--- a/internal/transport/fleet/loads_test.go
+++ b/internal/transport/fleet/loads_test.go
@@ -105,7 +105,9 @@
 func (fakeDirectory) Evacuated(string) bool { return false }
 
 // instantPool makes pieces at once.
-type instantPool struct{}
+type instantPool struct {
+	freed chan []string // gets the handles that are freed, if it is not nil
+}
 
 func (instantPool) Make(_ context.Context, t hookhall.Target, pieces []hookhall.Piece) ([]hookhall.PieceResult, error) {
 	var list []hookhall.PieceResult
@@ -114,8 +116,13 @@
 	}
 	return list, nil
 }
-func (instantPool) Free(context.Context, string, []string) error { return nil }
-func (instantPool) Holder(string) string                         { return "encode" }
+func (p instantPool) Free(_ context.Context, _ string, handles []string) error {
+	if p.freed != nil {
+		p.freed <- handles
+	}
+	return nil
+}
+func (instantPool) Holder(string) string { return "encode" }
 
 // noQuarantine has no crashes recorded.
 type noQuarantine struct{}
@@ -210,3 +217,61 @@
 		t.Errorf("reply %v", reply)
 	}
 }
+
+// lastReply is the stream of a stage whose origin leaves once the stage has ended.
+type lastReply struct {
+	grpc.ServerStream
+	ctx     context.Context
+	sendErr error
+	sent    []*pb.StageReply
+}
+
+func (s *lastReply) Context() context.Context { return s.ctx }
+func (s *lastReply) Send(r *pb.StageReply) error {
+	if s.sendErr == nil {
+		s.sent = append(s.sent, r)
+	}
+	return s.sendErr
+}
+
+// leftContext is a context that has ended without a stage noticing it.
+type leftContext struct{ context.Context }
+
+func (leftContext) Err() error { return context.Canceled }
+
+// TestResultsOfLostReply guards against results that stay at their target until they expire,
+// because the process that wanted them left when they were made.
+func TestResultsOfLostReply(t *testing.T) {
+	table := routetable.Compile(&hookhall.Routing{Services: []hookhall.Service{{Name: "encode", Pool: &hookhall.PoolSpec{Slots: 1, MaxBatch: 8}}}})
+	request := &pb.StageRequest{Request: "call", Pieces: 2, Service: "encode", Key: "key", DueMs: 1000, RemainingMs: 5000}
+	for name, c := range map[string]struct {
+		stream    *lastReply
+		wantFreed bool
+	}{
+		"received":              {&lastReply{ctx: t.Context()}, false},
+		"left before the reply": {&lastReply{ctx: leftContext{t.Context()}}, true},
+		"reply is not sent":     {&lastReply{ctx: t.Context(), sendErr: io.ErrClosedPipe}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			freed := make(chan []string, 1)
+			server := &Server{Broker: stages.NewBroker(fakeDirectory{table}, instantPool{freed}, noQuarantine{}, &rollouts.Rollouts{}, log.New(io.Discard))}
+			if err := server.RunStage(request, c.stream); (err != nil) != c.wantFreed {
+				t.Errorf("error %v", err)
+			}
+			if !c.wantFreed {
+				if len(c.stream.sent) != 1 || len(c.stream.sent[0].GetHandles()) != 2 || len(freed) != 0 {
+					t.Errorf("sent %v, %d calls freed results", c.stream.sent, len(freed))
+				}
+				return
+			}
+			select {
+			case handles := <-freed:
+				if len(handles) != 2 {
+					t.Errorf("freed %v of 2 results", handles)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the results were not freed")
+			}
+		})
+	}
+}
