paths: requests on silenced connections are given up once the gateway is isolated

Callers of a gateway whose links to the targets went silent waited for their whole deadline, or for the 3.5 s until the system gives a connection up, if their request was in progress or had met a kept connection, while later ones were served through relays after half a second.

When a gateway becomes isolated because connections time out, and no target answers it directly for 250 ms more, requests that have no answer yet are ended with an error of the own path, and sent again within the retry budget. Those that must run at most once wait on: their connection may come back. Nothing happens where new connections are refused or reset: those in use live on, or are reset, too.

TestSilentRequestsAreGivenUp, TestAbandonSilent.

Ruled out: that idle connections delay the detection.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -228,7 +228,7 @@
 	g.paths = &paths.Paths{
 		Table: &reach.Table{}, Breaks: &reach.Breaks{}, Relays: &reach.Relays{}, Fleet: g.members, Targets: g.catalog,
 		Remote: func(address string) hookhall.Relay { return g.clients.Client(address) },
-		Probe:  g.adapters.Connections.Probe, CloseIdle: g.closeIdle, OnIsolated: g.setIsolated, Meter: g.metrics, Log: g.logger(logging.Paths),
+		Probe:  g.adapters.Connections.Probe, CloseIdle: g.closeIdle, AbandonSilent: g.adapters.Connections.AbandonSilent, OnIsolated: g.setIsolated, Meter: g.metrics, Log: g.logger(logging.Paths),
 	}
 	g.adapters.Connections.Paths = g.paths
 	g.relayer = &paths.Relayer{
--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -30,6 +30,9 @@
 	probeTick = 50 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 300 * time.Millisecond
+	// silenceLimit is how long no target may answer directly after an isolation began for the
+	// requests that were sent before to be given up.
+	silenceLimit = 250 * time.Millisecond
 )
 
 // Meter counts connections to targets.
@@ -78,12 +81,17 @@
 	Probe func(ctx context.Context, address string) error
 	// CloseIdle closes the idle connections to an address, or to all if it is "".
 	CloseIdle func(address string)
+	// AbandonSilent gives the requests up that were sent directly before a time, have no answer
+	// yet, and may be sent again. It returns their number; it may be nil.
+	AbandonSilent func(sentBefore time.Time) int
 	// OnIsolated is called when an isolation begins or ends. It must not block; it may be nil.
 	OnIsolated func(isolated bool)
 	Meter      Meter
 	Log        *log.Logger
 
 	isProbing atomic.Bool
+	// hasAnswered is set once a target has answered directly since the last isolation began.
+	hasAnswered atomic.Bool
 }
 
 // Connect opens a connection to the target at address for a request of the given urgency. direct
@@ -216,10 +224,28 @@
 	}
 	if isolated {
 		p.setIsolated(true)
+		if failure == reach.TimedOut {
+			p.abandonSilent()
+		}
 	}
 	p.startProbes()
 }
 
+// abandonSilent gives up the requests that were sent before now if no target answers directly within
+// silenceLimit. Connections that are in use may live on while new ones can't be opened.
+func (p *Paths) abandonSilent() {
+	began := clock.Now()
+	p.hasAnswered.Store(false)
+	time.AfterFunc(silenceLimit, func() {
+		if p.AbandonSilent == nil || p.hasAnswered.Load() || !p.Table.Isolated() {
+			return
+		}
+		if n := p.AbandonSilent(began); n > 0 {
+			p.Log.Warn("requests given up on silent connections", "requests", n, "silent_ms", clock.Since(began).Milliseconds())
+		}
+	})
+}
+
 // setIsolated reports the begin or the end of an isolation.
 func (p *Paths) setIsolated(isolated bool) {
 	if isolated {
@@ -283,7 +309,12 @@
 }
 
 // Answered records the answer of a target on a direct connection.
-func (p *Paths) Answered() { p.Breaks.Answered() }
+func (p *Paths) Answered() {
+	p.Breaks.Answered()
+	if !p.hasAnswered.Load() {
+		p.hasAnswered.Store(true)
+	}
+}
 
 // IsIsolated reports whether this process can't connect to any target that its peers reach.
 func (p *Paths) IsIsolated() bool { return p.Table.Isolated() }
--- a/internal/coordination/paths/paths_test.go
+++ b/internal/coordination/paths/paths_test.go
@@ -460,3 +460,60 @@
 		})
 	})
 }
+
+// TestSilentRequestsAreGivenUp guards against requests that wait on connections that an isolation has
+// silenced, and against giving those up whose connections live on, or will be reset anyway.
+func TestSilentRequestsAreGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		direct   outcome
+		answers  bool // a target answers directly after the isolation began
+		returns  bool // the links work again at once
+		wantCall bool
+	}{
+		"silent links":                {timedOut, false, false, true},
+		"a target answers":            {timedOut, true, false, false},
+		"new connections are refused": {refused, false, false, false},
+		"back at once":                {timedOut, false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, c.direct, connects, connects)
+				var isolatedAt time.Time
+				var calls []time.Time
+				w.OnIsolated = func(isolated bool) {
+					if isolated {
+						isolatedAt = time.Now()
+					}
+				}
+				w.AbandonSilent = func(sentBefore time.Time) int {
+					calls = append(calls, sentBefore)
+					return 1
+				}
+				w.Answered()
+				for i := range 3 {
+					if _, err := w.connect(fmt.Sprintf("10.0.0.%d:80", i)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if c.answers {
+					w.Answered()
+				}
+				if c.returns {
+					for i := range 2 {
+						w.recordConnected(fmt.Sprintf("10.0.0.%d:80", i))
+					}
+				}
+				time.Sleep(silenceLimit)
+				synctest.Wait()
+				if isolatedAt.IsZero() || (len(calls) == 1) != c.wantCall || len(calls) > 1 {
+					t.Errorf("isolated at %v, given up %d times", isolatedAt, len(calls))
+				}
+				if c.wantCall && !calls[0].Equal(isolatedAt) {
+					t.Errorf("gave up what was sent before %v, want %v", calls[0], isolatedAt)
+				}
+				w.Table.Prune(func(string) bool { return false })
+				time.Sleep(time.Minute) // the probes end
+			})
+		})
+	}
+}
--- a/internal/transport/upstream/paths_test.go
+++ b/internal/transport/upstream/paths_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -133,3 +134,53 @@
 		}
 	}
 }
+
+// TestAbandonSilent checks that only requests are given up that may be sent again, have no answer, went
+// out directly, and before the time.
+func TestAbandonSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		relay         string
+		newConnection bool
+		sentAfter     bool
+		wantClosed    int
+	}{
+		"direct":                {wantClosed: 1},
+		"must run at most once": {newConnection: true},
+		"relayed":               {relay: "10.0.0.2:1"},
+		"sent after the time":   {sentAfter: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := NewPool()
+				pool.Paths = &fakePaths{relay: c.relay, answer: "silence", breaks: true}
+				r := newTestRequest("1")
+				r.NewConnection = c.newConnection
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				failed := make(chan error, 1)
+				go func() {
+					_, err := pool.Do(ctx, r)
+					failed <- err
+				}()
+				time.Sleep(time.Millisecond)
+				before := time.Now()
+				if c.sentAfter {
+					before = before.Add(-time.Second)
+				}
+				if n := pool.AbandonSilent(before); n != c.wantClosed {
+					t.Errorf("closed %d, want %d", n, c.wantClosed)
+				}
+				err := hookhall.AsError(<-failed)
+				if isAbandoned := ctx.Err() == nil; isAbandoned != (c.wantClosed > 0) || err.Verdict != hookhall.MayHaveRun {
+					t.Errorf("ended before its deadline: %v, %v", isAbandoned, err)
+				}
+				if c.wantClosed > 0 && !err.OwnPath {
+					t.Error("held against the target")
+				}
+				if len(pool.awaiting) != 0 {
+					t.Errorf("%d requests recorded", len(pool.awaiting))
+				}
+			})
+		})
+	}
+}
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -65,7 +65,10 @@
 	idleByAddress      map[string][]*conn
 	lastTakenByAddress map[string]time.Time // when a request last asked for a kept connection, by address
 	lastResetByAddress map[string]time.Time // when the target last reset a new connection, by address
-	dials              atomic.Int64
+	// awaiting are the direct connections on which a request that may be sent again awaits its
+	// answer, with the time at which it was sent.
+	awaiting map[*conn]time.Time
+	dials    atomic.Int64
 }
 
 // NewPool returns a Pool without connections.
@@ -73,7 +76,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return sockets.Dialer(dialTimeout, sockets.TargetSilence).DialContext(ctx, "tcp", address)
 	}
-	return &Pool{Dial: dial, idleByAddress: map[string][]*conn{}, lastTakenByAddress: map[string]time.Time{}, lastResetByAddress: map[string]time.Time{}}
+	return &Pool{Dial: dial, idleByAddress: map[string][]*conn{}, lastTakenByAddress: map[string]time.Time{}, lastResetByAddress: map[string]time.Time{}, awaiting: map[*conn]time.Time{}}
 }
 
 // Dials returns the number of connections attempted so far, failed ones included.
@@ -90,7 +93,8 @@
 	// Matches reports whether an answer is the one to this request; nil accepts
 	// any answer.
 	Matches func(status int, h http.Header) bool
-	// NewConnection requires a new connection instead of a kept one.
+	// NewConnection requires a new connection instead of a kept one. Only requests that must run
+	// at most once need it.
 	NewConnection bool
 	// Urgency is the rank of the request, 0 for the most urgent.
 	Urgency int
@@ -177,6 +181,38 @@
 	clear(p.idleByAddress)
 }
 
+// AbandonSilent closes the direct connections on which a request that was sent before a time still
+// awaits its answer, unless it must not be sent again. It returns how many it closed.
+func (p *Pool) AbandonSilent(sentBefore time.Time) (closed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, sentAt := range p.awaiting {
+		if sentAt.Before(sentBefore) {
+			_ = c.Close()
+			closed++
+		}
+	}
+	return closed
+}
+
+// beginAwaiting records that a request was sent on a connection and awaits its answer.
+func (p *Pool) beginAwaiting(c *conn, r *Request) {
+	if c.relay != "" || r.NewConnection {
+		return
+	}
+	now := clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.awaiting[c] = now
+}
+
+// endAwaiting records that a connection got its answer or failed.
+func (p *Pool) endAwaiting(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.awaiting, c)
+}
+
 // Sweep closes the idle connections that are not reusable at now, and drops the records of
 // requests and resets that have expired. It must be called regularly.
 func (p *Pool) Sweep(now time.Time) {
@@ -316,7 +352,9 @@
 	} else {
 		go func() { writeResult <- writeRequest(c, &r) }()
 	}
+	p.beginAwaiting(c, &r)
 	head, err := readHead(c, parseRequest, r.Matches)
+	p.endAwaiting(c)
 	if err != nil {
 		stop()
 		_ = c.Close()
