paths: an isolation is confirmed by further targets

A gateway that had lost a part of the targets could count as isolated: it then used relays for all targets and passed its roles on, though it reached the others.

The log has three connections that began to hang within 32 ms and no new connection to another target between them, while kept connections to the others worked. Three targets in a row without a new direct connection isolated the process.

Cause: few failures at one moment were taken for the state of all paths. Answers on direct connections now count as contact, as new connections do. Three targets in a row raise a suspicion only: the process then tries targets other than those, without a request. One that it reaches ends the suspicion; two that only relays reach, or that there is no other target, confirm it. Probes of detours that fail count as well, so that a suspicion comes up again once the kept connections are gone.

TestIsolationIsConfirmed and the new cases of TestIsolation fail without the change.

--- a/internal/coordination/catalog/address_test.go
+++ b/internal/coordination/catalog/address_test.go
@@ -34,3 +34,27 @@
 		}
 	})
 }
+
+// TestSampleTarget checks that each listed target is sampled, and no missing or skipped one.
+func TestSampleTarget(t *testing.T) {
+	c := newCatalog(newFakeStore())
+	item := func(id string, revision hookhall.Revision) hookhall.Item {
+		return hookhall.Item{Key: "t/" + id, Value: []byte("at 10.0.0." + id + ":80"), Revision: revision}
+	}
+	c.ApplyReading(Reading{Revision: 4, Items: []hookhall.Item{item("1", 1), item("2", 2), item("3", 3), item("4", 4)}, Began: time.Now()}, "store")
+	c.ApplyEvents([]hookhall.Item{{Key: "t/4", Revision: 5, Deleted: true}}, 5, time.Now())
+	sampled := map[string]bool{}
+	for range 200 {
+		target, ok := c.SampleTarget(map[string]bool{"10.0.0.3:80": true})
+		if !ok {
+			t.Fatal("no target")
+		}
+		sampled[target.ID] = true
+	}
+	if len(sampled) != 2 || !sampled["1"] || !sampled["2"] {
+		t.Errorf("sampled %v", sampled)
+	}
+	if target, ok := c.SampleTarget(map[string]bool{"10.0.0.1:80": true, "10.0.0.2:80": true, "10.0.0.3:80": true}); ok {
+		t.Errorf("sampled %q though none is left", target.ID)
+	}
+}
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -198,6 +198,23 @@
 	return e.target, true
 }
 
+// SampleTarget returns a random target whose address is not in skip, and false if there is none.
+// Leaving and missing targets are left out.
+func (c *Catalog) SampleTarget(skip map[string]bool) (t hookhall.Target, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, e := range c.entriesByKey {
+		if e.isLeaving || !e.missingSince.IsZero() || skip[e.target.Address] {
+			continue
+		}
+		if count++; rand.IntN(count) == 0 {
+			t, ok = e.target, true
+		}
+	}
+	return t, ok
+}
+
 // HasEnded reports whether the list of targets shows that the incarnation of t has ended: t is
 // listed with another start time, or another target has its address.
 func (c *Catalog) HasEnded(t hookhall.Target) bool {
--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -30,6 +30,10 @@
 	probeTick = 50 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 300 * time.Millisecond
+	// confirmingTargets is how many further targets have to be unreachable before this process
+	// counts as isolated, and maxSampledTargets how many are tried for that.
+	confirmingTargets = 2
+	maxSampledTargets = 4
 	// silenceLimit is how long no target may answer directly after an isolation began for the
 	// requests that were sent before to be given up.
 	silenceLimit = 250 * time.Millisecond
@@ -64,6 +68,8 @@
 type Targets interface {
 	// TargetAt returns the target that is listed with an address.
 	TargetAt(address string) (t hookhall.Target, ok bool)
+	// SampleTarget returns a random target that may be used and whose address is not in skip.
+	SampleTarget(skip map[string]bool) (t hookhall.Target, ok bool)
 }
 
 // Paths opens connections to targets. Its fields are set before use; it is safe for concurrent
@@ -89,7 +95,8 @@
 	Meter      Meter
 	Log        *log.Logger
 
-	isProbing atomic.Bool
+	isProbing    atomic.Bool
+	isConfirming atomic.Bool
 	// hasAnswered is set once a target has answered directly since the last isolation began.
 	hasAnswered atomic.Bool
 }
@@ -209,28 +216,87 @@
 		p.Log.Warn("target can't be connected to from this gateway", "address", address, "kind", failure, "unreachable", p.Table.Count(), "error", err.Error())
 		p.Meter.TargetsUnreachable(p.Table.Count())
 	}
+	if p.Table.Suspected() {
+		p.confirmIsolation(failure)
+	}
 }
 
 // recordDetour records that a relay reached a target that this process could not connect to, in the
 // given way. Idle connections over a path that answers nothing are closed; if new
 // connections are refused, those that are open may work.
 func (p *Paths) recordDetour(address string, failure reach.Failure) {
-	isolated := p.Table.RelayConnected(address, clock.Now())
+	p.Table.RelayConnected(address, clock.Now())
 	if failure != reach.Refused {
 		p.CloseIdle(address)
-		if isolated {
-			p.CloseIdle("")
-		}
 	}
-	if isolated {
-		p.setIsolated(true)
-		if failure == reach.TimedOut {
-			p.abandonSilent()
-		}
+	if p.Table.Suspected() {
+		p.confirmIsolation(failure)
 	}
 	p.startProbes()
 }
 
+// confirmIsolation finds out whether this process, which lately failed to connect in the given way to
+// several targets that relays reach, is isolated.
+func (p *Paths) confirmIsolation(failure reach.Failure) {
+	if !p.isConfirming.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.isConfirming.Store(false)
+		if p.failsElsewhere() && p.Table.Isolate(clock.Now()) {
+			p.beginIsolation(failure)
+		}
+	}()
+}
+
+// failsElsewhere tries targets other than the suspects. It returns false once a target has shown
+// itself on a direct connection, and true once confirmingTargets more are suspects or no
+// target is left to try.
+func (p *Paths) failsElsewhere() bool {
+	skip, confirmed := p.Table.Suspects(), 0
+	for range maxSampledTargets {
+		target, ok := p.Targets.SampleTarget(skip)
+		if !ok {
+			return true
+		}
+		skip[target.Address] = true
+		p.tryTarget(target.Address)
+		suspects := p.Table.Suspects()
+		if len(suspects) == 0 {
+			return false
+		}
+		if suspects[target.Address] {
+			confirmed++
+		}
+		if confirmed == confirmingTargets {
+			return true
+		}
+	}
+	return true
+}
+
+// tryTarget connects to a target without a request, directly or through a relay, and records the
+// outcome.
+func (p *Paths) tryTarget(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+relayTimeout)
+	defer cancel()
+	c, err := p.connectHedged(ctx, address, 0, func(ctx context.Context) (net.Conn, error) { return nil, p.Probe(ctx, address) })
+	if err == nil && c != nil {
+		_ = c.Close()
+	}
+}
+
+// beginIsolation follows the begin of an isolation after connections failed in the given way.
+func (p *Paths) beginIsolation(failure reach.Failure) {
+	if failure != reach.Refused {
+		p.CloseIdle("")
+	}
+	p.setIsolated(true)
+	if failure == reach.TimedOut {
+		p.abandonSilent()
+	}
+}
+
 // abandonSilent gives up the requests that were sent before now if no target answers directly within
 // silenceLimit. Connections that are in use may live on while new ones can't be opened.
 func (p *Paths) abandonSilent() {
@@ -311,6 +377,7 @@
 // Answered records the answer of a target on a direct connection.
 func (p *Paths) Answered() {
 	p.Breaks.Answered()
+	p.Table.Answered()
 	if !p.hasAnswered.Load() {
 		p.hasAnswered.Store(true)
 	}
--- a/internal/coordination/paths/paths_test.go
+++ b/internal/coordination/paths/paths_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +35,8 @@
 	// connection if the error is nil.
 	direct  outcome
 	relays  map[string]outcome
+	healthy []string // further targets, which connect directly
+	cutOff  []string // further targets, which end as direct does
 	directs int      // direct attempts
 	asked   []string // peers
 	open    int      // connections
@@ -65,7 +68,7 @@
 		Table: &reach.Table{}, Breaks: &reach.Breaks{}, Relays: &reach.Relays{}, Fleet: w, Targets: w,
 		Remote: func(address string) hookhall.Relay { return &remote{w, address} },
 		Probe: func(ctx context.Context, address string) error {
-			c, err := w.dial(ctx)
+			c, err := w.dial(ctx, address)
 			if err == nil {
 				_ = c.Close()
 			}
@@ -94,6 +97,16 @@
 	return hookhall.Target{ID: "target at " + address, Address: address}, true
 }
 
+// SampleTarget returns the first further target, of those that are cut off first.
+func (w *world) SampleTarget(skip map[string]bool) (hookhall.Target, bool) {
+	for _, address := range append(slices.Clone(w.cutOff), w.healthy...) {
+		if !skip[address] {
+			return hookhall.Target{ID: "target at " + address, Address: address}, true
+		}
+	}
+	return hookhall.Target{}, false
+}
+
 // end ends an attempt with its outcome.
 func (w *world) end(ctx context.Context, o outcome) (net.Conn, error) {
 	select {
@@ -112,17 +125,20 @@
 }
 
 // dial makes a direct attempt.
-func (w *world) dial(ctx context.Context) (net.Conn, error) {
+func (w *world) dial(ctx context.Context, address string) (net.Conn, error) {
 	w.mu.Lock()
 	w.directs++
 	o := w.direct
+	if slices.Contains(w.healthy, address) {
+		o = connects
+	}
 	w.mu.Unlock()
 	return w.end(ctx, o)
 }
 
 // connect connects to a target as a request does.
 func (w *world) connect(address string) (net.Conn, error) {
-	return w.Connect(w.t.Context(), address, 0, w.dial)
+	return w.Connect(w.t.Context(), address, 0, func(ctx context.Context) (net.Conn, error) { return w.dial(ctx, address) })
 }
 
 // isRelayed reports whether a connection passes through a peer.
@@ -266,6 +282,47 @@
 	})
 }
 
+// TestIsolationIsConfirmed guards against a process that counts as isolated, so that it uses relays for all
+// targets and gives its roles away, though it is cut off from a part of the targets only.
+func TestIsolationIsConfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		cutOff, healthy []string
+		answers         bool // targets answer on kept connections
+		want            bool
+	}{
+		"no other target":             {nil, nil, false, true},
+		"others connect":              {nil, []string{"h1", "h2"}, false, false},
+		"one more is cut off":         {[]string{"c1"}, []string{"h1"}, false, false},
+		"two more are cut off":        {[]string{"c1", "c2"}, []string{"h1"}, false, true},
+		"a kept connection is in use": {[]string{"c1", "c2"}, nil, true, false},
+	} {
+		for kind, direct := range map[string]outcome{"refused": refused, "hanging": timedOut} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, direct, connects, connects)
+					w.cutOff, w.healthy = c.cutOff, c.healthy
+					for i := range 3 {
+						w.use(fmt.Sprint("target-", i))
+						if c.answers {
+							w.Answered()
+						}
+					}
+					for end := time.Now().Add(2 * relayTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						if c.answers {
+							w.Answered()
+						}
+					}
+					if got := w.Table.Isolated(); got != c.want {
+						t.Errorf("isolated: %v", got)
+					}
+					w.set(connects)
+					w.stopProbes()
+				})
+			})
+		}
+	}
+}
+
 // TestIsolatedProcess checks that an isolated process uses relays at once, refuses at once if there
 // is none, probes little, and connects directly soon after its links return.
 func TestIsolatedProcess(t *testing.T) {
@@ -278,6 +335,7 @@
 				for i := range 3 {
 					w.use(fmt.Sprint("target-", i))
 				}
+				synctest.Wait()
 				if !w.Table.Isolated() {
 					t.Fatal("not isolated")
 				}
@@ -340,7 +398,7 @@
 		w := newWorld(t, outcome{after: 250 * time.Millisecond}, outcome{after: 150 * time.Millisecond})
 		for delay := range 30 {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(delay)*10*time.Millisecond)
-			c, err := w.Connect(ctx, target, 0, w.dial)
+			c, err := w.Connect(ctx, target, 0, func(ctx context.Context) (net.Conn, error) { return w.dial(ctx, target) })
 			if err == nil {
 				_ = c.Close()
 			}
@@ -382,7 +440,7 @@
 		return hookhall.RelayRequest{TargetID: "target at " + target, Address: target, Urgency: urgency}
 	}
 	newRelayer := func(w *world) *Relayer {
-		return &Relayer{Paths: w.Paths, MaxConnections: 20, IsOverloaded: func() bool { return false }, Dial: func(ctx context.Context, _ string, _ bool) (net.Conn, error) { return w.dial(ctx) }}
+		return &Relayer{Paths: w.Paths, MaxConnections: 20, IsOverloaded: func() bool { return false }, Dial: func(ctx context.Context, address string, _ bool) (net.Conn, error) { return w.dial(ctx, address) }}
 	}
 	check := func(t *testing.T, r *Relayer, request hookhall.RelayRequest, want hookhall.RelayFailure) net.Conn {
 		t.Helper()
@@ -451,6 +509,7 @@
 			for i := range 3 {
 				w.use(fmt.Sprint("target-", i))
 			}
+			synctest.Wait()
 			asked := len(w.asked)
 			check(t, newRelayer(w), request(0), hookhall.RelayCutOff)
 			if len(w.asked) != asked {
@@ -495,6 +554,7 @@
 						t.Fatal(err)
 					}
 				}
+				synctest.Wait()
 				if c.answers {
 					w.Answered()
 				}
--- a/internal/state/reach/doc.go
+++ b/internal/state/reach/doc.go
@@ -12,8 +12,9 @@
 // reachable. One that failed here and that a relay reached has a detour: requests use relays.
 // One that neither this process nor relays reach is down, and fails as it would without relays.
 //
-// A process is isolated once several targets in a row have a detour and no direct connection
-// was opened meanwhile. It then uses relays for all targets. Probes, which carry no request,
+// A process is suspected to be isolated once several targets in a row have a detour and no target
+// has shown itself on a direct connection meanwhile. Whether it is takes a look at further targets,
+// since a part of them may be cut off; Isolate records that. It then uses relays for all targets. Probes, which carry no request,
 // end a detour or an isolation; an isolation that returns soon takes more of them to end.
 //
 // A connection that breaks says less than one that can't be opened. Breaks counts the targets
--- a/internal/state/reach/isolation.go
+++ b/internal/state/reach/isolation.go
@@ -6,10 +6,10 @@
 import "time"
 
 const (
-	// isolationCount is how many targets in a row have to be unreachable for this process
-	// alone for it to be isolated.
+	// isolationCount is from how many targets in a row that are unreachable for this process
+	// alone it may be isolated.
 	isolationCount = 3
-	// evidenceLifetime is how long a detour counts for an isolation.
+	// evidenceLifetime is how long a failed connection counts for an isolation.
 	evidenceLifetime = 3 * time.Second
 	// isolatedProbeInterval is the time between two probes, of any targets, while isolated.
 	isolatedProbeInterval = 250 * time.Millisecond
@@ -32,6 +32,42 @@
 	nextProbe    time.Time
 }
 
+// Suspected reports whether this process may be isolated: it could not connect to several targets that
+// relays reach, and no target has shown itself on a direct connection in between.
+func (t *Table) Suspected() bool {
+	if t.active.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isSuspected()
+}
+
+// isSuspected is Suspected. t.mu must be held.
+func (t *Table) isSuspected() bool { return !t.isolation.isActive && len(t.suspects) >= isolationCount }
+
+// Suspects returns the addresses of the targets that Suspected counts.
+func (t *Table) Suspects() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := map[string]bool{}
+	for address := range t.suspects {
+		addresses[address] = true
+	}
+	return addresses
+}
+
+// Isolate begins an isolation, and returns false if Suspected is no longer true.
+func (t *Table) Isolate(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isSuspected() {
+		return false
+	}
+	t.beginIsolation(now)
+	return true
+}
+
 // beginIsolation begins an isolation. t.mu must be held.
 func (t *Table) beginIsolation(now time.Time) {
 	i := &t.isolation
--- a/internal/state/reach/table.go
+++ b/internal/state/reach/table.go
@@ -48,8 +48,8 @@
 
 	mu        sync.Mutex
 	byAddress map[string]*record
-	// suspects are the targets that got a detour since the last direct connection, with the
-	// time of that.
+	// suspects are the targets that failed here and that relays reach, since the last sign of
+	// any target on a direct connection, with the time of the latest failure.
 	suspects  map[string]time.Time
 	isolation isolation
 }
@@ -115,9 +115,38 @@
 	}
 	r.failure, r.failedAt = failure, now
 	r.failures++
+	if r.isDetoured {
+		t.suspect(address, now)
+	}
 	return first
 }
 
+// suspect records that this process can't connect to a target that relays reach. t.mu must be held.
+func (t *Table) suspect(address string, now time.Time) {
+	if t.isolation.isActive {
+		return
+	}
+	if t.suspects == nil {
+		t.suspects = map[string]time.Time{}
+	}
+	t.suspects[address] = now
+	for suspect, at := range t.suspects {
+		if now.Sub(at) >= evidenceLifetime {
+			delete(t.suspects, suspect)
+		}
+	}
+}
+
+// Answered records an answer of a target on a direct connection.
+func (t *Table) Answered() {
+	if t.active.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.suspects)
+}
+
 // Connected records a direct connection to a target. lost is the time since the first failure
 // before it, 0 if there was none, and returned is set if it ends an isolation.
 func (t *Table) Connected(address string, now time.Time) (lost time.Duration, returned bool) {
@@ -143,38 +172,22 @@
 }
 
 // RelayConnected records that a relay has reached a target that this process could not connect
-// to. It returns true if this process is isolated from now on.
-func (t *Table) RelayConnected(address string, now time.Time) (isolated bool) {
+// to.
+func (t *Table) RelayConnected(address string, now time.Time) {
 	if t.active.Load() == 0 {
-		return false
+		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.byAddress[address]
 	if r == nil {
-		return false
+		return
 	}
 	r.downAt, r.usedAt = time.Time{}, now
 	if !r.isDetoured {
 		r.isDetoured, r.probeAt = true, now.Add(r.probeInterval)
 	}
-	if t.isolation.isActive {
-		return false
-	}
-	if t.suspects == nil {
-		t.suspects = map[string]time.Time{}
-	}
-	t.suspects[address] = now
-	for suspect, at := range t.suspects {
-		if now.Sub(at) >= evidenceLifetime {
-			delete(t.suspects, suspect)
-		}
-	}
-	if len(t.suspects) < isolationCount {
-		return false
-	}
-	t.beginIsolation(now)
-	return true
+	t.suspect(address, now)
 }
 
 // RelayFailed records that relays did not reach a target either.
--- a/internal/state/reach/table_test.go
+++ b/internal/state/reach/table_test.go
@@ -22,19 +22,21 @@
 
 func (t *testTable) pass(d time.Duration) { t.now = t.now.Add(d) }
 
-// detour makes a target fail here and be reached by a relay.
-func (t *testTable) detour(address string) (isolated bool) {
+// detour makes a target fail here and be reached by a relay, and reports whether that raises the
+// suspicion of an isolation.
+func (t *testTable) detour(address string) (suspected bool) {
 	t.Failed(address, Refused, t.now)
-	return t.RelayConnected(address, t.now)
+	t.RelayConnected(address, t.now)
+	return t.Suspected()
 }
 
 // isolate makes several targets fail that relays reach.
 func (t *testTable) isolate() {
 	t.t.Helper()
 	for i := range isolationCount {
-		isolated := t.detour(fmt.Sprint("target-", i))
-		if isolated != (i == isolationCount-1) {
-			t.t.Fatalf("isolated after %d targets: %v", i+1, isolated)
+		suspected := t.detour(fmt.Sprint("target-", i))
+		if suspected != (i == isolationCount-1) || t.Isolate(t.now) != suspected {
+			t.t.Fatalf("suspected after %d targets: %v", i+1, suspected)
 		}
 	}
 }
@@ -125,6 +127,36 @@
 		}
 		table.wantPath("reachable", Direct)
 	})
+	t.Run("does not begin with an answer in between", func(t *testing.T) {
+		table := newTestTable(t)
+		for i := range 10 {
+			table.Answered()
+			if table.detour(fmt.Sprint("target-", i)) {
+				t.Fatal("suspected")
+			}
+		}
+		if table.Isolate(table.now) {
+			t.Error("isolated without a suspicion")
+		}
+	})
+	t.Run("begins with probes that fail after the last answer", func(t *testing.T) {
+		table := newTestTable(t)
+		for i := range isolationCount {
+			table.detour(fmt.Sprint("target-", i))
+			table.Answered()
+		}
+		table.RelayFailed("target-0", table.now)
+		for i := range isolationCount {
+			table.Failed(fmt.Sprint("target-", i), TimedOut, table.now)
+		}
+		if table.Suspected() {
+			t.Error("suspected, though relays did not reach one of the targets")
+		}
+		table.RelayConnected("target-0", table.now)
+		if !table.Suspected() {
+			t.Error("not suspected")
+		}
+	})
 	t.Run("does not begin with failures far apart", func(t *testing.T) {
 		table := newTestTable(t)
 		for i := range 10 {
