fleet: calls name the instance that they are meant for

A gateway that started at the address of a gateway of another fleet, killed a moment ago, took that fleet's members and targets for its own: it listed both, and its requests could go to the other's targets.

Cause: peers are identified by their address alone. A killed gateway is listed until its lease ends, and gets updates for a minute after that. Calls now carry the name of the instance that the caller knows at the address, for as long as that minute, and an instance with another name rejects them. A process that starts again has the same name.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -304,7 +304,8 @@
 	mux.HandleFunc("GET "+pathCrashes, g.serveRefusedContents)
 	mux.HandleFunc("DELETE "+pathCrashes+"/{content}", g.serveRelease)
 	operatorServer := newServer(g.metricsListener, mux)
-	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0))
+	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0),
+		kgrpc.UnaryInterceptor(fleet.CheckUnaryReceiver(g.settings.Gateway.Instance)), kgrpc.StreamInterceptor(fleet.CheckStreamReceiver(g.settings.Gateway.Instance)))
 	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Broadcaster: g.broadcaster})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clientServer, readyServer, operatorServer, peerServer),
--- a/internal/transport/fleet/clients.go
+++ b/internal/transport/fleet/clients.go
@@ -48,6 +48,8 @@
 	// It must not block, and may be nil.
 	ObserveLoads func(broker string, loads []hookhall.PoolLoad)
 
+	instances instances
+
 	mu        sync.Mutex
 	byAddress map[string]*Client
 }
@@ -62,7 +64,7 @@
 	defer c.mu.Unlock()
 	p := c.byAddress[address]
 	if p == nil {
-		p = newClient(address, c.Log)
+		p = newClient(address, &c.instances, c.Log)
 		p.onLoads = c.ObserveLoads
 		c.byAddress[address] = p
 	}
@@ -89,12 +91,13 @@
 // a call is not answered in time, the peer is pinged on the connection and then on a
 // new one, which replaces the old one if the peer answers only there.
 type Client struct {
-	address string
-	log     *log.Logger
-	err     error                                          // set if the address is invalid; all calls return it
-	onLoads func(broker string, loads []hookhall.PoolLoad) // Clients.ObserveLoads
-	link    atomic.Pointer[link]
-	relayed atomic.Int64 // connections to targets that are open through the peer
+	address   string
+	instances *instances
+	log       *log.Logger
+	err       error                                          // set if the address is invalid; all calls return it
+	onLoads   func(broker string, loads []hookhall.PoolLoad) // Clients.ObserveLoads
+	link      atomic.Pointer[link]
+	relayed   atomic.Int64 // connections to targets that are open through the peer
 
 	mu        sync.Mutex
 	lastCheck time.Time // when the last check of the connection began
@@ -109,23 +112,24 @@
 
 // newClient returns a Client of the peer at address. If the address is invalid, all of its
 // calls fail.
-func newClient(address string, l *log.Logger) *Client {
-	c := &Client{address: address, log: l}
-	first, err := connect(address)
+func newClient(address string, known *instances, l *log.Logger) *Client {
+	c := &Client{address: address, instances: known, log: l}
+	first, err := c.connect()
 	c.err = err
 	c.link.Store(first)
 	return c
 }
 
-// connect returns a link to address, which need not be reachable yet.
-func connect(address string) (*link, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address,
+// connect returns a link to the peer, which need not be reachable yet.
+func (c *Client) connect() (*link, error) {
+	options := append(c.instances.dialOptions(c.address),
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
 		grpc.WithConnectParams(reconnectParams), grpc.WithIdleTimeout(idleTimeout), grpc.WithNoProxy(),
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
 			return sockets.Dialer(connectTimeout, sockets.ServiceSilence).DialContext(ctx, "tcp", a)
 		}),
 		grpc.WithDisableServiceConfig(), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
+	conn, err := grpc.NewClient("passthrough:///"+c.address, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -170,7 +174,7 @@
 	if old.answersPing() {
 		return
 	}
-	fresh, err := connect(c.address)
+	fresh, err := c.connect()
 	if err != nil {
 		return // doesn't happen: an earlier connection had the same valid address
 	}
--- a/internal/transport/fleet/lostpeers.go
+++ b/internal/transport/fleet/lostpeers.go
@@ -114,6 +114,7 @@
 	b := n.Broadcaster
 	for _, m := range b.Peers.All() {
 		n.lastListed[m.Address] = now
+		b.Clients.instances.learn(m.Address, m.Instance)
 	}
 	if !b.Catalog.Ready() {
 		return nil
@@ -123,6 +124,7 @@
 		switch {
 		case now.Sub(at) > lostRetention:
 			delete(n.lastListed, address)
+			b.Clients.instances.forget(address)
 		case address == b.Peers.Self().Address:
 		case at.Before(now) || b.Catalog.Failing():
 			list = append(list, address)
--- a/internal/transport/fleet/lostpeers_test.go
+++ b/internal/transport/fleet/lostpeers_test.go
@@ -110,7 +110,7 @@
 // after they left the list, or while the store does not answer.
 func TestLostAddresses(t *testing.T) {
 	newNotifier := func(p *fixedPeers, c *catalog.Catalog) *LostPeerNotifier {
-		return &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: c}, lastListed: map[string]time.Time{}}
+		return &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: c, Clients: NewClients(log.New(io.Discard))}, lastListed: map[string]time.Time{}}
 	}
 	now := time.Now()
 	t.Run("none while all are listed", func(t *testing.T) {
--- a/internal/transport/fleet/memberlist_test.go
+++ b/internal/transport/fleet/memberlist_test.go
@@ -119,7 +119,7 @@
 		if isLeader {
 			p.update.Revision = 7
 		}
-		n := &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: readyCatalog(t)}, lastListed: map[string]time.Time{}, notifiedAt: map[string]time.Time{}}
+		n := &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: readyCatalog(t), Clients: NewClients(log.New(io.Discard))}, lastListed: map[string]time.Time{}, notifiedAt: map[string]time.Time{}}
 		now := time.Now()
 		n.lostAddresses(now)
 		p.list = p.list[:3]
@@ -169,7 +169,7 @@
 			p.update.Revision = 7
 			c := readyCatalog(t)
 			c.ReaderRank = func() int { return rank }
-			n := &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: c}, lastListed: map[string]time.Time{}, notifiedAt: map[string]time.Time{}}
+			n := &LostPeerNotifier{Broadcaster: &Broadcaster{Peers: p, Catalog: c, Clients: NewClients(log.New(io.Discard))}, lastListed: map[string]time.Time{}, notifiedAt: map[string]time.Time{}}
 			n.lostAddresses(now)
 			p.list = p.list[:3]
 			leaders = append(leaders, n)
