--- a/internal/coordination/paths/doc.go
+++ b/internal/coordination/paths/doc.go
@@ -12,8 +12,9 @@
 // relay.
 //
 // A direct attempt that fails, or has no answer after hedgeDelay, is followed by one through a
-// relay. Package reach decides from the outcomes which targets, or all, have a detour; then
-// requests use relays at once, and probes find out when the direct path works again.
+// relay. Package reach decides from the outcomes which targets have a detour, and when this process
+// may be isolated, which further targets then confirm. Requests use relays at once for targets with
+// a detour, and for all while isolated; probes find out when the direct path works again.
 //
 // Relayer is the other side: it admits relayed connections up to a number that leaves room for
 // the process's own work, fewer of the less urgent ones.
