forward, upstream: log how an answer was framed and what a stream left over

The line of a request could not tell an answer that ended with its connection from one with a length or chunks, nor a stream that ended inside an event from a complete one, so that the hypotheses on streams which were broken off and delivered as complete could not be told apart.

The line has framing and unfinished_bytes now, and the metric unfinished_streams counts streams that end inside an event. No decision changes.

--- a/forward.go
+++ b/forward.go
@@ -87,10 +87,22 @@
 	Advisory Advisory
 }
 
+// Framing is how the end of an answer's body is marked.
+type Framing string
+
+// The framings. An answer with FramedByConnection that was broken off in order looks like a
+// complete one; only its content can show the difference.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // the body ends with its connection
+)
+
 // Reply is a target's answer of which the head was received.
 type Reply struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 	// Length is the length of the body in bytes, -1 when it is not announced.
 	Length int64
 	Info   ReplyInfo
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -98,6 +98,12 @@
 	scope.Histogram("forward_duration", durationBuckets).RecordDuration(took)
 }
 
+// UnfinishedStream counts a stream that its target ended inside an event, by the framing of its
+// answer.
+func (m *Metrics) UnfinishedStream(framing hookhall.Framing) {
+	m.scope.Tagged(map[string]string{"framing": string(framing)}).Counter("unfinished_streams").Inc(1)
+}
+
 // Retried counts a retry, an attempt of a request at a further target.
 func (m *Metrics) Retried(service string) {
 	m.scope.Tagged(map[string]string{"service": service}).Counter("repeats").Inc(1)
--- a/internal/coordination/forward/admission_test.go
+++ b/internal/coordination/forward/admission_test.go
@@ -64,6 +64,7 @@
 func (fakeCatalog) TimeSinceAnswer(time.Time) time.Duration { return 0 }
 func (fakeCatalog) Evacuated(string) bool                   { return false }
 
+func (*fakeMeter) UnfinishedStream(hookhall.Framing)                         {}
 func (*fakeMeter) Forwarded(string, string, hookhall.Verdict, time.Duration) {}
 func (*fakeMeter) Retried(string)                                            {}
 func (m *fakeMeter) Admission(outcome, reason string, urgency int) {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -106,6 +106,8 @@
 	// Forwarded counts the end of a request, took after its arrival. cause is "answered" if the
 	// client got a target's answer.
 	Forwarded(route, cause string, verdict hookhall.Verdict, took time.Duration)
+	// UnfinishedStream counts a stream that its target ended inside an event.
+	UnfinishedStream(framing hookhall.Framing)
 	// Retried counts a retry of a request for a service.
 	Retried(service string)
 	// Admission counts a decision about a request by the load of its stage pools, by outcome,
@@ -286,6 +288,13 @@
 	if r.relay != "" {
 		fields = append(fields, "relay", r.relay)
 	}
+	if r.framing != "" {
+		fields = append(fields, "framing", string(r.framing))
+	}
+	if r.unfinishedBytes > 0 {
+		fields = append(fields, "unfinished_bytes", r.unfinishedBytes)
+		f.Meter.UnfinishedStream(r.framing)
+	}
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
 	}
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -80,6 +80,10 @@
 	placed    placement.Placement // of the next attempt; Target is "" if this process chose
 	status    int                 // of the last answer
 	relay     string              // address of the peer through which the last answer came, "" for none
+	framing   hookhall.Framing    // of the last answer
+	// unfinishedBytes is the number of bytes after the last complete event of a stream when its
+	// target ended it.
+	unfinishedBytes int
 	// cutDetail says why an answer that was begun could not be completed.
 	cutDetail string
 	// steps are the stages in the order in which admission considers them, nil if it is not
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -117,6 +117,7 @@
 		lastRead = clock.Now()
 		buffer = buffer[:len(buffer)+n]
 		if err == io.EOF {
+			s.r.unfinishedBytes = len(buffer) - completeEventsLen(buffer)
 			return s.writeEvents(buffer)
 		}
 		if complete := completeEventsLen(buffer); complete > 0 {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -102,8 +102,9 @@
 
 // Response is an answer whose head has been received.
 type Response struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing hookhall.Framing
 	// Length is the length of the body in bytes, or -1 if it is not announced.
 	Length int64
 	// Relay is the address of the peer through which the target was reached, "" for none.
@@ -370,10 +371,10 @@
 	if p.Paths != nil && c.relay == "" {
 		p.Paths.Answered()
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Relay: c.relay}
+	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay}
 	resp.Body = &answerBody{Reader: head.Body, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
-		if c.relay != "" || !complete || !active || head.Close || !requestWritten(writeResult) || c.reader.Buffered() > 0 || !selfDelimited(head) {
+		if c.relay != "" || !complete || !active || head.Close || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
 			_ = c.Close()
 			return
 		}
@@ -388,10 +389,16 @@
 	return resp, nil
 }
 
-// selfDelimited reports whether the framing of an answer marks its end, so that the end
-// of the connection is not needed.
-func selfDelimited(r *http.Response) bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
+// framingOf returns how the end of an answer's body is marked. An answer whose status has no
+// body has length 0.
+func framingOf(r *http.Response) hookhall.Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return hookhall.FramedByChunks
+	case r.ContentLength >= 0, r.StatusCode == http.StatusNoContent, r.StatusCode == http.StatusNotModified:
+		return hookhall.FramedByLength
+	}
+	return hookhall.FramedByConnection
 }
 
 // requestWritten reports, without waiting, whether the request was written completely.
@@ -440,7 +447,7 @@
 			return resp, nil
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
-		if err != nil || skipped == maxSkippedBytes || resp.Close || !selfDelimited(resp) {
+		if err != nil || skipped == maxSkippedBytes || resp.Close || framingOf(resp) == hookhall.FramedByConnection {
 			break
 		}
 	}
