forward: a stream that ends inside an event has been broken off

Callers saw: a success with the target's signature, framed as complete, whose last event was a piece of one (ORDER).

Cause: passEvents took io.EOF of the target's answer for the end of the stream and wrote what was left in the buffer. With an answer that ends with its connection, io.EOF says only that the connection ended in order; with a length or chunks it says that the framing is whole. None of these says that the last event is. Nothing of it reached the tracker, the roll-outs or the quarantine.

Change: package eventstream follows the stream by its lines, with LF, CR LF and CR in any mixture. A stream that ends inside an event, or with its connection before the first one, was broken off: the target's failure is recorded, a resumable stream goes on after its last whole event, any other ends without the end of its framing. Comments and blank lines after the last event belong to no event and are passed on.

Whole streams that end with their connection still pass as complete.

Ruled out: the gateway ending an answer in order that it knows to be cut (lines had outcome=answered), and relays (no line had relay).

--- a/internal/coordination/forward/doc.go
+++ b/internal/coordination/forward/doc.go
@@ -32,5 +32,6 @@
 //     has the target's signature and is complete.
 //   - An error with the verdict not-run is returned only if nothing was sent, or if each
 //     target that received the request proved that it did not run it.
-//   - A stream's answer ends cleanly only if a target's answer did.
+//   - A stream's answer ends cleanly only if a target's answer did, at the end of an event. That the
+//     target ended its answer in order is not enough, whatever the framing.
 package forward
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -4,7 +4,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/eventstream"
 )
 
 const (
@@ -104,7 +104,9 @@
 // passEvents passes complete events on as they arrive. It sets a.unread if the client stalled
 // the stream.
 func (s *stream) passEvents(ctx context.Context, a *attempt) *hookhall.Error {
+	var parser eventstream.Parser
 	buffer := make([]byte, 0, initialBufferSize)
+	passed := 0 // bytes of the stream
 	lastRead := clock.Now()
 	for {
 		if len(buffer) == cap(buffer) {
@@ -115,36 +117,58 @@
 		}
 		n, err := a.reply.Body.Read(buffer[len(buffer):cap(buffer)])
 		lastRead = clock.Now()
+		parser.Feed(buffer[len(buffer) : len(buffer)+n])
 		buffer = buffer[:len(buffer)+n]
-		if err == io.EOF {
-			s.r.unfinishedBytes = len(buffer) - completeEventsLen(buffer)
-			return s.writeEvents(buffer)
-		}
-		if complete := completeEventsLen(buffer); complete > 0 {
-			if failure := s.writeEvents(buffer[:complete]); failure != nil {
+		if complete := parser.Complete() - passed; complete > 0 {
+			if failure := s.writeEvents(buffer[:complete], parser.LastID()); failure != nil {
 				return failure
 			}
+			passed += complete
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
-		if err != nil {
-			if ctx.Err() == nil && !a.unread {
-				return a.recordTruncated("the stream broke", err)
-			}
-			return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the stream broke: %v", err)
+		switch {
+		case err == io.EOF:
+			return s.endStream(ctx, a, &parser, buffer)
+		case err != nil:
+			return s.broken(ctx, a, "the stream broke", err)
 		}
 	}
 }
 
-// writeEvents sends complete events to the client and records the id of the last one.
-func (s *stream) writeEvents(events []byte) *hookhall.Error {
+// endStream ends a stream whose target has ended it in order. left is what follows the last complete
+// event. The framing alone does not prove that the target has sent the whole stream: a target that
+// fails may end its answer in order, too.
+func (s *stream) endStream(ctx context.Context, a *attempt, parser *eventstream.Parser, left []byte) *hookhall.Error {
+	switch {
+	case parser.InsideEvent():
+		s.r.unfinishedBytes = len(left)
+		return s.broken(ctx, a, "the stream ended inside an event", io.ErrUnexpectedEOF)
+	case parser.Events() == 0 && a.reply.Framing == hookhall.FramedByConnection:
+		return s.broken(ctx, a, "the connection ended before the first event", io.ErrUnexpectedEOF)
+	}
+	return s.writeEvents(left, parser.LastID())
+}
+
+// broken returns the error of a stream that its target broke off, and records a failure of the target
+// unless the client had left or stalled the stream.
+func (s *stream) broken(ctx context.Context, a *attempt, what string, err error) *hookhall.Error {
+	if ctx.Err() == nil && !a.unread {
+		return a.recordTruncated(what, err)
+	}
+	return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "%s: %v", what, err)
+}
+
+// writeEvents sends complete events to the client and records the id of the last one, "" if none has
+// an id.
+func (s *stream) writeEvents(events []byte, lastID string) *hookhall.Error {
 	if len(events) == 0 {
 		return nil
 	}
 	if err := s.r.answer.Chunk(events); err != nil {
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseCanceled, "the client has gone: %v", err)
 	}
-	if id := lastEventID(events); id != "" {
-		s.lastEventID = id
+	if lastID != "" {
+		s.lastEventID = lastID
 	}
 	now := clock.Now()
 	if s.lastWrite.IsZero() {
@@ -155,28 +179,3 @@
 	s.lastWrite = now
 	return nil
 }
-
-// completeEventsLen returns the length of the complete events at the start of b, in bytes.
-func completeEventsLen(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
-
-// lastEventID returns the id of the last event in b that has one, "" if none has.
-func lastEventID(b []byte) string {
-	for len(b) > 0 {
-		i := bytes.LastIndexByte(bytes.TrimRight(b, "\r\n"), '\n')
-		line := bytes.TrimRight(b[i+1:], "\r\n")
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-		b = b[:i+1]
-	}
-	return ""
-}
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -4,60 +4,124 @@
 package forward
 
 import (
-	"bytes"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
+	"testing/synctest"
+
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
-// TestCompleteEventsLen guards against events that are passed on incomplete, or with a wrong last
-// id, from which a broken stream would resume at the wrong event.
-func TestCompleteEventsLen(t *testing.T) {
-	for _, c := range []struct {
-		in   string
-		want int
-		id   string
+// recordingClient records what it was sent, with the parts of the body.
+type recordingClient struct{ chunks []string }
+
+func (*recordingClient) Begin(int, http.Header) {}
+
+func (c *recordingClient) Chunk(b []byte) error {
+	c.chunks = append(c.chunks, string(b))
+	return nil
+}
+
+// TestStreamEnd checks when a stream that its target has ended in order counts as complete, that the
+// client gets complete events only, and where a broken stream would be resumed.
+func TestStreamEnd(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for name, c := range map[string]struct {
+		body    string
+		framing hookhall.Framing
+		passed  string
+		whole   bool
+		lastID  string
 	}{
-		{"", 0, ""},
-		{"id: 1\ndata: x", 0, ""},
-		{"id: 1\ndata: x\n", 0, ""},
-		{"id: 1\ndata: x\n\n", 15, "1"},
-		{"id: 1\ndata: x\n\nid: 2\nda", 15, "1"},
-		{"id: 1\r\ndata: x\r\n\r\nid: 2\r\n", 18, "1"},
-		{"data: x\n\n", 9, ""},
-		{"id:7\ndata: id: 8\n\n", 18, "7"},
-		{": comment\n\nid: 3\n\n", 18, "3"},
+		"whole, with its connection":     {event + event, hookhall.FramedByConnection, event + event, true, "1"},
+		"a piece of an event":            {event + "id: 2\nda", hookhall.FramedByConnection, event, false, "1"},
+		"a piece of an event, chunks":    {event + "id: 2\nda", hookhall.FramedByChunks, event, false, "1"},
+		"a piece of an event, length":    {event + "id: 2\nda", hookhall.FramedByLength, event, false, "1"},
+		"no event, with its connection":  {"", hookhall.FramedByConnection, "", false, "0"},
+		"no event, chunks":               {"", hookhall.FramedByChunks, "", true, "0"},
+		"a comment, with its connection": {": c\n\n", hookhall.FramedByConnection, ": c\n\n", false, "0"},
+		"a comment after the last event": {event + ": c\n", hookhall.FramedByConnection, event + ": c\n", true, "1"},
+		"a piece of a comment":           {event + ": c", hookhall.FramedByConnection, event, false, "1"},
+		"blank lines after the last":     {event + "\n\r\n", hookhall.FramedByConnection, event + "\n\r\n", true, "1"},
 	} {
-		n := completeEventsLen([]byte(c.in))
-		if n != c.want {
-			t.Errorf("%q: %d bytes of complete events, want %d", c.in, n, c.want)
-			continue
-		}
-		if id := lastEventID([]byte(c.in)[:n]); id != c.id {
-			t.Errorf("%q: last id %q, want %q", c.in, id, c.id)
-		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, tracker, target := &recordingClient{}, balance.NewTracker(), hookhall.Target{ID: "t"}
+				a := &attempt{
+					activeCall: tracker.Begin(target, balance.Criteria{}, clock.Now()), began: clock.Now(),
+					reply: &hookhall.Reply{Framing: c.framing, Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(c.body)))},
+				}
+				s := &stream{r: &request{answer: client}, lastEventID: "0"}
+				failure := s.passEvents(t.Context(), a)
+				if (failure == nil) != c.whole {
+					t.Errorf("ended with %v", failure)
+				}
+				if got := strings.Join(client.chunks, ""); got != c.passed {
+					t.Errorf("passed on %q, want %q", got, c.passed)
+				}
+				if s.lastEventID != c.lastID {
+					t.Errorf("would resume after %q, want %q", s.lastEventID, c.lastID)
+				}
+				if failed := tracker.Status(target.Incarnation(), clock.Now()).FailRate > 0; failed == c.whole {
+					t.Errorf("counted as the target's failure: %v", failed)
+				}
+			})
+		})
 	}
 }
 
+// TestEventsArePassedOnAtOnce guards against events that wait for the next one.
+func TestEventsArePassedOnAtOnce(t *testing.T) {
+	for name, event := range map[string]string{"LF": "id: 1\ndata: a\n\n", "CR LF": "id: 1\r\ndata: a\r\n\r\n", "CR": "id: 1\rdata: a\r\r"} {
+		t.Run(name, func(t *testing.T) {
+			client := &recordingClient{}
+			a := &attempt{reply: &hookhall.Reply{Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(event + event + event)))}}
+			s := &stream{r: &request{answer: client}}
+			if failure := s.passEvents(t.Context(), a); failure != nil {
+				t.Fatal(failure)
+			}
+			if len(client.chunks) != 3 {
+				t.Errorf("passed on as %q", client.chunks)
+			}
+		})
+	}
+}
+
+// pieceReader reads pieces of a fixed size.
+type pieceReader struct {
+	io.Reader
+	size int
+}
+
+// Read implements io.Reader.
+func (r pieceReader) Read(b []byte) (int, error) { return r.Reader.Read(b[:min(len(b), r.size)]) }
+
 // FuzzEvents checks that a stream which is read in pieces of any size is passed on without loss or
-// duplication, and that what is passed on ends at the end of an event.
+// duplication, that what is passed on ends at the end of an event, and that a stream counts as
+// complete only if nothing of it is left out.
 func FuzzEvents(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 7)
-	f.Add([]byte("\r\n\r\n\n\n"), 1)
-	f.Fuzz(func(t *testing.T, stream []byte, step int) {
-		if step < 1 || step > 64 {
-			step = 3
-		}
-		var buffer, passed []byte
-		for at := 0; at < len(stream); at += step {
-			buffer = append(buffer, stream[at:min(at+step, len(stream))]...)
-			n := completeEventsLen(buffer)
-			lastEventID(buffer[:n])
-			passed = append(passed, buffer[:n]...)
-			buffer = append([]byte(nil), buffer[n:]...)
-		}
-		if got := append(append([]byte(nil), passed...), buffer...); !bytes.Equal(got, stream) {
-			t.Fatalf("stream %q became %q", stream, got)
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 7)
+	f.Add("\r\n\r\n\n\n", 1)
+	f.Fuzz(func(t *testing.T, body string, size int) {
+		if size < 1 || size > 64 {
+			size = 3
 		}
-		if len(passed) > 0 && !bytes.HasSuffix(passed, []byte("\n\n")) && !bytes.HasSuffix(passed, []byte("\r\n\r\n")) {
+		client := &recordingClient{}
+		a := &attempt{activeCall: balance.NewTracker().Begin(hookhall.Target{}, balance.Criteria{}, clock.Now())}
+		a.reply = &hookhall.Reply{Framing: hookhall.FramedByConnection, Body: io.NopCloser(pieceReader{strings.NewReader(body), size})}
+		s := &stream{r: &request{answer: client}}
+		failure := s.passEvents(t.Context(), a)
+		passed := strings.Join(client.chunks, "")
+		switch {
+		case !strings.HasPrefix(body, passed):
+			t.Fatalf("%q was passed on as %q", body, passed)
+		case failure == nil && passed != body:
+			t.Fatalf("%q counts as complete, and %q was passed on", body, passed)
+		case passed != "" && !strings.ContainsAny(passed[len(passed)-1:], "\r\n"):
 			t.Fatalf("%q was passed on, which does not end at the end of an event", passed)
 		}
 	})
