front: broken answers to clients without chunks end with a reset

Callers of HTTP/1.0 got a stream that the gateway itself had broken off with an orderly end of the connection. Such a client knows no chunks: the end of its connection is the end of the answer, and the broken stream looked complete.

The connection ends with a reset now. Answers to clients of HTTP/1.1 are unchanged: they miss the last chunk, or a part of their length, and a reset could take events from them that they have not read yet.

TestCutAnswerWithoutChunks failed in both broken cases and passes; the whole stream still ends in order.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -14,13 +14,14 @@
 // # Invariants
 //
 //   - A client can detect a truncated answer: its connection is closed without
-//     the end of the framing.
+//     the end of the framing, or with a reset if the answer has no framing.
 //   - A refusal never carries header fields of a target.
 package front
 
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -82,10 +83,31 @@
 		h.Refuse(w, refusal)
 		return
 	}
+	abort(w, r)
+}
+
+// abort ends an answer that can't be completed. It does not return.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
 	// Makes net/http close the connection without the end of the framing.
 	panic(http.ErrAbortHandler)
 }
 
+// reset makes the connection end with a reset: an answer without chunks, which clients of HTTP/1.0 get,
+// is complete for them if its connection ends in order.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is not one of HTTP/1
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection
+	}
+	_ = c.Close()
+}
+
 // maxBody returns the maximum size of a body in bytes.
 func (h *Handler) maxBody() int {
 	if limit := h.service.MaxBody(); limit > 0 {
