fleet: ends that a relay makes itself are not reported as the target's

A relay that gave up a silent connection, or whose caller had left, told its caller that the target had broken the connection off. The request then counted against a target that had done nothing: its failure rate, its roll-out, and the suspicion that the content crashes targets.

The relay reports its own ends as such. None of these ends could look like a complete answer: only a target's end in order is passed on as one, which TestRelayedBytes and TestRelayedTruncation show.

TestRelayEndsBySelf failed in both cases and passes.

--- a/internal/transport/fleet/relay.go
+++ b/internal/transport/fleet/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,9 +29,12 @@
 	relayIdleTimeout = time.Minute
 )
 
-// errTargetBroke ends a relayed connection that the target broke off, as opposed to one that it
-// closed in order.
-var errTargetBroke = status.Error(codes.Aborted, "the target broke the connection off")
+// How a relayed connection ends that the target did not close in order.
+var (
+	errTargetBroke = status.Error(codes.Aborted, "the target broke the connection off")
+	// errRelayIdle says nothing about the target: this process gave the connection up.
+	errRelayIdle = status.Error(codes.DeadlineExceeded, "the relayed connection was silent for too long")
+)
 
 // Relay implements pb.FleetServer.
 func (s *Server) Relay(stream pb.Fleet_RelayServer) error {
@@ -76,10 +80,14 @@
 }
 
 // copyFromTarget copies the target's bytes to the caller. It returns nil once the target has
-// closed the connection in order.
+// closed the connection in order, and errTargetBroke only if the target broke it off.
 func copyFromTarget(stream pb.Fleet_RelayServer, c net.Conn) error {
 	buffer := make([]byte, relayChunkBytes)
-	idle := time.AfterFunc(relayIdleTimeout, func() { _ = c.Close() })
+	var wasIdle atomic.Bool
+	idle := time.AfterFunc(relayIdleTimeout, func() {
+		wasIdle.Store(true)
+		_ = c.Close()
+	})
 	defer idle.Stop()
 	for {
 		n, err := c.Read(buffer)
@@ -92,6 +100,10 @@
 		switch {
 		case err == io.EOF:
 			return nil
+		case err != nil && wasIdle.Load():
+			return errRelayIdle
+		case err != nil && stream.Context().Err() != nil:
+			return status.FromContextError(stream.Context().Err()).Err()
 		case err != nil:
 			return errTargetBroke
 		}
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -11,12 +11,14 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
 )
 
 // directRelayer connects to the address in a request without any check.
@@ -132,6 +134,40 @@
 	})
 }
 
+// relayStream is the relay's end of a stream, without a caller.
+type relayStream struct {
+	pb.Fleet_RelayServer
+	ctx context.Context
+}
+
+// Context implements grpc.ServerStream.
+func (s relayStream) Context() context.Context { return s.ctx }
+
+// TestRelayEndsBySelf guards against ends that a relay makes itself and that are reported as the
+// target's.
+func TestRelayEndsBySelf(t *testing.T) {
+	for name, end := range map[string]func(c net.Conn, cancel func()){
+		"the connection was silent for too long": func(net.Conn, func()) { time.Sleep(relayIdleTimeout) },
+		"the caller has left":                    func(c net.Conn, cancel func()) { cancel(); _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				c, target := net.Pipe()
+				defer target.Close()
+				ended := make(chan error, 1)
+				go func() { ended <- copyFromTarget(relayStream{ctx: ctx}, c) }()
+				synctest.Wait()
+				end(c, cancel)
+				if err := <-ended; err == nil || status.Code(err) == status.Code(errTargetBroke) {
+					t.Errorf("reported as the target's end: %v", err)
+				}
+			})
+		})
+	}
+}
+
 // readPart reads the text that a target has sent so far.
 func readPart(t *testing.T, c net.Conn, want string) {
 	t.Helper()
