--- a/forward.go
+++ b/forward.go
@@ -41,6 +41,9 @@
 	PieceKey string
 	// LastEventID is the ID of the last event that the client received.
 	LastEventID string
+	// Resumes is the ID of the earlier call that brought the client the first event of the stream
+	// which this one takes up, "" if the client states none.
+	Resumes string
 }
 
 // PromptPart is a part of a prompt, identified by its content.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -283,7 +283,10 @@
 	fields := []any{
 		"request", r.call.ID, "route", route, "service", r.service, "outcome", cause, "took_ms", took.Milliseconds(),
 		"stages_ms", r.stagesElapsed.Milliseconds(), "first_ms", r.firstByteElapsed.Milliseconds(), "gap_ms", r.maxEventGap.Milliseconds(),
-		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "status", r.status,
+		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "software", r.target.Version, "status", r.status,
+	}
+	if r.call.LastEventID != "" {
+		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID)
 	}
 	if r.relay != "" {
 		fields = append(fields, "relay", r.relay)
