forward, bindings: a begun stream goes on only at the version that began it

Callers saw: streams that held events of two software versions of a service, within one answer after an engine had broken off, and over their tries at another gateway.

Cause: nothing tied a begun stream to its version. A further attempt chose among all targets, and no gateway knew what another one had begun. Class: a decision of the first attempt that binds all later ones was kept nowhere.

Change: the first event of a resumable stream binds it. From then on one function, request.versions, decides which targets may get it: repeats, the placement owner, the own choice and readmitted targets use it. Roll-outs don't override it, but a version that was rolled back or is no longer needed gets none. The gateway that served keeps the binding, and three others by rendezvous hashing hold copies; while several versions are listed the first event waits for one of them, 50 ms at most. A gateway at which a client takes the stream up (Resumes) asks the holders, then further gateways, and copies the binding again. A gateway that stops hands its copies over. A version that nobody recorded is taken only if it was the service's only one for as long as the stream can be old. Otherwise the stream is refused at once as not run, as it is if no target of its version is left; it is never served at another one. Keys contain the account.

Ruled out: roll-outs and placement owners overriding a tie (there was none, and they mixed without either), and wrong versions in the lists (engines name their id, and the lists were right in all cases).

Considered: the store (4,100 writes a second, 100 are allowed, and it may be down), updates to all gateways (330 copies instead of three), one holder (lost with it), the client (the protocol has no place for it).

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/hookhall/hookhall/internal/app/metrics"
 	"github.com/hookhall/hookhall/internal/app/settings"
 	"github.com/hookhall/hookhall/internal/coordination/advisories"
+	"github.com/hookhall/hookhall/internal/coordination/bindings"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/eras"
 	"github.com/hookhall/hookhall/internal/coordination/forward"
@@ -53,6 +54,7 @@
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/binding"
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -142,6 +144,7 @@
 	quarantine     *quarantine.Quarantine
 	advisories     *advisories.Advisories
 	rollouts       *rollouts.Rollouts
+	bindings       *bindings.Bindings
 	paths          *paths.Paths
 	relayer        *paths.Relayer
 	forwarder      *forward.Forwarder
@@ -260,7 +263,16 @@
 		HallOf: func(handle string) string { return g.catalog.HallAt(g.adapters.StagePool.Holder(handle)) },
 	}
 	g.clients.ObserveLoads = g.runner.ObserveLoads
+	g.bindings = &bindings.Bindings{
+		Table: &binding.Table{}, History: &binding.History{}, Fleet: g.members, Meter: g.metrics, Log: g.logger(logging.Bindings),
+		Remote:  func(address string) bindings.Remote { return g.clients.Client(address) },
+		ListAge: g.catalog.TargetsAge,
+	}
+	g.catalog.OnTargets = func(service string, targets []hookhall.Target) {
+		g.bindings.History.Observe(service, targets, clock.Now())
+	}
 	g.forwarder = &forward.Forwarder{
+		Bindings: g.bindings,
 		Placement: &placement.Client{
 			Local: g.placementOwner, Fleet: g.members,
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
@@ -306,7 +318,7 @@
 	operatorServer := newServer(g.metricsListener, mux)
 	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0),
 		kgrpc.UnaryInterceptor(fleet.CheckUnaryReceiver(g.settings.Gateway.Instance)), kgrpc.StreamInterceptor(fleet.CheckStreamReceiver(g.settings.Gateway.Instance)))
-	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Broadcaster: g.broadcaster})
+	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Bindings: g.bindings, Broadcaster: g.broadcaster})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clientServer, readyServer, operatorServer, peerServer),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
@@ -378,6 +390,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	go g.members.Leave(ctx)
+	go g.bindings.HandOver(ctx)
 	retry.Sleep(ctx, notice)
 	g.drain.DisableKeepAlives()
 	g.clientsListener.StopAccepting()
--- a/internal/app/logging/logging.go
+++ b/internal/app/logging/logging.go
@@ -33,6 +33,7 @@
 	Rollout    = "rollout"
 	Advisories = "advised"
 	Paths      = "paths"
+	Bindings   = "bindings"
 )
 
 // New returns a logger that writes lines in logfmt to w, with the given prefix. level
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -104,6 +104,11 @@
 	m.scope.Tagged(map[string]string{"framing": string(framing)}).Counter("unfinished_streams").Inc(1)
 }
 
+// StreamTakenUp counts a stream that a client takes up, by the source of its software version.
+func (m *Metrics) StreamTakenUp(source string) {
+	m.scope.Tagged(map[string]string{"source": source}).Counter("streams_taken_up").Inc(1)
+}
+
 // Retried counts a retry, an attempt of a request at a further target.
 func (m *Metrics) Retried(service string) {
 	m.scope.Tagged(map[string]string{"service": service}).Counter("repeats").Inc(1)
--- /dev/null
+++ b/internal/coordination/bindings/bindings.go
@@ -0,0 +1,314 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+// Package bindings shares with the other gateways which software version began a stream, so that
+// clients can take it up at any of them.
+//
+// # Model
+//
+// The gateway that passes on the first event of a stream keeps the stream's binding and sends copies
+// to Copies other gateways, the first ones in the binding's order that answer. A gateway at which a
+// client takes the stream up looks in its own table, then asks the first gateways of that order,
+// then further ones: their lists of members may differ, and holders may have died. It copies what it
+// finds to the gateways that should hold it now. A gateway that stops hands its copies over.
+//
+// If no gateway knows the binding, the version still follows if the service has had only one for as
+// long as the stream can be old. Otherwise it is not known, and the stream must not go on.
+//
+// # Invariants
+//
+//   - While several versions of a service are listed, Bind returns only when a copy exists at
+//     another gateway, or none can be reached in bindTimeout.
+//   - Find never guesses: it returns a version that a gateway recorded, or the only one there was.
+package bindings
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
+)
+
+const (
+	// Copies is the number of other gateways that hold a binding.
+	Copies = 3
+	// bindTimeout bounds how long the first event of a stream may wait for a copy of its binding.
+	bindTimeout = 50 * time.Millisecond
+	// copyTimeout bounds a call that sends bindings to one gateway.
+	copyTimeout = 200 * time.Millisecond
+	// findTimeout bounds each of the two rounds of calls for a binding.
+	findTimeout = 100 * time.Millisecond
+	// maxAsked is the number of gateways that are asked for a binding in both rounds together.
+	maxAsked = 12
+	// maxPerCall limits the bindings in one call, so that its message stays below 200 KB.
+	maxPerCall = 2000
+	// maxListAge is how old the list of targets may be for conclusions from the versions on it.
+	maxListAge = 2 * time.Second
+)
+
+// Fleet lists the gateways.
+type Fleet interface {
+	// Self returns this process.
+	Self() hookhall.Member
+	// List returns all gateways that answer, this one included.
+	List(now time.Time) []hookhall.Member
+}
+
+// Remote is a client of another gateway.
+type Remote interface {
+	// Bind copies bindings to the gateway.
+	Bind(ctx context.Context, list []binding.Binding) error
+	// FindBinding calls Bindings.Known of the gateway.
+	FindBinding(ctx context.Context, q Query) (Known, error)
+}
+
+// Meter counts lookups.
+type Meter interface {
+	// StreamTakenUp counts a stream that a client takes up, by the source of its version.
+	StreamTakenUp(source string)
+}
+
+// Query asks for the binding of a stream.
+type Query struct {
+	Key     binding.Key
+	Service string
+	// Window is how long ago the stream can have begun.
+	Window time.Duration
+}
+
+// Known is what one gateway knows about a stream.
+type Known struct {
+	Binding binding.Binding
+	IsBound bool // Binding is set
+	// SoleVersion is the only version that the service had within the window, if HasSole is set.
+	SoleVersion string
+	HasSole     bool
+}
+
+// Source says how the version of a stream was found.
+type Source string
+
+// The sources.
+const (
+	SourceOwn     Source = "own"     // this process knew it
+	SourcePeer    Source = "peer"    // another gateway knew it
+	SourceSole    Source = "sole"    // the service has had only one version
+	SourceUnknown Source = "unknown" // it is not known
+)
+
+// Found is the software that a stream has to go on at.
+type Found struct {
+	Service string
+	Version string
+	Source  Source
+	// Unanswered is the number of gateways that were asked and did not answer.
+	Unanswered int
+}
+
+// Bindings holds this gateway's bindings and finds those of others. Its fields are set before use;
+// it is safe for concurrent use.
+type Bindings struct {
+	Table   *binding.Table
+	History *binding.History
+	Fleet   Fleet
+	// Remote returns the client of the gateway at an address.
+	Remote func(address string) Remote
+	// ListAge returns the age of the list of targets.
+	ListAge func(now time.Time) time.Duration
+	Meter   Meter
+	Log     *log.Logger
+}
+
+// Bind records the software that began a stream, before its first event is passed on. window is how
+// long ago a stream that is still of use can have begun.
+func (b *Bindings) Bind(ctx context.Context, bound binding.Binding, window time.Duration) {
+	now := clock.Now()
+	b.Table.Put(bound, now)
+	copied := b.copy(bound, now)
+	if !b.History.Mixed(bound.Service, window, now) {
+		return
+	}
+	timer := time.NewTimer(bindTimeout)
+	defer timer.Stop()
+	select {
+	case <-copied:
+	case <-ctx.Done():
+	case <-timer.C:
+		b.Log.Warn("no copy of a stream's version yet", "service", bound.Service, "software", bound.Version)
+	}
+}
+
+// Refresh copies a binding to the gateways that should hold it now, without waiting for them.
+func (b *Bindings) Refresh(bound binding.Binding) {
+	now := clock.Now()
+	b.Table.Put(bound, now)
+	b.copy(bound, now)
+}
+
+// copy sends a binding to Copies gateways. The channel is closed once one of them has it, or none
+// of them can be reached.
+func (b *Bindings) copy(bound binding.Binding, now time.Time) (copied <-chan struct{}) {
+	candidates := b.peers(bound.Key, now)
+	done := make(chan struct{})
+	var next, running atomic.Int64
+	var once sync.Once
+	running.Store(min(Copies, int64(len(candidates))))
+	if len(candidates) == 0 {
+		close(done)
+	}
+	for range running.Load() {
+		go func() {
+			// Each of these makes one copy, at the next gateway that answers.
+			for i := next.Add(1) - 1; i < int64(len(candidates)) && i < 2*Copies; i = next.Add(1) - 1 {
+				if b.send(candidates[i].Address, []binding.Binding{bound}) {
+					once.Do(func() { close(done) })
+					break
+				}
+			}
+			if running.Add(-1) == 0 {
+				once.Do(func() { close(done) })
+			}
+		}()
+	}
+	return done
+}
+
+// send copies bindings to the gateway at an address, and reports whether it has them.
+func (b *Bindings) send(address string, list []binding.Binding) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	return b.Remote(address).Bind(ctx, list) == nil
+}
+
+// peers returns the other gateways in the order of a binding.
+func (b *Bindings) peers(key binding.Key, now time.Time) []hookhall.Member {
+	self := b.Fleet.Self().Address
+	ranked := binding.Rank(key, b.Fleet.List(now))
+	others := ranked[:0]
+	for _, member := range ranked {
+		if member.Address != self {
+			others = append(others, member)
+		}
+	}
+	return others
+}
+
+// Merge adds bindings that another gateway has copied to this one.
+func (b *Bindings) Merge(list []binding.Binding) {
+	now := clock.Now()
+	for _, bound := range list {
+		b.Table.Put(bound, now)
+	}
+}
+
+// Known returns what this gateway knows about a stream.
+func (b *Bindings) Known(q Query) Known {
+	now := clock.Now()
+	var k Known
+	k.Binding, k.IsBound = b.Table.Get(q.Key, now)
+	if b.ListAge(now) <= maxListAge {
+		k.SoleVersion, k.HasSole = b.History.Sole(q.Service, q.Window, now)
+	}
+	return k
+}
+
+// Find returns the software at which a stream has to go on.
+func (b *Bindings) Find(ctx context.Context, q Query) Found {
+	found := b.find(ctx, q)
+	b.Meter.StreamTakenUp(string(found.Source))
+	return found
+}
+
+// find looks in the own table, and asks the gateways that should hold the binding and then further
+// ones.
+func (b *Bindings) find(ctx context.Context, q Query) Found {
+	own := b.Known(q)
+	if own.IsBound {
+		return Found{Service: own.Binding.Service, Version: own.Binding.Version, Source: SourceOwn}
+	}
+	peers := b.peers(q.Key, clock.Now())
+	peers = peers[:min(len(peers), maxAsked)]
+	holders := min(len(peers), Copies)
+	result := Found{Service: q.Service, Source: SourceUnknown}
+	for _, round := range [][]hookhall.Member{peers[:holders], peers[holders:]} {
+		known, unanswered := b.ask(ctx, round, q)
+		result.Unanswered += unanswered
+		switch {
+		case known.IsBound:
+			return Found{Service: known.Binding.Service, Version: known.Binding.Version, Source: SourcePeer, Unanswered: result.Unanswered}
+		case own.HasSole:
+			result.Version, result.Source = own.SoleVersion, SourceSole
+			return result
+		case known.HasSole:
+			result.Version, result.Source = known.SoleVersion, SourceSole
+			return result
+		}
+	}
+	return result
+}
+
+// ask asks gateways at the same time. It returns the answer of the first that has the binding, or
+// else one that knows the only version, and how many have not answered until then.
+func (b *Bindings) ask(ctx context.Context, peers []hookhall.Member, q Query) (best Known, unanswered int) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	type answer struct {
+		Known
+		err error
+	}
+	answers := make(chan answer, len(peers))
+	for _, peer := range peers {
+		go func() {
+			known, err := b.Remote(peer.Address).FindBinding(ctx, q)
+			answers <- answer{known, err}
+		}()
+	}
+	for range peers {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			unanswered++
+		case a.IsBound:
+			return a.Known, unanswered
+		case a.HasSole:
+			best = a.Known
+		}
+	}
+	return best, unanswered
+}
+
+// HandOver copies the bindings of this process, which stops, to the gateways that hold them after it,
+// and returns when they have them or ctx ends.
+func (b *Bindings) HandOver(ctx context.Context) {
+	now := clock.Now()
+	byAddress := map[string][]binding.Binding{}
+	all := b.Table.All(now)
+	for _, bound := range all {
+		peers := b.peers(bound.Key, now)
+		for _, peer := range peers[:min(len(peers), Copies)] {
+			byAddress[peer.Address] = append(byAddress[peer.Address], bound)
+		}
+	}
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for address, list := range byAddress {
+		wg.Go(func() {
+			for len(list) > 0 && ctx.Err() == nil {
+				n := min(len(list), maxPerCall)
+				if !b.send(address, list[:n]) {
+					failed.Add(int64(n))
+				}
+				list = list[n:]
+			}
+		})
+	}
+	wg.Wait()
+	if len(all) > 0 {
+		b.Log.Info("versions of streams handed over", "streams", len(all), "gateways", len(byAddress), "copies_failed", failed.Load())
+	}
+}
--- /dev/null
+++ b/internal/coordination/bindings/bindings_test.go
@@ -0,0 +1,323 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package bindings_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/bindings"
+	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/pkg/errors"
+)
+
+const (
+	service = "llm"
+	window  = 10 * time.Second
+	ttl     = 20 * time.Second
+	// roundTrip is the time of a call between two gateways.
+	roundTrip = time.Millisecond
+)
+
+// fleet is a fleet of gateways in one process.
+type fleet struct {
+	gateways map[string]*gateway
+	order    []string
+}
+
+// gateway is one of them, and its own view of the fleet.
+type gateway struct {
+	*bindings.Bindings
+	fleet   *fleet
+	address string
+	isDead  bool // it does not answer
+	isGone  bool // it is not listed
+	listAge time.Duration
+	calls   int
+}
+
+// newFleet returns gateways that list targets of the given versions.
+func newFleet(n int, versions ...string) *fleet {
+	f := &fleet{gateways: map[string]*gateway{}}
+	for i := range n {
+		f.add(fmt.Sprintf("10.0.0.%d:1", i), versions...)
+	}
+	return f
+}
+
+// add adds a gateway.
+func (f *fleet) add(address string, versions ...string) *gateway {
+	g := &gateway{fleet: f, address: address}
+	g.Bindings = &bindings.Bindings{
+		Table: &binding.Table{}, History: &binding.History{}, Fleet: g, Meter: g, Log: log.New(io.Discard),
+		Remote:  func(address string) bindings.Remote { return remote{f.gateways[address]} },
+		ListAge: func(time.Time) time.Duration { return g.listAge },
+	}
+	g.list(versions...)
+	f.gateways[address] = g
+	f.order = append(f.order, address)
+	return g
+}
+
+// list makes the gateway list one target of each version.
+func (g *gateway) list(versions ...string) {
+	var targets []hookhall.Target
+	for _, version := range versions {
+		targets = append(targets, hookhall.Target{Version: version})
+	}
+	g.History.Observe(service, targets, clock.Now())
+}
+
+func (g *gateway) StreamTakenUp(string)  {}
+func (g *gateway) Self() hookhall.Member { return hookhall.Member{Address: g.address} }
+
+func (g *gateway) List(time.Time) []hookhall.Member {
+	var list []hookhall.Member
+	for _, address := range g.fleet.order {
+		if !g.fleet.gateways[address].isGone {
+			list = append(list, hookhall.Member{Address: address})
+		}
+	}
+	return list
+}
+
+// remote is a client of a gateway.
+type remote struct{ *gateway }
+
+// reach returns after a round trip, with an error if the gateway does not answer.
+func (r remote) reach(ctx context.Context) error {
+	if r.isDead {
+		<-ctx.Done()
+		return errors.New("no answer")
+	}
+	time.Sleep(roundTrip)
+	r.calls++
+	return nil
+}
+
+// Bind implements bindings.Remote.
+func (r remote) Bind(ctx context.Context, list []binding.Binding) error {
+	if err := r.reach(ctx); err != nil {
+		return err
+	}
+	r.Merge(list)
+	return nil
+}
+
+// FindBinding implements bindings.Remote.
+func (r remote) FindBinding(ctx context.Context, q bindings.Query) (bindings.Known, error) {
+	if err := r.reach(ctx); err != nil {
+		return bindings.Known{}, err
+	}
+	return r.Known(q), nil
+}
+
+// at returns the ith gateway.
+func (f *fleet) at(i int) *gateway { return f.gateways[f.order[i]] }
+
+// bind begins the stream of a call at a version.
+func (g *gateway) bind(t *testing.T, call, version string) {
+	t.Helper()
+	g.Bind(t.Context(), binding.Binding{Key: binding.KeyOf("", call), Service: service, Version: version, ExpiresAt: clock.Now().Add(ttl)}, window)
+}
+
+// checkFound checks the version and the source that a gateway finds for the stream of a call.
+func (g *gateway) checkFound(t *testing.T, call, version string, sources ...bindings.Source) {
+	t.Helper()
+	found := g.Find(t.Context(), bindings.Query{Key: binding.KeyOf("", call), Service: service, Window: window})
+	if found.Version != version || !slices.Contains(sources, found.Source) || found.Service != service {
+		t.Errorf("%s: %+v, want %q from %v", call, found, version, sources)
+	}
+}
+
+// holders returns the other gateways that hold the binding of a call.
+func (f *fleet) holders(call string, except *gateway) []*gateway {
+	var list []*gateway
+	for _, address := range f.order {
+		g := f.gateways[address]
+		if _, ok := g.Table.Get(binding.KeyOf("", call), clock.Now()); ok && g != except {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+// run runs a test in virtual time.
+func run(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
+func TestBinding(t *testing.T) {
+	run(t, "a stream is taken up at any gateway", func(t *testing.T) {
+		f := newFleet(9, "v1", "v2")
+		for i := range 50 {
+			f.at(i%9).bind(t, strconv.Itoa(i), "v2")
+			for j := range f.order {
+				f.at(j).checkFound(t, strconv.Itoa(i), "v2", bindings.SourceOwn, bindings.SourcePeer)
+			}
+		}
+	})
+	run(t, "several gateways die at once", func(t *testing.T) {
+		f := newFleet(9, "v1", "v2")
+		for i := range 20 {
+			f.at(0).bind(t, strconv.Itoa(i), "v2")
+		}
+		synctest.Wait()
+		time.Sleep(time.Second)
+		for i := range 3 { // with the one that began the streams
+			f.at(i).isDead = true
+		}
+		for i := range 20 {
+			f.at(8).checkFound(t, strconv.Itoa(i), "v2", bindings.SourceOwn, bindings.SourcePeer)
+		}
+	})
+	run(t, "dead gateways get no copy, and others do instead", func(t *testing.T) {
+		f := newFleet(9, "v1", "v2")
+		f.at(1).isDead, f.at(2).isDead = true, true
+		for i := range 20 {
+			call := strconv.Itoa(i)
+			f.at(0).bind(t, call, "v1")
+			time.Sleep(time.Second)
+			if n := len(f.holders(call, f.at(0))); n != bindings.Copies {
+				t.Errorf("%d copies", n)
+			}
+		}
+	})
+	run(t, "gateways have joined since", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		for i := range 20 {
+			f.at(0).bind(t, strconv.Itoa(i), "v1")
+		}
+		synctest.Wait()
+		time.Sleep(time.Second)
+		f.at(0).isDead, f.at(0).isGone = true, true
+		for i := range 4 {
+			f.add(fmt.Sprintf("10.0.1.%d:1", i), "v1", "v2")
+		}
+		for i := range 20 {
+			f.at(8).checkFound(t, strconv.Itoa(i), "v1", bindings.SourceOwn, bindings.SourcePeer)
+		}
+	})
+	run(t, "gateways are replaced one after the other", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		for i := range 20 {
+			f.at(0).bind(t, strconv.Itoa(i), "v2")
+		}
+		time.Sleep(time.Second)
+		for i := range 5 {
+			f.at(i).isGone = true // it leaves the list before it stops
+			f.at(i).HandOver(t.Context())
+			f.at(i).isDead = true
+			f.add(fmt.Sprintf("10.0.1.%d:1", i), "v1", "v2")
+			time.Sleep(time.Second)
+		}
+		for i := range 20 {
+			f.at(9).checkFound(t, strconv.Itoa(i), "v2", bindings.SourceOwn, bindings.SourcePeer)
+		}
+	})
+	run(t, "a binding expires", func(t *testing.T) {
+		f := newFleet(3, "v1", "v2")
+		f.at(0).bind(t, "a", "v2")
+		time.Sleep(ttl)
+		f.at(1).checkFound(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "a single gateway", func(t *testing.T) {
+		f := newFleet(1, "v1", "v2")
+		f.at(0).bind(t, "a", "v2")
+		f.at(0).checkFound(t, "a", "v2", bindings.SourceOwn)
+		f.at(0).checkFound(t, "b", "", bindings.SourceUnknown)
+	})
+}
+
+func TestUnknownBinding(t *testing.T) {
+	run(t, "several versions", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		time.Sleep(time.Minute)
+		f.at(0).checkFound(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "one version all the time", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		time.Sleep(window)
+		f.at(0).checkFound(t, "a", "v1", bindings.SourceSole)
+	})
+	run(t, "one version, and this gateway has just started", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		time.Sleep(window)
+		f.add("10.0.1.0:1", "v1").checkFound(t, "a", "v1", bindings.SourceSole)
+	})
+	run(t, "one version is left, and this gateway has just started", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		time.Sleep(window)
+		for i := range f.order {
+			f.at(i).list("v1")
+		}
+		f.add("10.0.1.0:1", "v1").checkFound(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "all gateways have just started", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		f.at(0).checkFound(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "one version by a list that is old", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		time.Sleep(window)
+		for i := range f.order {
+			f.at(i).listAge = 5 * time.Second
+		}
+		f.at(0).checkFound(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "a version that this gateway does not list yet", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		time.Sleep(window)
+		f.at(0).list("v1", "v2")
+		f.at(0).bind(t, "a", "v2")
+		f.at(1).checkFound(t, "a", "v2", bindings.SourceOwn, bindings.SourcePeer)
+	})
+	run(t, "nobody answers", func(t *testing.T) {
+		f := newFleet(9, "v1", "v2")
+		for i := range 8 {
+			f.at(i).isDead = true
+		}
+		began := clock.Now()
+		f.at(8).checkFound(t, "a", "", bindings.SourceUnknown)
+		if took := clock.Since(began); took > 250*time.Millisecond {
+			t.Errorf("it took %v", took)
+		}
+	})
+}
+
+// TestFirstEventWaits guards against first events that leave before their binding can be found, and against
+// those that wait where no other version can run.
+func TestFirstEventWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		dead     int // of eight peers
+		want     time.Duration
+	}{
+		"one version":                       {[]string{"v1"}, 0, 0},
+		"several versions":                  {[]string{"v1", "v2"}, 0, roundTrip},
+		"several versions, nobody is there": {[]string{"v1", "v2"}, 8, 50 * time.Millisecond},
+	} {
+		run(t, name, func(t *testing.T) {
+			f := newFleet(9, c.versions...)
+			for i := range c.dead {
+				f.at(i + 1).isDead = true
+			}
+			began := clock.Now()
+			f.at(0).bind(t, "a", "v1")
+			if took := clock.Since(began); took != c.want {
+				t.Errorf("it waited %v, want %v", took, c.want)
+			}
+			time.Sleep(5 * time.Second) // until all calls have ended
+		})
+	}
+}
--- a/internal/coordination/catalog/pools.go
+++ b/internal/coordination/catalog/pools.go
@@ -46,9 +46,10 @@
 	for pool, changes := range c.changesByPool {
 		if changes.needsRebuild || len(halls.Evacuated) > 0 {
 			snapshot.ByPool[pool], snapshot.EvacuatedServices[pool] = c.usableTargets(pool, halls, now)
-			continue
+		} else {
+			snapshot.ByPool[pool] = c.mergeChanges(pool, snapshot.ByPool[pool], changes.entries, now)
 		}
-		snapshot.ByPool[pool] = c.mergeChanges(pool, snapshot.ByPool[pool], changes.entries, now)
+		c.OnTargets(pool, snapshot.ByPool[pool])
 	}
 	clear(c.changesByPool)
 }
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -105,7 +105,10 @@
 	r.criteria.LatencyBudget = max(clock.Until(r.firstByteDue), 0)
 	r.placed = placement.Placement{}
 	for {
-		r.criteria.Versions = r.Rollouts.Versions(r.service, r.attempts == 0)
+		if refusal := r.refuseMissingVersion(); refusal != nil {
+			return hookhall.Target{}, refusal
+		}
+		r.criteria.Versions = r.versions()
 		targets := r.Catalog.Targets(r.service)
 		pauseLeft := r.exclude(targets)
 		limits, limited, brittle := r.Advisories.Reports(targets, clock.Now())
@@ -117,7 +120,7 @@
 			// Only the placement owner grants the rates of limited targets.
 			r.criteria.Limiter = advisory.Grants{Registry: r.Advisories}
 		}
-		if r.criteria.IsEngineCall || limited || brittle || allCold(targets, clock.Now()) {
+		if r.criteria.IsEngineCall || limited || brittle || r.allCandidatesCold(targets) {
 			if target, ok := r.requestPlacement(ctx, limits); ok {
 				return target, nil
 			}
@@ -137,7 +140,7 @@
 			return target, nil
 		}
 		// All targets are cold and have got their limit of requests for this second.
-		if !allCold(targets, clock.Now()) || clock.Now().After(r.firstByteDue) || !retry.Sleep(ctx, coldTargetPollInterval) {
+		if !r.allCandidatesCold(targets) || clock.Now().After(r.firstByteDue) || !retry.Sleep(ctx, coldTargetPollInterval) {
 			failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left to try", r.service)
 			return hookhall.Target{}, failure.WithRetryAfter(retryAfter(r.placed.RetryAfter, pauseLeft))
 		}
@@ -420,7 +423,7 @@
 	if a.err.Verdict == hookhall.NotRun {
 		r.notRunAt = append(r.notRunAt, target.ID)
 	}
-	if a.err.Cause == hookhall.CauseRefused && len(r.tried) >= len(r.Catalog.Targets(r.service)) {
+	if a.err.Cause == hookhall.CauseRefused && r.isExhausted() {
 		r.readmitNotRun()
 		return retry.Sleep(ctx, allRefusedPause)
 	}
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -12,11 +12,13 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/bindings"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/binding"
 	"github.com/hookhall/hookhall/internal/state/budget"
 	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -97,10 +99,23 @@
 	// Versions returns the versions of a service that may run a request. first means that no
 	// target received the request yet.
 	Versions(service string, first bool) balance.Versions
+	// MayGoOn reports whether a stream that a version began may go on there.
+	MayGoOn(service, version string) bool
 	// Begin counts a request that is sent to t. It returns nil if no rollout includes t.
 	Begin(route string, t hookhall.Target) *rollouts.Attempt
 }
 
+// Bindings knows which software versions began streams.
+type Bindings interface {
+	// Bind records the version that began a stream, before its first event is passed on. window is
+	// how long ago a stream that is still of use can have begun.
+	Bind(ctx context.Context, bound binding.Binding, window time.Duration)
+	// Refresh records the binding of a stream that a client takes up, without waiting.
+	Refresh(bound binding.Binding)
+	// Find returns the software at which a stream has to go on.
+	Find(ctx context.Context, q bindings.Query) bindings.Found
+}
+
 // Meter receives the counts of a Forwarder.
 type Meter interface {
 	// Forwarded counts the end of a request, took after its arrival. cause is "answered" if the
@@ -124,7 +139,9 @@
 	// Quarantine excludes targets that a request content would crash.
 	Quarantine Quarantine
 	Rollouts   Rollouts
-	Tracker    *balance.Tracker
+	// Bindings keeps streams at the version that began them.
+	Bindings Bindings
+	Tracker  *balance.Tracker
 	// Advisories holds the rate limits and pauses that targets reported.
 	Advisories *advisory.Registry
 	Budget     *budget.Budget
@@ -286,7 +303,7 @@
 		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "software", r.target.Version, "status", r.status,
 	}
 	if r.call.LastEventID != "" {
-		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID)
+		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID, "version_from", string(r.begun.source), "peers_unanswered", r.begun.unanswered)
 	}
 	if r.relay != "" {
 		fields = append(fields, "relay", r.relay)
--- a/internal/coordination/forward/ownpath_test.go
+++ b/internal/coordination/forward/ownpath_test.go
@@ -32,6 +32,7 @@
 type noRollouts struct{}
 
 func (noRollouts) Versions(string, bool) balance.Versions          { return balance.Versions{} }
+func (noRollouts) MayGoOn(string, string) bool                     { return true }
 func (noRollouts) Begin(string, hookhall.Target) *rollouts.Attempt { return nil }
 
 // noQuarantine records nothing.
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -84,6 +84,8 @@
 	// unfinishedBytes is the number of bytes after the last complete event of a stream when its
 	// target ended it.
 	unfinishedBytes int
+	// begun is the software that began the stream.
+	begun begunAt
 	// cutDetail says why an answer that was begun could not be completed.
 	cutDetail string
 	// steps are the stages in the order in which admission considers them, nil if it is not
@@ -115,7 +117,11 @@
 
 // serve runs the stages and answers the request.
 func (r *request) serve(ctx context.Context) error {
+	refusal := r.takeUp(ctx)
 	r.Budget.RecordRequest(r.service, r.arrived)
+	if refusal != nil {
+		return r.finalError(ctx, refusal)
+	}
 	r.criteria = r.newCriteria()
 	if refusal := r.refuseEvacuated(); refusal != nil {
 		return refusal
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -120,6 +120,9 @@
 		parser.Feed(buffer[len(buffer) : len(buffer)+n])
 		buffer = buffer[:len(buffer)+n]
 		if complete := parser.Complete() - passed; complete > 0 {
+			if parser.Events() > 0 {
+				s.r.bind(ctx)
+			}
 			if failure := s.writeEvents(buffer[:complete], parser.LastID()); failure != nil {
 				return failure
 			}
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -55,7 +55,7 @@
 					activeCall: tracker.Begin(target, balance.Criteria{}, clock.Now()), began: clock.Now(),
 					reply: &hookhall.Reply{Framing: c.framing, Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(c.body)))},
 				}
-				s := &stream{r: &request{answer: client}, lastEventID: "0"}
+				s := &stream{r: &request{route: &hookhall.Route{}, answer: client}, lastEventID: "0"}
 				failure := s.passEvents(t.Context(), a)
 				if (failure == nil) != c.whole {
 					t.Errorf("ended with %v", failure)
@@ -80,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := &recordingClient{}
 			a := &attempt{reply: &hookhall.Reply{Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(event + event + event)))}}
-			s := &stream{r: &request{answer: client}}
+			s := &stream{r: &request{route: &hookhall.Route{}, answer: client}}
 			if failure := s.passEvents(t.Context(), a); failure != nil {
 				t.Fatal(failure)
 			}
@@ -113,7 +113,7 @@
 		client := &recordingClient{}
 		a := &attempt{activeCall: balance.NewTracker().Begin(hookhall.Target{}, balance.Criteria{}, clock.Now())}
 		a.reply = &hookhall.Reply{Framing: hookhall.FramedByConnection, Body: io.NopCloser(pieceReader{strings.NewReader(body), size})}
-		s := &stream{r: &request{answer: client}}
+		s := &stream{r: &request{route: &hookhall.Route{}, answer: client}}
 		failure := s.passEvents(t.Context(), a)
 		passed := strings.Join(client.chunks, "")
 		switch {
--- a/internal/coordination/forward/took_test.go
+++ b/internal/coordination/forward/took_test.go
@@ -48,7 +48,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				owner := placement.NewOwner(oneEngine{}, balance.ColdLimits{})
 				client, criteria := &placement.Client{Local: owner, Fleet: oneEngine{}}, balance.Criteria{IsEngineCall: true, OwnTokens: 8000}
-				r := &request{answer: pacedClient{}, criteria: criteria}
+				r := &request{route: &hookhall.Route{}, answer: pacedClient{}, criteria: criteria}
 				a := &attempt{
 					placed: client.Place(t.Context(), "s", criteria, nil), began: clock.Now(),
 					activeCall: balance.NewTracker().Begin(hookhall.Target{ID: "e"}, criteria, clock.Now()),
--- a/internal/coordination/rollouts/rollouts.go
+++ b/internal/coordination/rollouts/rollouts.go
@@ -255,34 +255,64 @@
 // request's first attempt. Only that may go to the canary, at random; a retry goes to the old
 // version, since the new one may be bad. While all targets run one version, any may be used.
 func (r *Rollouts) Versions(service string, first bool) balance.Versions {
-	if !r.hasRollouts.Load() {
+	version, phase, ok := r.current(service)
+	if !ok {
 		return balance.Versions{}
 	}
+	oldCount, newCount := r.countTargets(service, version)
+	switch {
+	case oldCount == 0 || newCount == 0:
+		return balance.Versions{} // all targets run one version
+	case phase == rollout.Canary && first && rand.Float64() < rollout.CanaryShare(r.MaxCanaryShare):
+		return balance.Versions{Only: version, MaxTargets: rollout.CanaryTargets(r.MaxCanaryShare, oldCount)}
+	case phase == rollout.Draining || phase == rollout.Completed:
+		return balance.Versions{Only: version}
+	}
+	return balance.Versions{Not: version}
+}
+
+// current returns the new version and the phase of a service's rollout, and false if it has none.
+func (r *Rollouts) current(service string) (version string, phase rollout.Phase, ok bool) {
+	if !r.hasRollouts.Load() {
+		return "", rollout.Unknown, false
+	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	tracked := r.rolloutsByService[service]
 	if tracked == nil {
-		r.mu.Unlock()
-		return balance.Versions{}
+		return "", rollout.Unknown, false
 	}
-	version, phase := tracked.Version, tracked.phase
-	r.mu.Unlock()
-	oldCount := 0
+	return tracked.Version, tracked.phase, true
+}
+
+// countTargets returns how many targets of a service run another version than the given one, and how
+// many run that one.
+func (r *Rollouts) countTargets(service, version string) (oldCount, newCount int) {
 	targets := r.Directory.Targets(service)
 	for _, t := range targets {
 		if t.Version != version {
 			oldCount++
 		}
 	}
-	newCount := len(targets) - oldCount
+	return oldCount, len(targets) - oldCount
+}
+
+// MayGoOn reports whether a stream that a version began may go on there. While a rollout replaces
+// targets, streams go on at either version. A version that was rolled back, or is no longer needed,
+// gets none, unless all targets run it.
+func (r *Rollouts) MayGoOn(service, version string) bool {
+	newVersion, phase, ok := r.current(service)
+	if !ok {
+		return true
+	}
+	oldCount, newCount := r.countTargets(service, newVersion)
 	switch {
-	case oldCount == 0 || newCount == 0:
-		return balance.Versions{} // all targets run one version
-	case phase == rollout.Canary && first && rand.Float64() < rollout.CanaryShare(r.MaxCanaryShare):
-		return balance.Versions{Only: version, MaxTargets: rollout.CanaryTargets(r.MaxCanaryShare, oldCount)}
-	case phase == rollout.Draining || phase == rollout.Completed:
-		return balance.Versions{Only: version}
+	case oldCount == 0 || newCount == 0, phase == rollout.Canary, phase == rollout.Draining:
+		return true
+	case phase == rollout.Completed:
+		return version == newVersion
 	}
-	return balance.Versions{Not: version}
+	return version != newVersion
 }
 
 // Usable returns those of a service's targets that may get calls now. During the canary
--- a/internal/coordination/rollouts/rollouts_test.go
+++ b/internal/coordination/rollouts/rollouts_test.go
@@ -463,3 +463,50 @@
 		t.Errorf("revisions of known rollouts: %v, want %v", got, want)
 	}
 }
+
+// listing is a Directory with one target of each version.
+type listing []string
+
+// Targets implements Directory.
+func (l listing) Targets(string) []hookhall.Target {
+	var targets []hookhall.Target
+	for _, version := range l {
+		targets = append(targets, hookhall.Target{ID: version, Pool: service, Version: version})
+	}
+	return targets
+}
+
+// TestBegunStreams checks at which version a begun stream may go on while operators roll another one
+// out.
+func TestBegunStreams(t *testing.T) {
+	both := listing{oldVersion, newVersion}
+	for name, c := range map[string]struct {
+		targets  listing
+		phase    rollout.Phase
+		old, new bool
+	}{
+		"the phase is not known":               {both, rollout.Unknown, true, false},
+		"canary":                               {both, rollout.Canary, true, true},
+		"draining":                             {both, rollout.Draining, true, true},
+		"completed":                            {both, rollout.Completed, false, true},
+		"rolled back":                          {both, rollout.RolledBack, true, false},
+		"rolled back, all targets run the new": {listing{newVersion}, rollout.RolledBack, true, true},
+		"completed, all targets run the old":   {listing{oldVersion}, rollout.Completed, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Rollouts{Directory: c.targets, Log: log.New(io.Discard)}
+			r.ApplySnapshot(Snapshot{Revision: 1, List: []Progress{{Rollout: hookhall.Rollout{Service: service, Version: newVersion, Time: time.Minute}, Phase: c.phase}}}, "peer")
+			if got := r.MayGoOn(service, oldVersion); got != c.old {
+				t.Errorf("at the old version: %v", got)
+			}
+			if got := r.MayGoOn(service, newVersion); got != c.new {
+				t.Errorf("at the new version: %v", got)
+			}
+		})
+	}
+	t.Run("no rollout", func(t *testing.T) {
+		if r := (&Rollouts{Directory: both}); !r.MayGoOn(service, oldVersion) || !r.MayGoOn(service, newVersion) {
+			t.Error("a version is excluded")
+		}
+	})
+}
--- a/internal/state/balance/versions.go
+++ b/internal/state/balance/versions.go
@@ -15,6 +15,8 @@
 type Versions struct {
 	Only string // the one version allowed; empty allows any
 	Not  string // the one version excluded; empty excludes none
+	// Exact makes an empty Only stand for targets that state no version.
+	Exact bool
 	// MaxTargets limits how many targets of version Only are used; 0 uses all. All
 	// processes select the same targets.
 	MaxTargets int
@@ -26,7 +28,7 @@
 
 // allowsVersion reports whether targets of a version may run the request.
 func (v *Versions) allowsVersion(version string) bool {
-	return (v.Only == "" || version == v.Only) && (v.Not == "" || version != v.Not)
+	return ((v.Only == "" && !v.Exact) || version == v.Only) && (v.Not == "" || version != v.Not)
 }
 
 // selectTargets returns the targets that may be used: all of them if their number is not
--- /dev/null
+++ b/internal/transport/fleet/bindings.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/hookhall/hookhall/internal/coordination/bindings"
+	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
+)
+
+// maxBindingTTL limits how long a binding from another process is kept.
+const maxBindingTTL = 2 * time.Minute
+
+// Bindings holds the software versions that began streams.
+type Bindings interface {
+	// Merge adds bindings of another process.
+	Merge(list []binding.Binding)
+	// Known returns what this process knows about a stream.
+	Known(q bindings.Query) bindings.Known
+}
+
+// Bind implements pb.FleetServer. It omits bindings whose key has a wrong length.
+func (s *Server) Bind(_ context.Context, r *pb.BindRequest) (*pb.BindReply, error) {
+	now := clock.Now()
+	list := make([]binding.Binding, 0, len(r.GetBindings()))
+	for _, m := range r.GetBindings() {
+		if bound, ok := readBinding(m, now); ok {
+			list = append(list, bound)
+		}
+	}
+	s.Bindings.Merge(list)
+	return &pb.BindReply{}, nil
+}
+
+// FindBinding implements pb.FleetServer.
+func (s *Server) FindBinding(_ context.Context, r *pb.BindingQuery) (*pb.BindingAnswer, error) {
+	key, ok := readKey(r.GetKey())
+	if !ok {
+		return &pb.BindingAnswer{}, nil
+	}
+	known := s.Bindings.Known(bindings.Query{Key: key, Service: r.GetService(), Window: milliseconds(r.GetWindowMs())})
+	answer := &pb.BindingAnswer{SoleVersion: known.SoleVersion, HasSole: known.HasSole}
+	if known.IsBound {
+		answer.Binding = wireBinding(known.Binding, clock.Now())
+	}
+	return answer, nil
+}
+
+// Bind implements bindings.Remote.
+func (c *Client) Bind(ctx context.Context, list []binding.Binding) error {
+	if c.err != nil {
+		return c.err
+	}
+	now := clock.Now()
+	request := &pb.BindRequest{}
+	for _, bound := range list {
+		request.Bindings = append(request.Bindings, wireBinding(bound, now))
+	}
+	_, err := c.rpc().Bind(ctx, request)
+	c.checkAfterTimeout(err)
+	return err
+}
+
+// FindBinding implements bindings.Remote.
+func (c *Client) FindBinding(ctx context.Context, q bindings.Query) (bindings.Known, error) {
+	if c.err != nil {
+		return bindings.Known{}, c.err
+	}
+	answer, err := c.rpc().FindBinding(ctx, &pb.BindingQuery{Key: q.Key[:], Service: q.Service, WindowMs: q.Window.Milliseconds()})
+	c.checkAfterTimeout(err)
+	if err != nil {
+		return bindings.Known{}, err
+	}
+	known := bindings.Known{SoleVersion: answer.GetSoleVersion(), HasSole: answer.GetHasSole()}
+	if answer.GetBinding() != nil {
+		known.Binding, known.IsBound = readBinding(answer.GetBinding(), clock.Now())
+	}
+	return known, nil
+}
+
+// wireBinding converts a binding for a message that is sent at now.
+func wireBinding(bound binding.Binding, now time.Time) *pb.StreamBinding {
+	return &pb.StreamBinding{Key: bound.Key[:], Service: bound.Service, Version: bound.Version, RemainingMs: bound.ExpiresAt.Sub(now).Milliseconds()}
+}
+
+// readBinding converts a binding of a message that was received at now. It returns false for a key
+// of a wrong length.
+func readBinding(m *pb.StreamBinding, now time.Time) (binding.Binding, bool) {
+	key, ok := readKey(m.GetKey())
+	ttl := min(milliseconds(m.GetRemainingMs()), maxBindingTTL)
+	return binding.Binding{Key: key, Service: m.GetService(), Version: m.GetVersion(), ExpiresAt: now.Add(ttl)}, ok
+}
+
+// readKey converts the key of a stream, and returns false for a wrong length.
+func readKey(b []byte) (binding.Key, bool) {
+	if len(b) != len(binding.Key{}) {
+		return binding.Key{}, false
+	}
+	return binding.Key(b), true
+}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -61,6 +61,8 @@
 	PlacementOwner *placement.Owner
 	// Relayer connects peers to targets.
 	Relayer Relayer
+	// Bindings has the software versions that began streams.
+	Bindings Bindings
 	// Broadcaster has the catalog and the other state that peers read and update.
 	Broadcaster *Broadcaster
 }
--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -33,7 +33,7 @@
 }
 
 // startRelay starts a process that relays, and returns a client of it.
-func startRelay(t *testing.T, server pb.FleetServer) (*Client, *grpc.Server) {
+func startRelay(t testing.TB, server pb.FleetServer) (*Client, *grpc.Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
