bindings: count the calls that streams cost; a test without a race

The tests counted calls without a lock, which the race detector found (TestBinding, once, in the first complete run of the tests).

--- a/internal/coordination/bindings/bindings_test.go
+++ b/internal/coordination/bindings/bindings_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +44,7 @@
 	isDead  bool // it does not answer
 	isGone  bool // it is not listed
 	listAge time.Duration
-	calls   int
+	calls   atomic.Int64
 }
 
 // newFleet returns gateways that list targets of the given versions.
@@ -101,7 +102,7 @@
 		return errors.New("no answer")
 	}
 	time.Sleep(roundTrip)
-	r.calls++
+	r.calls.Add(1)
 	return nil
 }
 
@@ -321,3 +322,39 @@
 		})
 	}
 }
+
+// TestCallsPerStream guards against calls to more gateways than needed: their number decides what
+// streams cost a large fleet.
+func TestCallsPerStream(t *testing.T) {
+	run(t, "a stream that begins", func(t *testing.T) {
+		f := newFleet(60, "v1", "v2")
+		f.at(0).bind(t, "a", "v1")
+		time.Sleep(time.Second)
+		f.checkCalls(t, bindings.Copies)
+	})
+	run(t, "one that is taken up", func(t *testing.T) {
+		f := newFleet(60, "v1", "v2")
+		f.at(0).bind(t, "a", "v1")
+		time.Sleep(time.Second)
+		for i := range f.order {
+			if f.at(i).Table.Len() == 0 {
+				f.at(i).checkFound(t, "a", "v1", bindings.SourcePeer)
+				break
+			}
+		}
+		time.Sleep(time.Second)
+		f.checkCalls(t, 2*bindings.Copies)
+	})
+}
+
+// checkCalls checks how many calls all gateways have got.
+func (f *fleet) checkCalls(t *testing.T, want int64) {
+	t.Helper()
+	got := int64(0)
+	for _, g := range f.gateways {
+		got += g.calls.Load()
+	}
+	if got != want {
+		t.Errorf("%d calls, want %d", got, want)
+	}
+}
