paths: links that refuse at every gateway are no crash of targets

Cause: the links of all gateways refused connections at the same time. Class: one's own path taken for the target, with a witness on the same path.

A refusal is held against a target only if this process reaches another one: up to three, sampled, one connection each, once a crash check.

TestRefusingLinks failed in both cases without another target in reach, and passes. The tests of crashing requests and of cut off gateways pass.

--- a/internal/coordination/paths/paths.go
+++ b/internal/coordination/paths/paths.go
@@ -30,6 +30,9 @@
 	probeTick = 50 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 300 * time.Millisecond
+	// maxReferenceTargets is how many other targets are tried before a refusal is held against a
+	// target.
+	maxReferenceTargets = 3
 )
 
 // Meter counts connections to targets.
@@ -297,8 +300,12 @@
 
 // ConfirmsRefusal reports whether peers, too, get a connection to a target refused that refused one
 // of this process. Without a peer to compare with, it is true only if there are no peers that
-// relay.
+// relay. A process that reaches no other target either can't tell a target that has ended from
+// links that refuse, and its peers may have the same links.
 func (p *Paths) ConfirmsRefusal(ctx context.Context, address string) bool {
+	if !p.reachesAnother(ctx, address) {
+		return false
+	}
 	c, err := p.relay(ctx, hookhall.RelayRequest{Address: address})
 	if err == nil {
 		_ = c.Close()
@@ -310,3 +317,20 @@
 	}
 	return failure.Failure == hookhall.RelayRefused || failure.Failure == hookhall.RelayUnsupported
 }
+
+// reachesAnother reports whether this process connects to one of up to maxReferenceTargets others
+// than the target at an address, or whether there is no other.
+func (p *Paths) reachesAnother(ctx context.Context, address string) bool {
+	skip := map[string]bool{address: true}
+	for range maxReferenceTargets {
+		target, ok := p.Targets.SampleTarget(skip)
+		if !ok {
+			break
+		}
+		skip[target.Address] = true
+		if p.Probe(ctx, target.Address) == nil {
+			return true
+		}
+	}
+	return len(skip) == 1
+}
--- a/internal/coordination/paths/paths_test.go
+++ b/internal/coordination/paths/paths_test.go
@@ -393,6 +393,32 @@
 	}
 }
 
+// TestRefusingLinks guards against targets that count as crashed because the links of all processes
+// refuse connections.
+func TestRefusingLinks(t *testing.T) {
+	for name, c := range map[string]struct {
+		healthy, cutOff []string
+		want            bool
+	}{
+		"no other target":             {nil, nil, true},
+		"another target connects":     {[]string{"10.0.0.2:80"}, nil, true},
+		"the third one connects":      {[]string{"10.0.0.4:80"}, []string{"10.0.0.2:80", "10.0.0.3:80"}, true},
+		"no other target connects":    {nil, []string{"10.0.0.2:80"}, false},
+		"none of many others connect": {nil, []string{"10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, refused, refusedTo, refusedTo)
+				w.healthy, w.cutOff = c.healthy, c.cutOff
+				if got := w.ConfirmsRefusal(t.Context(), target); got != c.want {
+					t.Errorf("confirmed: %v", got)
+				}
+				w.checkAllClosed()
+			})
+		})
+	}
+}
+
 // TestRelayerAdmits checks which connections a process relays.
 func TestRelayerAdmits(t *testing.T) {
 	request := func(urgency int) hookhall.RelayRequest {
