stages: results are freed again when the link to their target was broken

Cause: freeAtTarget called once and took the memory for free whatever came of it.

The call is made again, after 0.1 to 0.8 s, until the target drops the results itself, as long as the same incarnation is listed at the address: another service may have it after that.

TestFreesOverBrokenLinks failed for links broken for 0.3 and 2 s and passes.

--- a/internal/coordination/stages/broker.go
+++ b/internal/coordination/stages/broker.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	"github.com/hookhall/hookhall/internal/state/advisory"
 	"github.com/hookhall/hookhall/internal/state/batch"
@@ -28,6 +29,10 @@
 	callTimeoutFactor = 5
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// minFreeRetryDelay and maxFreeRetryDelay bound the delay before a call that frees results and
+	// that failed is made again.
+	minFreeRetryDelay = 100 * time.Millisecond
+	maxFreeRetryDelay = 800 * time.Millisecond
 )
 
 // Directory provides the part of the catalog that the broker reads.
@@ -249,18 +254,56 @@
 	}
 }
 
-// freeAtTarget frees results at the target with the address maker.
+// freeAtTarget frees results at the target with the address maker. If the target can't be reached, it
+// tries again until the target drops the results itself, as long as the same target is listed there:
+// until then they take memory that the accounting counts as free.
 func (b *Broker) freeAtTarget(service, maker string, handles []string) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	if err := b.pool.Free(ctx, maker, handles); err != nil {
-		b.log.Debug("results not freed; the pool drops them when they expire", "service", service, "maker", maker, "results", len(handles), "error", err.Error())
-	}
-	q := b.queue(service)
+	q, began := b.queue(service), clock.Now()
+	target, isListed := b.listedAt(service, maker)
+	err := b.callFree(maker, handles)
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	q.queue.Free(handles)
 	q.dispatchSoon()
+	q.mu.Unlock()
+	for delay := minFreeRetryDelay; err != nil && isListed && clock.Since(began)+delay < b.resultRetention(service); delay = min(2*delay, maxFreeRetryDelay) {
+		time.Sleep(retry.Jitter(delay))
+		if now, ok := b.listedAt(service, maker); !ok || now.Incarnation() != target.Incarnation() {
+			return // its results have gone with it
+		}
+		err = b.callFree(maker, handles)
+	}
+	if err != nil {
+		b.log.Debug("results not freed; the pool drops them when they expire", "service", service, "maker", maker, "results", len(handles), "error", err.Error())
+	}
+}
+
+// resultRetention returns how long targets of a service keep results, 0 if that is not known.
+func (b *Broker) resultRetention(service string) time.Duration {
+	table := b.directory.Table()
+	if table == nil {
+		return 0
+	}
+	if spec := table.Service(service); spec != nil && spec.Pool != nil {
+		return spec.Pool.ResultRetention
+	}
+	return 0
+}
+
+// callFree makes one call that frees results at the target with an address.
+func (b *Broker) callFree(address string, handles []string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	return b.pool.Free(ctx, address, handles)
+}
+
+// listedAt returns the target of a service that is listed with an address.
+func (b *Broker) listedAt(service, address string) (t hookhall.Target, ok bool) {
+	targets := b.directory.Targets(service)
+	i := slices.IndexFunc(targets, func(t hookhall.Target) bool { return t.Address == address })
+	if i < 0 {
+		return hookhall.Target{}, false
+	}
+	return targets[i], true
 }
 
 // drop cancels a job and returns the handles of its results so far.
--- a/internal/coordination/stages/frees_test.go
+++ b/internal/coordination/stages/frees_test.go
@@ -104,3 +104,33 @@
 		}
 	})
 }
+
+// TestFreesOverBrokenLinks guards against results that keep the memory of a pool because the link to
+// their target was broken for a moment, and against calls to a target that is gone: another service may
+// have its address.
+func TestFreesOverBrokenLinks(t *testing.T) {
+	for name, c := range map[string]struct {
+		broken    time.Duration // how long the link is
+		handle    string
+		isFreed   bool
+		mostCalls int
+	}{
+		"a sound link":                   {0, "encode-a/1", true, 1},
+		"a moment":                       {300 * time.Millisecond, "encode-a/1", true, 4},
+		"two seconds":                    {2 * time.Second, "encode-a/1", true, 7},
+		"until the target drops results": {time.Hour, "encode-a/1", false, 9},
+		"a target that is not listed":    {300 * time.Millisecond, "gone/1", false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(1)
+				f.pool.held[c.handle], f.pool.freeFailsTo = true, time.Now().Add(c.broken)
+				f.runner.Local.Free("encode", []string{c.handle})
+				time.Sleep(5 * time.Second)
+				if (f.pool.heldCount() == 0) != c.isFreed || f.pool.freeCalls > c.mostCalls {
+					t.Errorf("%d results held after %d calls", f.pool.heldCount(), f.pool.freeCalls)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/stages/runner_test.go
+++ b/internal/coordination/stages/runner_test.go
@@ -32,6 +32,8 @@
 	failuresLeft map[hookhall.PieceFailure]int // pieces that are still to fail, by reason
 	callError    error
 	resultCount  int
+	freeFailsTo  time.Time // until then calls that free results fail
+	freeCalls    int
 }
 
 func (p *fakePool) Make(_ context.Context, t hookhall.Target, pieces []hookhall.Piece) ([]hookhall.PieceResult, error) {
@@ -74,6 +76,10 @@
 func (p *fakePool) Free(_ context.Context, _ string, handles []string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.freeCalls++
+	if time.Now().Before(p.freeFailsTo) {
+		return errors.New("connection refused")
+	}
 	for _, h := range handles {
 		delete(p.held, h)
 	}
