bindings: a fleet of one version refuses no streams

These clients don't name their stream.

Cause: without a binding, one version counted as the only one only if a history reached back as long as a stream can be old. 16 s after the start of a fleet none did, and one version was all there had ever been.

The histories of this gateway and of all that it asks are put together now, with versions that are leaving. If they have one version, and reach back long enough or are all there is, the stream goes on at it. A gateway that has just started waits up to half a second for its lists of gateways and targets before it looks a stream up; it knew nobody to ask before.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -268,8 +268,8 @@
 		Remote:  func(address string) bindings.Remote { return g.clients.Client(address) },
 		ListAge: g.catalog.TargetsAge,
 	}
-	g.catalog.OnTargets = func(service string, targets []hookhall.Target) {
-		g.bindings.History.Observe(service, targets, clock.Now())
+	g.catalog.OnVersions = func(service string, versions map[string]bool) {
+		g.bindings.History.Observe(service, versions, clock.Now())
 	}
 	g.forwarder = &forward.Forwarder{
 		Bindings: g.bindings,
--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -13,23 +13,27 @@
 // finds to the gateways that should hold it now. A gateway that stops hands its copies over.
 //
 // If no gateway knows the binding, the version still follows if the service has had only one for as
-// long as the stream can be old. Otherwise it is not known, and the stream must not go on.
+// long as the stream can be old, by the histories of this gateway and of those that it asked. If all of
+// them are younger than that, as after a restart of the whole fleet, they count as far as they reach.
+// Otherwise the version is not known, and the stream must not go on.
 //
 // # Invariants
 //
 //   - While several versions of a service are listed, Bind returns only when a copy exists at
 //     another gateway, or none can be reached in bindTimeout.
-//   - Find never guesses: it returns a version that a gateway recorded, or the only one there was.
+//   - Find returns a version that a gateway recorded, or the only one that any gateway remembers.
 package bindings
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/state/binding"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
@@ -47,6 +51,11 @@
 	maxAsked = 12
 	// maxPerCall limits the bindings in one call, so that its message stays below 200 KB.
 	maxPerCall = 2000
+	// startTimeout bounds how long a lookup waits for the lists of gateways and targets, which a
+	// process that has just started does not have, or has from a copy.
+	startTimeout = 500 * time.Millisecond
+	// startPollInterval is the interval at which it looks for them.
+	startPollInterval = 10 * time.Millisecond
 	// maxListAge is how old the list of targets may be for conclusions from the versions on it.
 	maxListAge = 2 * time.Second
 )
@@ -57,6 +66,8 @@
 	Self() hookhall.Member
 	// List returns all gateways that answer, this one included.
 	List(now time.Time) []hookhall.Member
+	// HasList reports whether the other gateways are known: not yet, just after the start.
+	HasList() bool
 }
 
 // Remote is a client of another gateway.
@@ -85,9 +96,16 @@
 type Known struct {
 	Binding binding.Binding
 	IsBound bool // Binding is set
-	// SoleVersion is the only version that the service had within the window, if HasSole is set.
-	SoleVersion string
-	HasSole     bool
+	// Versions are those that the service had within the window, Reach of which the gateway
+	// remembers; none if its list of targets is too old.
+	Versions []string
+	Reach    time.Duration
+}
+
+// add adds the versions that another gateway remembers.
+func (k *Known) add(other Known) {
+	k.Versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(k.Versions, other.Versions))))
+	k.Reach = max(k.Reach, other.Reach)
 }
 
 // Source says how the version of a stream was found.
@@ -106,8 +124,9 @@
 	Service string
 	Version string
 	Source  Source
-	// Unanswered is the number of gateways that were asked and did not answer.
-	Unanswered int
+	// Asked is the number of gateways that were asked, and Unanswered how many of them did not
+	// answer.
+	Asked, Unanswered int
 }
 
 // Bindings holds this gateway's bindings and finds those of others. Its fields are set before use;
@@ -212,7 +231,7 @@
 	var k Known
 	k.Binding, k.IsBound = b.Table.Get(q.Key, now)
 	if b.ListAge(now) <= maxListAge {
-		k.SoleVersion, k.HasSole = b.History.Sole(q.Service, q.Window, now)
+		k.Versions, k.Reach = b.History.Within(q.Service, q.Window, now)
 	}
 	return k
 }
@@ -228,33 +247,50 @@
 // ones.
 func (b *Bindings) find(ctx context.Context, q Query) Found {
 	own := b.Known(q)
+	if !own.IsBound && b.awaitLists(ctx) {
+		own = b.Known(q)
+	}
 	if own.IsBound {
 		return Found{Service: own.Binding.Service, Version: own.Binding.Version, Source: SourceOwn}
 	}
 	peers := b.peers(q.Key, clock.Now())
 	peers = peers[:min(len(peers), maxAsked)]
 	holders := min(len(peers), Copies)
-	result := Found{Service: q.Service, Source: SourceUnknown}
+	seen, asked, unanswered := own, 0, 0
 	for _, round := range [][]hookhall.Member{peers[:holders], peers[holders:]} {
-		known, unanswered := b.ask(ctx, round, q)
-		result.Unanswered += unanswered
-		switch {
-		case known.IsBound:
-			return Found{Service: known.Binding.Service, Version: known.Binding.Version, Source: SourcePeer, Unanswered: result.Unanswered}
-		case own.HasSole:
-			result.Version, result.Source = own.SoleVersion, SourceSole
-			return result
-		case known.HasSole:
-			result.Version, result.Source = known.SoleVersion, SourceSole
-			return result
+		known, silent := b.ask(ctx, round, q)
+		asked, unanswered = asked+len(round), unanswered+silent
+		if known.IsBound {
+			return Found{Service: known.Binding.Service, Version: known.Binding.Version, Source: SourcePeer, Asked: asked, Unanswered: unanswered}
+		}
+		seen.add(known)
+		if len(seen.Versions) == 1 && seen.Reach >= q.Window {
+			break
+		}
+	}
+	if len(own.Versions) != 1 || len(seen.Versions) != 1 {
+		return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
+	}
+	return Found{Service: q.Service, Version: own.Versions[0], Source: SourceSole, Asked: asked, Unanswered: unanswered}
+}
+
+// awaitLists waits up to startTimeout until the lists of gateways and targets are known and current, and
+// reports whether it had to wait.
+func (b *Bindings) awaitLists(ctx context.Context) (waited bool) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !b.Fleet.HasList() || b.ListAge(clock.Now()) > maxListAge {
+		waited = true
+		if !retry.Sleep(ctx, startPollInterval) {
+			break
 		}
 	}
-	return result
+	return waited
 }
 
 // ask asks gateways at the same time. It returns the answer of the first that has the binding, or
-// else one that knows the only version, and how many have not answered until then.
-func (b *Bindings) ask(ctx context.Context, peers []hookhall.Member, q Query) (best Known, unanswered int) {
+// else what all of them remember, and how many have not answered until then.
+func (b *Bindings) ask(ctx context.Context, peers []hookhall.Member, q Query) (all Known, unanswered int) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	type answer struct {
@@ -275,11 +311,11 @@
 			unanswered++
 		case a.IsBound:
 			return a.Known, unanswered
-		case a.HasSole:
-			best = a.Known
+		default:
+			all.add(a.Known)
 		}
 	}
-	return best, unanswered
+	return all, unanswered
 }
 
 // HandOver copies the bindings of this process, which stops, to the gateways that hold them after it,
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -91,9 +91,10 @@
 	// incarnation. It must not block or call the catalog: c.mu is held. Set before Run.
 	OnRestart func(before, after hookhall.Target)
 
-	// OnTargets is called with the usable targets of a service when they may have changed. It must
-	// not block or call the catalog: c.mu is held. Set before Run.
-	OnTargets func(service string, targets []hookhall.Target)
+	// OnVersions is called with the versions of a service's listed targets, those that are leaving
+	// included, when they may have changed. It must not block or call the catalog: c.mu is held. Set
+	// before Run.
+	OnVersions func(service string, versions map[string]bool)
 
 	// readJitter is the fraction of the random delay that this process waits at maxRank before it
 	// reads the store itself, in [0, 1).
@@ -139,7 +140,7 @@
 
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
-	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnTargets: func(string, []hookhall.Target) {}, readJitter: rand.Float64()}
+	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
 	c.recordAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/pools.go
+++ b/internal/coordination/catalog/pools.go
@@ -49,7 +49,7 @@
 		} else {
 			snapshot.ByPool[pool] = c.mergeChanges(pool, snapshot.ByPool[pool], changes.entries, now)
 		}
-		c.OnTargets(pool, snapshot.ByPool[pool])
+		c.OnVersions(pool, c.listedVersions(pool, now))
 	}
 	clear(c.changesByPool)
 }
@@ -70,6 +70,22 @@
 	return list, evacuated
 }
 
+// listedVersions returns the versions of a service's targets that are listed or still usable. c.mu
+// must be held.
+func (c *Catalog) listedVersions(pool string, now time.Time) map[string]bool {
+	versions, last := map[string]bool{}, ""
+	for _, e := range c.entriesByPool[pool] {
+		if len(versions) > 0 && e.target.Version == last {
+			continue // nearly all have the same: this saves most lookups
+		}
+		if e.missingSince.IsZero() || e.usable(now) {
+			last = e.target.Version
+			versions[last] = true
+		}
+	}
+	return versions
+}
+
 // mergeChanges returns the usable targets of a service after some entries have changed, sorted by
 // id; before is the previous list, and no hall may be evacuated. It copies the list rather than
 // check all targets: in a fleet of thousands, tens of targets are replaced per second, and every
--- a/internal/coordination/catalog/pools_test.go
+++ b/internal/coordination/catalog/pools_test.go
@@ -66,3 +66,30 @@
 		c.markDirty(e)
 	}
 }
+
+// TestListedVersions checks which versions of a service count as listed: those of targets that are
+// leaving, too, and not those of targets that are gone.
+func TestListedVersions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		entry entry
+		want  bool
+	}{
+		"listed":               {entry{}, true},
+		"leaving":              {entry{isLeaving: true}, true},
+		"missing":              {entry{missingSince: now.Add(-time.Second)}, false},
+		"lapsed for a moment":  {entry{missingSince: now.Add(-time.Second), lapsesAt: now.Add(time.Second)}, true},
+		"lapsed, and over now": {entry{missingSince: now.Add(-time.Second), lapsesAt: now.Add(-time.Millisecond)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.entry.target.Version = "v2"
+			catalog := &Catalog{entriesByPool: map[string]map[string]*entry{"llm": {
+				"a": {target: hookhall.Target{Version: "v1"}}, "b": {target: hookhall.Target{Version: "v1"}}, "c": &c.entry,
+			}}}
+			got := catalog.listedVersions("llm", now)
+			if !got["v1"] || got["v2"] != c.want {
+				t.Errorf("listed: %v", got)
+			}
+		})
+	}
+}
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -52,7 +52,7 @@
 	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow()})
 	r.begun = begunAt{version: found.Version, source: found.Source, unanswered: found.Unanswered}
 	if found.Source == bindings.SourceUnknown {
-		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "it is not known which version of %s began the stream", r.service)
+		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "it is not known which version of %s began the stream: asked %d gateways, of which %d did not answer", r.service, found.Asked, found.Unanswered)
 		return failure.WithRetryAfter(unknownVersionRetryAfter)
 	}
 	isRouted := func(s hookhall.WeightedService) bool { return s.Service == found.Service }
--- a/internal/transport/fleet/bindings.go
+++ b/internal/transport/fleet/bindings.go
@@ -44,7 +44,7 @@
 		return &pb.BindingAnswer{}, nil
 	}
 	known := s.Bindings.Known(bindings.Query{Key: key, Service: r.GetService(), Window: milliseconds(r.GetWindowMs())})
-	answer := &pb.BindingAnswer{SoleVersion: known.SoleVersion, HasSole: known.HasSole}
+	answer := &pb.BindingAnswer{Versions: known.Versions, ReachMs: known.Reach.Milliseconds()}
 	if known.IsBound {
 		answer.Binding = wireBinding(known.Binding, clock.Now())
 	}
@@ -76,7 +76,7 @@
 	if err != nil {
 		return bindings.Known{}, err
 	}
-	known := bindings.Known{SoleVersion: answer.GetSoleVersion(), HasSole: answer.GetHasSole()}
+	known := bindings.Known{Versions: answer.GetVersions(), Reach: milliseconds(answer.GetReachMs())}
 	if answer.GetBinding() != nil {
 		known.Binding, known.IsBound = readBinding(answer.GetBinding(), clock.Now())
 	}
