bindings: lookups don't depend on the age of lists while gateways answer

An old list matters only where this gateway may be cut off from others that have learned of a further version: if one of those asked does not answer. Gateways that failed to answer lately are asked, too, so that a gateway that suspects all others does not take itself for the only one.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -51,12 +51,13 @@
 	maxAsked = 12
 	// maxPerCall limits the bindings in one call, so that its message stays below 200 KB.
 	maxPerCall = 2000
-	// startTimeout bounds how long a lookup waits for the lists of gateways and targets, which a
-	// process that has just started does not have, or has from a copy.
+	// startTimeout bounds how long a lookup waits for the list of gateways, which a process that
+	// has just started does not have.
 	startTimeout = 500 * time.Millisecond
-	// startPollInterval is the interval at which it looks for them.
+	// startPollInterval is the interval at which it looks for that list.
 	startPollInterval = 10 * time.Millisecond
-	// maxListAge is how old the list of targets may be for conclusions from the versions on it.
+	// maxListAge is how old the list of targets may be, while gateways don't answer, for conclusions
+	// from the versions on it.
 	maxListAge = 2 * time.Second
 )
 
@@ -64,7 +65,9 @@
 type Fleet interface {
 	// Self returns this process.
 	Self() hookhall.Member
-	// List returns all gateways that answer, this one included.
+	// All returns all gateways, this one included. The caller must not change the slice.
+	All() []hookhall.Member
+	// List returns those that have not failed to answer lately.
 	List(now time.Time) []hookhall.Member
 	// HasList reports whether the other gateways are known: not yet, just after the start.
 	HasList() bool
@@ -97,7 +100,7 @@
 	Binding binding.Binding
 	IsBound bool // Binding is set
 	// Versions are those that the service had within the window, Reach of which the gateway
-	// remembers; none if its list of targets is too old.
+	// remembers.
 	Versions []string
 	Reach    time.Duration
 }
@@ -172,7 +175,7 @@
 // copy sends a binding to Copies gateways. The channel is closed once one of them has it, or none
 // of them can be reached.
 func (b *Bindings) copy(bound binding.Binding, now time.Time) (copied <-chan struct{}) {
-	candidates := b.peers(bound.Key, now)
+	candidates := b.peers(bound.Key, b.Fleet.List(now))
 	done := make(chan struct{})
 	var next, running atomic.Int64
 	var once sync.Once
@@ -204,10 +207,10 @@
 	return b.Remote(address).Bind(ctx, list) == nil
 }
 
-// peers returns the other gateways in the order of a binding.
-func (b *Bindings) peers(key binding.Key, now time.Time) []hookhall.Member {
+// peers returns the other gateways of a list in the order of a binding.
+func (b *Bindings) peers(key binding.Key, list []hookhall.Member) []hookhall.Member {
 	self := b.Fleet.Self().Address
-	ranked := binding.Rank(key, b.Fleet.List(now))
+	ranked := binding.Rank(key, list)
 	others := ranked[:0]
 	for _, member := range ranked {
 		if member.Address != self {
@@ -230,9 +233,7 @@
 	now := clock.Now()
 	var k Known
 	k.Binding, k.IsBound = b.Table.Get(q.Key, now)
-	if b.ListAge(now) <= maxListAge {
-		k.Versions, k.Reach = b.History.Within(q.Service, q.Window, now)
-	}
+	k.Versions, k.Reach = b.History.Within(q.Service, q.Window, now)
 	return k
 }
 
@@ -247,13 +248,13 @@
 // ones.
 func (b *Bindings) find(ctx context.Context, q Query) Found {
 	own := b.Known(q)
-	if !own.IsBound && b.awaitLists(ctx) {
-		own = b.Known(q)
-	}
 	if own.IsBound {
 		return Found{Service: own.Binding.Service, Version: own.Binding.Version, Source: SourceOwn}
 	}
-	peers := b.peers(q.Key, clock.Now())
+	b.awaitPeers(ctx)
+	// Those that failed to answer lately are asked, too: what they know may be needed, and if they
+	// are not there this gateway may be cut off.
+	peers := b.peers(q.Key, b.Fleet.All())
 	peers = peers[:min(len(peers), maxAsked)]
 	holders := min(len(peers), Copies)
 	seen, asked, unanswered := own, 0, 0
@@ -268,24 +269,20 @@
 			break
 		}
 	}
-	if len(own.Versions) != 1 || len(seen.Versions) != 1 {
+	// A gateway that is cut off does not know which versions others have learned of since.
+	isCurrent := unanswered == 0 || b.ListAge(clock.Now()) <= maxListAge
+	if !isCurrent || len(own.Versions) != 1 || len(seen.Versions) != 1 {
 		return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
 	}
 	return Found{Service: q.Service, Version: own.Versions[0], Source: SourceSole, Asked: asked, Unanswered: unanswered}
 }
 
-// awaitLists waits up to startTimeout until the lists of gateways and targets are known and current, and
-// reports whether it had to wait.
-func (b *Bindings) awaitLists(ctx context.Context) (waited bool) {
+// awaitPeers waits up to startTimeout until the other gateways are known.
+func (b *Bindings) awaitPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for !b.Fleet.HasList() || b.ListAge(clock.Now()) > maxListAge {
-		waited = true
-		if !retry.Sleep(ctx, startPollInterval) {
-			break
-		}
+	for !b.Fleet.HasList() && retry.Sleep(ctx, startPollInterval) {
 	}
-	return waited
 }
 
 // ask asks gateways at the same time. It returns the answer of the first that has the binding, or
@@ -325,7 +322,7 @@
 	byAddress := map[string][]binding.Binding{}
 	all := b.Table.All(now)
 	for _, bound := range all {
-		peers := b.peers(bound.Key, now)
+		peers := b.peers(bound.Key, b.Fleet.List(now))
 		for _, peer := range peers[:min(len(peers), Copies)] {
 			byAddress[peer.Address] = append(byAddress[peer.Address], bound)
 		}
