bindings: a gateway that starts after all others died trusts its own list

A list counts as current up to 4 s, and a lookup that needs a newer one waits up to half a second for it.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -52,13 +52,14 @@
 	// maxPerCall limits the bindings in one call, so that its message stays below 200 KB.
 	maxPerCall = 2000
 	// startTimeout bounds how long a lookup waits for the list of gateways, which a process that
-	// has just started does not have.
+	// has just started does not have, and for that of targets, which it may have from an old copy.
 	startTimeout = 500 * time.Millisecond
-	// startPollInterval is the interval at which it looks for that list.
+	// startPollInterval is the interval at which it looks for the lists.
 	startPollInterval = 10 * time.Millisecond
 	// maxListAge is how old the list of targets may be, while gateways don't answer, for conclusions
-	// from the versions on it.
-	maxListAge = 2 * time.Second
+	// from the versions on it. A gateway that reaches the store starts with a copy of up to three
+	// seconds, and replaces it within 0.8 s.
+	maxListAge = 4 * time.Second
 )
 
 // Fleet lists the gateways.
@@ -251,7 +252,7 @@
 	if own.IsBound {
 		return Found{Service: own.Binding.Service, Version: own.Binding.Version, Source: SourceOwn}
 	}
-	b.awaitPeers(ctx)
+	await(ctx, b.Fleet.HasList)
 	// Those that failed to answer lately are asked, too: what they know may be needed, and if they
 	// are not there this gateway may be cut off.
 	peers := b.peers(q.Key, b.Fleet.All())
@@ -269,20 +270,26 @@
 			break
 		}
 	}
-	// A gateway that is cut off does not know which versions others have learned of since.
-	isCurrent := unanswered == 0 || b.ListAge(clock.Now()) <= maxListAge
-	if !isCurrent || len(own.Versions) != 1 || len(seen.Versions) != 1 {
+	if len(own.Versions) != 1 || len(seen.Versions) != 1 || (unanswered > 0 && !await(ctx, b.hasCurrentList)) {
 		return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
 	}
 	return Found{Service: q.Service, Version: own.Versions[0], Source: SourceSole, Asked: asked, Unanswered: unanswered}
 }
 
-// awaitPeers waits up to startTimeout until the other gateways are known.
-func (b *Bindings) awaitPeers(ctx context.Context) {
+// hasCurrentList reports whether the list of targets is current. A gateway that is cut off does not know
+// which versions others have learned of since.
+func (b *Bindings) hasCurrentList() bool { return b.ListAge(clock.Now()) <= maxListAge }
+
+// await waits up to startTimeout for a condition and reports whether it was met.
+func await(ctx context.Context, condition func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for !b.Fleet.HasList() && retry.Sleep(ctx, startPollInterval) {
+	for !condition() {
+		if !retry.Sleep(ctx, startPollInterval) {
+			return false
+		}
 	}
+	return true
 }
 
 // ask asks gateways at the same time. It returns the answer of the first that has the binding, or
