forward: the head of a stream waits for something to follow it

Found beside the streams that end inside an event: where a target sent a head and broke off before its first event, the client got a closed connection without any answer. The head was taken for sent, but it leaves with the first event only: nothing flushes it before. The stream could only be cut, and the head of a target that had sent no event stood over the events of another one.

The head is written with the first event, or at the end of a stream without any. Until then another target's answer or an error takes its place: 502 with its cause on a connection that stays open, and the signature is that of the target whose events follow.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -26,9 +26,10 @@
 // stream is the answer of a streaming request. It may span several targets.
 type stream struct {
 	r           *request
-	hasBegun    bool      // the head was sent to the client
-	lastWrite   time.Time // when the last event was sent to the client
-	lastEventID string    // id of the last complete event that the client has
+	head        *hookhall.Reply // whose head the client gets, until it is sent
+	hasBegun    bool            // the head was sent to the client
+	lastWrite   time.Time       // when the last event was sent to the client
+	lastEventID string          // id of the last complete event that the client has
 }
 
 // serveStream passes a stream on, from several targets in turn if the route allows it.
@@ -80,14 +81,21 @@
 		s.r.readTime.recordLongEnough()
 	}
 	s.r.results.Release()
-	if !s.hasBegun {
-		s.hasBegun = true
-		a.reply.Header.Del("Content-Length")
-		s.r.answer.Begin(a.reply.Status, a.reply.Header)
-	}
+	s.head = a.reply
 	return s.passEvents(ctx, a)
 }
 
+// begin sends the head of the answer, if it was not sent. Until there is something to follow it, the
+// answer of another target or an error can take its place.
+func (s *stream) begin() {
+	if s.hasBegun {
+		return
+	}
+	s.hasBegun = true
+	s.head.Header.Del("Content-Length")
+	s.r.answer.Begin(s.head.Status, s.head.Header)
+}
+
 // passFailure passes a target's own error answer on, unless the stream has begun.
 func (s *stream) passFailure(a *attempt) *hookhall.Error {
 	if s.hasBegun {
@@ -149,6 +157,7 @@
 	case parser.Events() == 0 && a.reply.Framing == hookhall.FramedByConnection:
 		return s.broken(ctx, a, "the connection ended before the first event", io.ErrUnexpectedEOF)
 	}
+	s.begin()
 	return s.writeEvents(left, parser.LastID())
 }
 
@@ -167,6 +176,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	s.begin()
 	if err := s.r.answer.Chunk(events); err != nil {
 		return hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseCanceled, "the client has gone: %v", err)
 	}
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -4,8 +4,10 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -17,9 +19,12 @@
 )
 
 // recordingClient records what it was sent, with the parts of the body.
-type recordingClient struct{ chunks []string }
+type recordingClient struct {
+	chunks []string
+	seal   string // of the head, "" if there was none
+}
 
-func (*recordingClient) Begin(int, http.Header) {}
+func (c *recordingClient) Begin(_ int, h http.Header) { c.seal = h.Get("Seal") }
 
 func (c *recordingClient) Chunk(b []byte) error {
 	c.chunks = append(c.chunks, string(b))
@@ -55,7 +60,7 @@
 					activeCall: tracker.Begin(target, balance.Criteria{}, clock.Now()), began: clock.Now(),
 					reply: &hookhall.Reply{Framing: c.framing, Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(c.body)))},
 				}
-				s := &stream{r: &request{route: &hookhall.Route{}, answer: client}, lastEventID: "0"}
+				s := &stream{r: &request{route: &hookhall.Route{}, answer: client}, head: a.reply, lastEventID: "0"}
 				failure := s.passEvents(t.Context(), a)
 				if (failure == nil) != c.whole {
 					t.Errorf("ended with %v", failure)
@@ -80,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := &recordingClient{}
 			a := &attempt{reply: &hookhall.Reply{Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(event + event + event)))}}
-			s := &stream{r: &request{route: &hookhall.Route{}, answer: client}}
+			s := &stream{r: &request{route: &hookhall.Route{}, answer: client}, head: a.reply}
 			if failure := s.passEvents(t.Context(), a); failure != nil {
 				t.Fatal(failure)
 			}
@@ -113,7 +118,7 @@
 		client := &recordingClient{}
 		a := &attempt{activeCall: balance.NewTracker().Begin(hookhall.Target{}, balance.Criteria{}, clock.Now())}
 		a.reply = &hookhall.Reply{Framing: hookhall.FramedByConnection, Body: io.NopCloser(pieceReader{strings.NewReader(body), size})}
-		s := &stream{r: &request{route: &hookhall.Route{}, answer: client}}
+		s := &stream{r: &request{route: &hookhall.Route{}, answer: client}, head: a.reply}
 		failure := s.passEvents(t.Context(), a)
 		passed := strings.Join(client.chunks, "")
 		switch {
@@ -126,3 +131,51 @@
 		}
 	})
 }
+
+// TestHeadWaitsForEvents guards against clients that get a closed connection, without any answer, for a
+// stream that broke off before its first event, and against the head of a target that sent none.
+func TestHeadWaitsForEvents(t *testing.T) {
+	const event = "id: 1\n\n"
+	for name, c := range map[string]struct {
+		bodies []string // of the targets, in turn; all but the last break off
+		seal   string
+		begun  bool
+	}{
+		"the first has an event":             {[]string{event + "id", event}, "0", true},
+		"the first has none":                 {[]string{"", event}, "1", true},
+		"the first has a piece of one":       {[]string{"id: 1", event}, "1", true},
+		"none has an event":                  {[]string{"", "id"}, "", false},
+		"a whole stream without events":      {[]string{": c\n\n"}, "0", true},
+		"a whole stream that holds no bytes": {[]string{"whole"}, "0", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := &recordingClient{}
+			r := newFailingRequest(nil)
+			r.answer, r.route = client, &hookhall.Route{}
+			s := &stream{r: r}
+			var failure *hookhall.Error
+			for i, body := range c.bodies {
+				framing := hookhall.FramedByChunks
+				switch body {
+				case "":
+					framing = hookhall.FramedByConnection
+				case "whole":
+					body = ""
+				}
+				a := &attempt{activeCall: r.Tracker.Begin(hookhall.Target{}, balance.Criteria{}, clock.Now())}
+				a.reply = &hookhall.Reply{Status: 200, Header: http.Header{"Seal": {strconv.Itoa(i)}}, Framing: framing, Body: io.NopCloser(strings.NewReader(body))}
+				a.reply.Info.Sealed = true
+				failure = s.forward(t.Context(), a)
+			}
+			if client.seal != c.seal {
+				t.Errorf("the head of target %q, want %q", client.seal, c.seal)
+			}
+			if failure == nil {
+				return
+			}
+			if err := s.finalError(t.Context(), failure); errors.Is(err, hookhall.ErrTruncated) != c.begun {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
--- a/internal/coordination/forward/unread_test.go
+++ b/internal/coordination/forward/unread_test.go
@@ -47,7 +47,7 @@
 					activeCall: tracker.Begin(target, balance.Criteria{}, clock.Now()), began: clock.Now(),
 					reply: &hookhall.Reply{Body: io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), broken))},
 				}
-				s := &stream{r: &request{route: &hookhall.Route{}, answer: pacedClient{c.pace}}}
+				s := &stream{r: &request{route: &hookhall.Route{}, answer: pacedClient{c.pace}}, head: a.reply}
 				if e := s.passEvents(t.Context(), a); e == nil || e.Cause != hookhall.CauseTruncated {
 					t.Fatalf("the stream ended with %v", e)
 				}
--- a/internal/coordination/forward/versions_test.go
+++ b/internal/coordination/forward/versions_test.go
@@ -139,7 +139,7 @@
 			}
 			a := &attempt{activeCall: r.Tracker.Begin(r.target, balance.Criteria{}, clock.Now())}
 			a.reply = &hookhall.Reply{Framing: hookhall.FramedByChunks, Body: io.NopCloser(strings.NewReader(c.body))}
-			_ = (&stream{r: r}).passEvents(t.Context(), a) // some of the streams are broken
+			_ = (&stream{r: r, head: a.reply}).passEvents(t.Context(), a) // some of the streams are broken
 			if r.begun.isBound != c.isBound {
 				t.Errorf("bound: %v", r.begun.isBound)
 			}
