forward: the version of a named stream is recorded whatever it followed from

Found by reading the diff: a stream whose version followed from the lists, since there was only one, was not recorded when its client took it up. With another version listed a moment later, its next try was refused as not known, though this gateway had just decided the version.

--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -61,7 +61,7 @@
 		return failure.WithRetryAfter(missingVersionRetryAfter)
 	}
 	r.service, r.begun.isBound = found.Service, true
-	if found.Source != bindings.SourceSole {
+	if r.call.Resumes != "" {
 		r.Bindings.Refresh(r.binding())
 	}
 	return r.refuseMissingVersion()
--- a/internal/coordination/forward/versions_test.go
+++ b/internal/coordination/forward/versions_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// TestTakeUpIsRecorded checks that the version of a stream that a client takes up is recorded anew, also if it
+// followed from the lists, as long as the client names the stream.
+func TestTakeUpIsRecorded(t *testing.T) {
+	for _, source := range []bindings.Source{bindings.SourceOwn, bindings.SourcePeer, bindings.SourceSole} {
+		for _, resumes := range []string{"first", ""} {
+			r, known := newTakeUp(bindings.Found{Service: "llm", Version: "v2", Source: source})
+			r.call.Resumes = resumes
+			if failure := r.takeUp(t.Context()); failure != nil || (len(known.bound) == 1) != (resumes != "") {
+				t.Errorf("%s, named %q: recorded %+v, %v", source, resumes, known.bound, failure)
+			}
+		}
+	}
+}
+
 // TestTakeUpOfAnotherService checks that a stream goes on at the service that began it, where the route
 // leads to several.
 func TestTakeUpOfAnotherService(t *testing.T) {
