forward: an event has a bound

Found by reading the diff: an event is held in memory until it is complete, and a target that never completes one made the buffer grow for as long as it sent. The answer is broken off beyond 1 MB now, as a failure of the target.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -12,12 +12,16 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/eventstream"
+	"github.com/pkg/errors"
 )
 
 const (
 	// initialBufferSize is the initial size in bytes of the buffer for events; it grows for longer
 	// events.
 	initialBufferSize = 4 << 10
+	// maxEventBytes bounds one event, which is held in memory until it is complete. The stream of a
+	// target that sends a longer one is broken off.
+	maxEventBytes = 1 << 20
 	// unreadTimeLimit is how long a client may stall a stream. After that the target may break it
 	// off without a failure being counted for the target.
 	unreadTimeLimit = time.Second
@@ -138,6 +142,8 @@
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
 		switch {
+		case len(buffer) > maxEventBytes:
+			return s.broken(ctx, a, "an event is too long", errors.Errorf("over %d bytes", maxEventBytes))
 		case err == io.EOF:
 			return s.endStream(ctx, a, &parser, buffer)
 		case err != nil:
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// TestEndlessEvent guards against a target that takes the memory of the process by an event without an
+// end.
+func TestEndlessEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes int
+		whole bool
+	}{
+		"a long event":     {maxEventBytes - 2, true},
+		"an endless event": {16 * maxEventBytes, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := strings.NewReader(strings.Repeat("x", c.bytes) + "\n\n")
+			a := &attempt{activeCall: balance.NewTracker().Begin(hookhall.Target{}, balance.Criteria{}, clock.Now())}
+			a.reply = &hookhall.Reply{Framing: hookhall.FramedByChunks, Body: io.NopCloser(body)}
+			failure := (&stream{r: &request{route: &hookhall.Route{}, answer: &recordingClient{}}, head: a.reply}).passEvents(t.Context(), a)
+			if (failure == nil) != c.whole {
+				t.Errorf("ended with %v", failure)
+			}
+			if read := c.bytes + 2 - body.Len(); read > 4*maxEventBytes {
+				t.Errorf("%d bytes were read", read)
+			}
+		})
+	}
+}
+
 // TestEventsArePassedOnAtOnce guards against events that wait for the next one.
 func TestEventsArePassedOnAtOnce(t *testing.T) {
 	for name, event := range map[string]string{"LF": "id: 1\ndata: a\n\n", "CR LF": "id: 1\r\ndata: a\r\n\r\n", "CR": "id: 1\rdata: a\r\r"} {
