logs, metrics: tell outdated tables, slow delivery and own answers apart

Hypotheses on requests that were refused as if they were wrong could not be told apart: a refusal named the version of its table and neither the table's age nor whether the gateway was listed; answers of the gateway itself were not counted by status; nothing said which call the store gate took for an outage; and lines of the log came torn.

- Lines of requests have table_age_ms and sealed, refusals by the table listed.
- own_answers counts by status and cause, refusal_table_age by cause, and store_calls by call and outcome.
- Readings of all targets and repairs without effect have a line.
- The log is written in pieces of at most 4 KB, which a pipe takes as a whole.
TestWritesAreAtomic fails on the code before (16,500 bytes in a write).

No decision has changed.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -205,7 +205,7 @@
 	self := hookhall.Member{ID: config.Gateway.Instance, Instance: config.Gateway.Instance, Hall: config.Gateway.Hall, Address: g.peersListener.Addr().String(), RelativeCapacity: config.Gateway.RelativeCapacity()}
 	g.eras = eras.New(g.adapters.Store, g.metrics, g.logger(logging.Catalog))
 	g.storeGate = outage.NewGate(g.eras)
-	g.storeGate.Pace = g.outagePace
+	g.storeGate.Pace, g.storeGate.Meter, g.storeGate.Log = g.outagePace, g.metrics, g.logger(logging.Catalog)
 	g.catalog = catalog.New(g.storeGate, g.adapters.StoreSchema, g.logger(logging.Catalog))
 	g.members = members.New(self, g.storeGate, g.logger(logging.Members))
 	g.members.Roles, g.members.Meter = g.roles, g.metrics
@@ -290,6 +290,7 @@
 		},
 		SlotShare: g.slotShare,
 		HallsIn:   g.hallsIn,
+		Listed:    func() bool { listed, _ := g.members.Listed(); return listed },
 		Meter:     g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.bodyBudget = g.memoryBudget(requestBodiesShare)
@@ -307,6 +308,7 @@
 // and without its router, which would change paths.
 func (g *Gateway) newApp() *kratos.App {
 	handler := front.NewHandler(g.forwarder, g.adapters.Dialect, g.bodyBudget, g.logger(logging.Forward))
+	handler.Meter = g.metrics
 	g.drain = front.NewDrain(handler, handler.Refuse)
 	clientServer := newServer(g.clientsListener, g.drain)
 	readyServer := newServer(g.readyListener, http.HandlerFunc(g.serveReady))
--- a/internal/app/gateway/state.go
+++ b/internal/app/gateway/state.go
@@ -38,6 +38,7 @@
 	StoreEra        uint64                    `json:"store_era"`
 	TableVersion    int64                     `json:"table"`
 	TableRevision   hookhall.Revision         `json:"table_revision"`
+	TableAgeMS      int64                     `json:"table_age_ms"`
 	TargetsRevision hookhall.Revision         `json:"targets_revision"`
 	TargetsAgeMS    int64                     `json:"targets_age_ms"`
 	Halls           catalog.Halls             `json:"halls"`
@@ -94,7 +95,8 @@
 	state.Listed, state.MembersFrom = g.members.Listed()
 	if table := g.catalog.Table(); table != nil {
 		state.TableVersion = table.Version()
-		_, state.TableRevision = g.catalog.PackedTable()
+		revision, age := g.catalog.TableAge(now)
+		state.TableRevision, state.TableAgeMS = revision, age.Milliseconds()
 	}
 	if snapshot := g.catalog.Snapshot(); snapshot != nil {
 		state.TargetsRevision, state.TargetsAgeMS = snapshot.Revision, snapshot.Age(now).Milliseconds()
--- a/internal/app/logging/async.go
+++ b/internal/app/logging/async.go
@@ -14,10 +14,11 @@
 	// maxQueuedLines bounds how many lines wait for a slow underlying writer; further
 	// ones are dropped.
 	maxQueuedLines = 2048
-	// Lines are combined into one write once they reach maxBufferBytes, or after
-	// flushInterval.
-	maxBufferBytes = 16 << 10
-	flushInterval  = 100 * time.Millisecond
+	// Lines are combined into writes of at most maxWriteBytes, after flushInterval at the
+	// latest. A pipe takes that much (PIPE_BUF) as a whole, so that a collector that reads
+	// in the middle of a write never gets a part of a line.
+	maxWriteBytes = 4 << 10
+	flushInterval = 100 * time.Millisecond
 )
 
 // AsyncWriter is an io.Writer that never blocks its caller: a goroutine writes the lines
@@ -76,12 +77,20 @@
 	timer := time.NewTimer(flushInterval)
 	timer.Stop()
 	write := func() {
+		if len(buffer) > 0 {
+			_, _ = a.out.Write(buffer) // the log is the only place to report an error
+			buffer = buffer[:0]
+		}
 		if dropped := a.dropped.Load(); dropped > reported {
-			buffer = append(buffer, "level=warn prefix=log msg=\"log lines dropped\" count="+strconv.FormatInt(dropped-reported, 10)+"\n"...)
+			_, _ = a.out.Write([]byte("level=warn prefix=log msg=\"log lines dropped\" count=" + strconv.FormatInt(dropped-reported, 10) + "\n"))
 			reported = dropped
 		}
-		_, _ = a.out.Write(buffer) // the log is the only place to report an error
-		buffer = buffer[:0]
+	}
+	add := func(line []byte) {
+		if len(buffer)+len(line) > maxWriteBytes {
+			write()
+		}
+		buffer = append(buffer, line...)
 	}
 	for {
 		select {
@@ -89,16 +98,12 @@
 			if len(buffer) == 0 {
 				timer.Reset(flushInterval)
 			}
-			if buffer = append(buffer, line...); len(buffer) >= maxBufferBytes {
-				write()
-			}
+			add(line)
 		case <-timer.C:
-			if len(buffer) > 0 {
-				write()
-			}
+			write()
 		case done := <-a.flushRequests:
 			for len(a.lines) > 0 {
-				buffer = append(buffer, <-a.lines...)
+				add(<-a.lines)
 			}
 			write()
 			close(done)
--- a/internal/app/logging/async_test.go
+++ b/internal/app/logging/async_test.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -69,3 +70,44 @@
 		t.Fatalf("written after Flush: %q", b.String())
 	}
 }
+
+// chunkRecorder records the sizes of writes, and whether each ended with a line.
+type chunkRecorder struct {
+	mu     sync.Mutex
+	sizes  []int
+	broken int
+}
+
+func (c *chunkRecorder) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sizes = append(c.sizes, len(b))
+	if !bytes.HasSuffix(b, []byte("\n")) {
+		c.broken++
+	}
+	return len(b), nil
+}
+
+// TestWritesAreAtomic guards against lines that a collector sees in two parts: a pipe takes
+// only writes of up to 4 KB as a whole.
+func TestWritesAreAtomic(t *testing.T) {
+	c := &chunkRecorder{}
+	a := NewAsyncWriter(c)
+	line := []byte(strings.Repeat("x", 249) + "\n")
+	for range 1000 {
+		_, _ = a.Write(line)
+	}
+	a.Flush(5 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for _, size := range c.sizes {
+		total += size
+		if size > 4096 {
+			t.Errorf("a write of %d bytes", size)
+		}
+	}
+	if total != 1000*len(line) || c.broken > 0 {
+		t.Errorf("%d bytes written, %d writes ended inside a line", total, c.broken)
+	}
+}
--- a/internal/app/metrics/metrics.go
+++ b/internal/app/metrics/metrics.go
@@ -98,6 +98,23 @@
 	scope.Histogram("forward_duration", durationBuckets).RecordDuration(took)
 }
 
+// OwnAnswer counts an answer that this process made itself, by status and cause.
+func (m *Metrics) OwnAnswer(status int, cause string) {
+	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "cause": cause}).Counter("own_answers").Inc(1)
+}
+
+// RefusedByTable counts a request that the table in force does not allow, and records the time
+// since that table was last confirmed.
+func (m *Metrics) RefusedByTable(cause string, age time.Duration, listed bool) {
+	scope := m.scope.Tagged(map[string]string{"cause": cause, "listed": strconv.FormatBool(listed)})
+	scope.Histogram("refusal_table_age", durationBuckets).RecordDuration(age)
+}
+
+// StoreCall implements outage.Meter: it counts a call of the platform's store.
+func (m *Metrics) StoreCall(kind, outcome string) {
+	m.scope.Tagged(map[string]string{"call": kind, "outcome": outcome}).Counter("store_calls").Inc(1)
+}
+
 // UnfinishedStream counts a stream that its target ended inside an event, by the framing of its
 // answer.
 func (m *Metrics) UnfinishedStream(framing hookhall.Framing) {
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -179,6 +179,15 @@
 	return 0, 0
 }
 
+// AgedTable returns the table in force and the time since it was last confirmed; nil and 0 before
+// the first table.
+func (c *Catalog) AgedTable(now time.Time) (table *routetable.Table, age time.Duration) {
+	if s := c.table.Load(); s != nil {
+		return s.table, now.Sub(s.confirmed)
+	}
+	return nil, 0
+}
+
 // ApplyTable applies a table of a revision, read in a call that began at a given time, and
 // reports whether it was newer than the one in force.
 func (c *Catalog) ApplyTable(value []byte, revision hookhall.Revision, from string, began time.Time) bool {
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -151,6 +151,9 @@
 	if f.watchRevision > 0 && f.ReaderRank() == 0 && clock.Since(f.lastFullRead) < fullReadInterval {
 		return f.watch(ctx)
 	}
+	if !isFirst {
+		f.log.Info("reading all targets", "rank", f.ReaderRank(), "age", f.TargetsAge(clock.Now()), "watched_to", f.watchRevision)
+	}
 	r, err := f.readTargets(ctx, isFirst)
 	if err != nil {
 		return false, err
--- a/internal/coordination/forward/admission_test.go
+++ b/internal/coordination/forward/admission_test.go
@@ -35,7 +35,10 @@
 	// fakeStages records the graphs that are submitted, and fails them.
 	fakeStages struct{ graphs []stages.Graph }
 	// fakeCatalog has a table and no targets.
-	fakeCatalog struct{ table *routetable.Table }
+	fakeCatalog struct {
+		table    *routetable.Table
+		tableAge time.Duration
+	}
 	// fakeMeter counts decisions by outcome, reason and urgency.
 	fakeMeter struct{ counts map[string]int }
 	// noCrashes has no crashes recorded.
@@ -58,7 +61,10 @@
 	return nil, errSubmitted
 }
 
-func (f fakeCatalog) Table() *routetable.Table              { return f.table }
+func (f fakeCatalog) Table() *routetable.Table { return f.table }
+func (f fakeCatalog) AgedTable(time.Time) (*routetable.Table, time.Duration) {
+	return f.table, f.tableAge
+}
 func (fakeCatalog) Targets(string) []hookhall.Target        { return nil }
 func (fakeCatalog) TargetsAge(time.Time) time.Duration      { return 0 }
 func (fakeCatalog) TimeSinceAnswer(time.Time) time.Duration { return 0 }
@@ -67,6 +73,9 @@
 func (*fakeMeter) UnfinishedStream(hookhall.Framing)                         {}
 func (*fakeMeter) Forwarded(string, string, hookhall.Verdict, time.Duration) {}
 func (*fakeMeter) Retried(string)                                            {}
+func (m *fakeMeter) RefusedByTable(cause string, age time.Duration, listed bool) {
+	m.counts[fmt.Sprintf("%s %v %v", cause, age, listed)]++
+}
 func (m *fakeMeter) Admission(outcome, reason string, urgency int) {
 	m.counts[fmt.Sprintf("%s %s %d", outcome, reason, urgency)]++
 }
@@ -105,7 +114,7 @@
 	second.Waiting[1] = waiting
 	f.loads.loads["second"] = second
 	f.Forwarder = &Forwarder{
-		Catalog: fakeCatalog{table}, Stages: f.stages, Quarantine: noCrashes{}, Meter: f.meter, Log: log.New(f.lines),
+		Catalog: fakeCatalog{table: table}, Stages: f.stages, Quarantine: noCrashes{}, Meter: f.meter, Log: log.New(f.lines),
 		Budget:    budget.New(budget.Limits{Ratio: 0.1, Window: time.Second}, func(time.Time) quota.Position { return quota.Position{} }, clock.Now()),
 		Admission: &Admission{Mode: mode, Loads: f.loads, LateLast: true},
 	}
@@ -331,7 +340,7 @@
 		work.addUpcoming("first", 1, 10)
 		work.addUpcoming("second", 1, 10)
 	}
-	f.Catalog = fakeCatalog{routetable.Compile(&routing)}
+	f.Catalog = fakeCatalog{table: routetable.Compile(&routing)}
 	r, err := f.newRequest(&hookhall.Call{Host: "h", URI: "/x", CallInfo: hookhall.CallInfo{ID: "call", PieceCounts: []int{2, 3}}})
 	if err != nil {
 		b.Fatal(err)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -275,7 +275,7 @@
 		return a
 	}
 	a.reply = reply
-	r.status, r.relay, r.framing = reply.Status, reply.Relay, reply.Framing
+	r.status, r.sealed, r.relay, r.framing = reply.Status, reply.Info.Sealed, reply.Relay, reply.Framing
 	r.recordLoad(a)
 	if reply.Info.NotRun {
 		a.err = r.recordRefusal(a)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -59,6 +59,8 @@
 type Catalog interface {
 	// Table returns the route table in force, nil if none is known yet.
 	Table() *routetable.Table
+	// AgedTable returns the same and the time since that table was last known to be the newest.
+	AgedTable(now time.Time) (table *routetable.Table, age time.Duration)
 	// Targets returns the known targets of a service.
 	Targets(service string) []hookhall.Target
 	// TargetsAge returns the age of the list of targets.
@@ -128,6 +130,9 @@
 	// Admission counts a decision about a request by the load of its stage pools, by outcome,
 	// reason and urgency level.
 	Admission(outcome, reason string, urgency int)
+	// RefusedByTable counts a request that the table in force does not allow, by the time since
+	// that table was last confirmed and whether this process is on the list of gateways.
+	RefusedByTable(cause string, age time.Duration, listed bool)
 }
 
 // Forwarder answers requests. The exported fields are set before the first call of Serve.
@@ -157,8 +162,10 @@
 	SlotShare func(slots int, target string) int
 	// HallsIn returns the halls of regions.
 	HallsIn func(regions []string) []string
-	Meter   Meter
-	Log     *log.Logger
+	// Listed reports whether this process is on the list of gateways.
+	Listed func() bool
+	Meter  Meter
+	Log    *log.Logger
 
 	readTime readTimeEstimate
 }
@@ -196,7 +203,7 @@
 	clock.DetectSuspension() // detects a suspension, after which the table and the targets may be outdated
 	now := clock.Now()
 	r := &request{Forwarder: f, call: call, arrived: now, deadline: now, tried: map[string]bool{}}
-	r.table = f.Catalog.Table()
+	r.table, r.tableAge = f.Catalog.AgedTable(now)
 	if r.table == nil {
 		silence := f.Catalog.TimeSinceAnswer(now)
 		return r, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNotReady, "no table is known yet").WithRetryAfter(outageRetryAfter(silence))
@@ -300,7 +307,7 @@
 	fields := []any{
 		"request", r.call.ID, "route", route, "service", r.service, "outcome", cause, "took_ms", took.Milliseconds(),
 		"stages_ms", r.stagesElapsed.Milliseconds(), "first_ms", r.firstByteElapsed.Milliseconds(), "gap_ms", r.maxEventGap.Milliseconds(),
-		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "software", r.target.Version, "status", r.status,
+		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "software", r.target.Version, "status", r.status, "sealed", r.sealed,
 	}
 	if r.call.LastEventID != "" {
 		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID, "version_from", string(r.begun.source), "peers_unanswered", r.begun.unanswered)
@@ -316,7 +323,12 @@
 		f.Meter.UnfinishedStream(r.framing)
 	}
 	if r.table != nil {
-		fields = append(fields, "table", r.table.Version(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
+		fields = append(fields, "table", r.table.Version(), "table_age_ms", r.tableAge.Milliseconds(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
+	}
+	if cause == string(hookhall.CauseNoRoute) || cause == string(hookhall.CauseUnauthorized) {
+		listed := f.Listed()
+		fields = append(fields, "listed", listed)
+		f.Meter.RefusedByTable(cause, r.tableAge, listed)
 	}
 	if err == nil {
 		r.recordWrongRefusal(took)
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -40,14 +40,16 @@
 // request is the state of one request that is being answered.
 type request struct {
 	*Forwarder
-	call    *hookhall.Call
-	answer  hookhall.AnswerWriter
-	table   *routetable.Table     // in force when the request arrived
-	route   *hookhall.Route       // nil if none matches
-	account *hookhall.AccountKeys // nil if the route needs none
-	service string                // drawn from the route's services
-	halls   []string              // halls in which it may run, nil for all
-	arrived time.Time
+	call   *hookhall.Call
+	answer hookhall.AnswerWriter
+	table  *routetable.Table // in force when the request arrived
+	// tableAge is how long before the arrival that table was last known to be the newest.
+	tableAge time.Duration
+	route    *hookhall.Route       // nil if none matches
+	account  *hookhall.AccountKeys // nil if the route needs none
+	service  string                // drawn from the route's services
+	halls    []string              // halls in which it may run, nil for all
+	arrived  time.Time
 	// firstByteDue is the latency target: the arrival plus the route's LatencyObjective.
 	firstByteDue time.Time
 	// deadline is when the request gets its final answer.
@@ -79,6 +81,7 @@
 	target    hookhall.Target     // of the last attempt
 	placed    placement.Placement // of the next attempt; Target is "" if this process chose
 	status    int                 // of the last answer
+	sealed    bool                // whether the last answer bore its target's signature
 	relay     string              // address of the peer through which the last answer came, "" for none
 	framing   hookhall.Framing    // of the last answer
 	// unfinishedBytes is the number of bytes after the last complete event of a stream when its
--- a/internal/coordination/outage/gate.go
+++ b/internal/coordination/outage/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/state/clock"
@@ -39,6 +40,24 @@
 	HedgeInterval time.Duration
 }
 
+// Meter receives the counts of a Gate.
+type Meter interface {
+	// StoreCall counts a call by its kind and outcome.
+	StoreCall(kind, outcome string)
+}
+
+// The outcomes of calls.
+const (
+	outcomeAnswered    = "answered"
+	outcomeUnavailable = "unavailable"
+	// outcomeNotMade is that of a call that failed because the probe of another one did.
+	outcomeNotMade = "not-made"
+)
+
+// callKind names a method of the store, and the key or prefix that it is about, for logs and
+// metrics.
+type callKind struct{ method, key string }
+
 // Gate is a hookhall.Store that passes calls on to another store, and makes one call at a
 // time while that store does not answer. It is safe for concurrent use.
 type Gate struct {
@@ -46,6 +65,10 @@
 	// Pace returns the current pace. It is called for each probe and each failed call,
 	// in the latter case with g.mu held. Set it before the first call.
 	Pace func() Pace
+	// Meter counts calls; nil counts none. Log gets the start and the end of each outage; nil
+	// logs nothing. Set both before the first call.
+	Meter Meter
+	Log   *log.Logger
 
 	mu          sync.Mutex    // guards the fields below
 	failing     bool          // the last call was not answered, or none was made yet
@@ -96,7 +119,7 @@
 
 // Get implements hookhall.Store.
 func (g *Gate) Get(ctx context.Context, key string) (hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, func(ctx context.Context, _ bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{"Get", key}, func(ctx context.Context, _ bool) (r result, err error) {
 		r.item, r.revision, err = g.store.Get(ctx, key)
 		return r, err
 	})
@@ -105,7 +128,7 @@
 
 // Range implements hookhall.Store.
 func (g *Gate) Range(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, func(ctx context.Context, _ bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{"Range", prefix}, func(ctx context.Context, _ bool) (r result, err error) {
 		r.items, r.revision, err = g.store.Range(ctx, prefix)
 		return r, err
 	})
@@ -114,7 +137,7 @@
 
 // RangeStale implements hookhall.Store.
 func (g *Gate) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, func(ctx context.Context, _ bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{"RangeStale", prefix}, func(ctx context.Context, _ bool) (r result, err error) {
 		r.items, r.revision, err = g.store.RangeStale(ctx, prefix)
 		return r, err
 	})
@@ -124,7 +147,7 @@
 // Watch implements hookhall.Store. As a probe it waits for changes no longer than
 // probeWatchTimeout, since other callers wait to learn whether the store answers.
 func (g *Gate) Watch(ctx context.Context, prefix string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, func(ctx context.Context, probe bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{"Watch", prefix}, func(ctx context.Context, probe bool) (r result, err error) {
 		timeout := wait
 		if probe {
 			timeout = min(wait, probeWatchTimeout)
@@ -137,7 +160,7 @@
 
 // Put implements hookhall.Store.
 func (g *Gate) Put(ctx context.Context, key string, value []byte, lease hookhall.Lease) error {
-	_, err := g.call(ctx, func(ctx context.Context, _ bool) (result, error) {
+	_, err := g.call(ctx, callKind{"Put", key}, func(ctx context.Context, _ bool) (result, error) {
 		return result{}, g.store.Put(ctx, key, value, lease)
 	})
 	return err
@@ -146,7 +169,7 @@
 // Swap implements hookhall.Store. If a probe is sent twice, the second attempt may find
 // what the first has written, which is a conflict: the caller reads the current value.
 func (g *Gate) Swap(ctx context.Context, key string, value []byte, previous hookhall.Revision) (hookhall.Revision, error) {
-	r, err := g.call(ctx, func(ctx context.Context, _ bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{"Swap", key}, func(ctx context.Context, _ bool) (r result, err error) {
 		r.revision, err = g.store.Swap(ctx, key, value, previous)
 		return r, err
 	})
@@ -156,7 +179,7 @@
 // Grant implements hookhall.Store. If a probe is sent twice, one of two leases may stay
 // unused until it expires.
 func (g *Gate) Grant(ctx context.Context, ttl time.Duration) (hookhall.Lease, error) {
-	r, err := g.call(ctx, func(ctx context.Context, _ bool) (r result, err error) {
+	r, err := g.call(ctx, callKind{method: "Grant"}, func(ctx context.Context, _ bool) (r result, err error) {
 		r.lease, err = g.store.Grant(ctx, ttl)
 		return r, err
 	})
@@ -165,7 +188,7 @@
 
 // Renew implements hookhall.Store.
 func (g *Gate) Renew(ctx context.Context, lease hookhall.Lease) error {
-	_, err := g.call(ctx, func(ctx context.Context, _ bool) (result, error) {
+	_, err := g.call(ctx, callKind{method: "Renew"}, func(ctx context.Context, _ bool) (result, error) {
 		return result{}, g.store.Renew(ctx, lease)
 	})
 	return err
@@ -179,24 +202,33 @@
 
 // call makes a call directly while the store answers. Otherwise the call becomes the
 // probe, or waits for the running probe and shares its failure.
-func (g *Gate) call(ctx context.Context, do storeCall) (result, error) {
+func (g *Gate) call(ctx context.Context, kind callKind, do storeCall) (result, error) {
 	for {
 		probe, pending := g.enterCall()
 		switch {
 		case pending != nil:
 			if err := g.awaitProbe(ctx, pending); err != nil {
+				g.count(kind, outcomeNotMade)
 				return result{}, err
 			}
 		case probe:
-			return g.probe(ctx, do)
+			return g.probe(ctx, kind, do)
 		default:
+			began := clock.Now()
 			r, err := do(ctx, false)
-			g.recordResult(ctx, err)
+			g.recordResult(ctx, kind, began, err)
 			return r, err
 		}
 	}
 }
 
+// count counts a call by its outcome.
+func (g *Gate) count(kind callKind, outcome string) {
+	if g.Meter != nil {
+		g.Meter.StoreCall(kind.method, outcome)
+	}
+}
+
 // enterCall decides how a call is made: as the probe, after the running probe, whose end
 // closes pending, or directly if neither result is set.
 func (g *Gate) enterCall() (probe bool, pending chan struct{}) {
@@ -229,7 +261,7 @@
 }
 
 // probe waits for the end of the pause, makes the call and ends the probe.
-func (g *Gate) probe(ctx context.Context, do storeCall) (result, error) {
+func (g *Gate) probe(ctx context.Context, kind callKind, do storeCall) (result, error) {
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -239,8 +271,9 @@
 	if err := g.awaitPause(ctx); err != nil {
 		return result{}, err
 	}
+	began := clock.Now()
 	r, err := g.hedge(ctx, do)
-	g.recordResult(ctx, err)
+	g.recordResult(ctx, kind, began, err)
 	return r, err
 }
 
@@ -307,20 +340,39 @@
 
 // recordResult updates the state of the outage after a call. Failed calls whose own
 // ctx has ended are ignored: they don't show whether the store answers.
-func (g *Gate) recordResult(ctx context.Context, err error) {
+func (g *Gate) recordResult(ctx context.Context, kind callKind, began time.Time, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !errors.Is(err, hookhall.ErrUnavailable) {
+		g.count(kind, outcomeAnswered)
+		if g.failing && !g.failedAt.IsZero() {
+			g.logOutage("store answers this process again", kind, began, nil)
+		}
 		g.failing, g.skipped, g.nextPause = false, false, initialPause
 		return
 	}
 	if ctx.Err() != nil {
 		return
 	}
+	g.count(kind, outcomeUnavailable)
 	now := clock.Now()
 	if !g.failing || g.failedAt.IsZero() {
 		g.failing, g.failedAt = true, now
+		g.logOutage("store does not answer this process; one call at a time is made", kind, began, err)
 	}
 	g.nextProbeAt = now.Add(retry.Jitter(g.nextPause))
 	g.nextPause = min(2*g.nextPause, g.Pace().MaxPause)
 }
+
+// logOutage logs the call that showed the start or the end of an outage.
+func (g *Gate) logOutage(message string, kind callKind, began time.Time, err error) {
+	if g.Log == nil {
+		return
+	}
+	fields := []any{"call", kind.method, "key", kind.key, "took", clock.Since(began)}
+	if err != nil {
+		g.Log.Warn(message, append(fields, "error", err.Error())...)
+		return
+	}
+	g.Log.Info(message, append(fields, "outage", clock.Since(g.failedAt))...)
+}
--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -32,6 +32,7 @@
 		askedAt := clock.Now()
 		t, err := s.Clients.Client(peer).FetchTargets(ctx, own)
 		if err != nil {
+			s.Clients.Log.Info("gap not repaired", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
 			return // the next update starts another repair
 		}
 		items, _, err := unpackBulk(t.GetItems())
@@ -43,7 +44,9 @@
 		for _, b := range t.GetBuckets() {
 			r.Buckets = append(r.Buckets, int(b))
 		}
-		s.Catalog.ApplyRepair(r, hostOf(peer))
+		if !s.Catalog.ApplyRepair(r, hostOf(peer)) {
+			s.Clients.Log.Info("gap not repaired: the lists changed meanwhile, or the peer's is older", "peer", peer, "after", clock.Since(askedAt), "buckets", len(r.Buckets), "targets", len(items))
+		}
 	}()
 }
 
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -50,8 +50,17 @@
 	bodyRetryDelay = time.Second
 )
 
+// Meter receives the counts of a Handler.
+type Meter interface {
+	// OwnAnswer counts an answer that this process made itself, by status and cause.
+	OwnAnswer(status int, cause string)
+}
+
 // Handler is an http.Handler that passes requests to a Service.
 type Handler struct {
+	// Meter counts answers; nil counts none. Set it before the first request.
+	Meter Meter
+
 	service    Service
 	dialect    hookhall.Dialect
 	bodyBudget *buffer.Budget
@@ -61,7 +70,7 @@
 // NewHandler returns a Handler. bodyBudget is the memory budget that the bodies of all
 // requests in progress share.
 func NewHandler(service Service, dialect hookhall.Dialect, bodyBudget *buffer.Budget, logger *log.Logger) *Handler {
-	return &Handler{service, dialect, bodyBudget, logger}
+	return &Handler{service: service, dialect: dialect, bodyBudget: bodyBudget, log: logger}
 }
 
 // ServeHTTP implements http.Handler.
@@ -148,6 +157,9 @@
 // Refuse writes the answer to a request that is not passed on or got no answer from a
 // target.
 func (h *Handler) Refuse(w http.ResponseWriter, e *hookhall.Error) {
+	if h.Meter != nil {
+		h.Meter.OwnAnswer(Status(e), string(e.Cause))
+	}
 	if e.RetryAfter > 0 {
 		h.dialect.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
