outage: no call waits for a range, and a range is no probe

Callers saw proper requests refused by an outdated table: gateways had lost their registration, updates passed them by, and their own reading of the table failed too.

Cause: one gate served all calls of a process. After any failure one call was the probe on which all others waited and with which they failed, and that call could be the list of all targets, of tens of pages.

Ranges are apart now: a range is never the probe and its failure is no outage. While the store is in doubt a range is preceded by a small read, which others may share. A small call that fails although a later one was answered is no outage either.

Each process makes one small read more at its start.

--- a/internal/coordination/outage/gate.go
+++ b/internal/coordination/outage/gate.go
@@ -22,6 +22,8 @@
 	// probeWatchTimeout is how long a watch that is made as a probe may wait for
 	// changes: the other callers wait for its result.
 	probeWatchTimeout = 20 * time.Millisecond
+	// probeKey is the key that a probe reads on behalf of a range. It does not exist.
+	probeKey = "hookhall/probe"
 )
 
 // errProbeFailed is returned to the callers that waited for a probe that failed.
@@ -60,6 +62,11 @@
 
 // Gate is a hookhall.Store that passes calls on to another store, and makes one call at a
 // time while that store does not answer. It is safe for concurrent use.
+//
+// Ranges are apart from all other calls, which are small: a range may have many pages, and
+// its failure may show only that it is too large for the link, the store's rate or the time
+// that a call may take. So no other call waits for a range or fails because of one. After a
+// range that failed, the next one is preceded by a small read.
 type Gate struct {
 	store hookhall.Store
 	// Pace returns the current pace. It is called for each probe and each failed call,
@@ -70,15 +77,17 @@
 	Meter Meter
 	Log   *log.Logger
 
-	mu          sync.Mutex    // guards the fields below
-	failing     bool          // the last call was not answered, or none was made yet
-	failedAt    time.Time     // when the first call of this outage failed; zero before the first failure
-	nextPause   time.Duration // pause after the next failure, before jitter
-	nextProbeAt time.Time     // no probe is made earlier
-	answeredAt  time.Time     // start of the latest call that the store answered to a peer
-	skipped     bool          // a pause of this outage was skipped because of answeredAt
-	probeDone   chan struct{} // closed when the running probe has ended; nil without one
-	wake        chan struct{} // closed to end the current pause; nil outside one
+	mu             sync.Mutex    // guards the fields below
+	failing        bool          // the last small call was not answered, or none was made yet
+	rangeFailed    bool          // the last range was not answered, and no call was since
+	latestAnswered time.Time     // start of the latest small call that was answered to this process
+	failedAt       time.Time     // when the first call of this outage failed; zero before the first failure
+	nextPause      time.Duration // pause after the next failure, before jitter
+	nextProbeAt    time.Time     // no probe is made earlier
+	answeredAt     time.Time     // start of the latest call that the store answered to a peer
+	skipped        bool          // a pause of this outage was skipped because of answeredAt
+	probeDone      chan struct{} // closed when the running probe has ended; nil without one
+	wake           chan struct{} // closed to end the current pause; nil outside one
 }
 
 // NewGate returns a Gate for s. Its first call is a probe, since it is not known
@@ -128,20 +137,56 @@
 
 // Range implements hookhall.Store.
 func (g *Gate) Range(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, callKind{"Range", prefix}, func(ctx context.Context, _ bool) (r result, err error) {
-		r.items, r.revision, err = g.store.Range(ctx, prefix)
-		return r, err
-	})
-	return r.items, r.revision, err
+	return g.readRange(ctx, callKind{"Range", prefix}, g.store.Range)
 }
 
 // RangeStale implements hookhall.Store.
 func (g *Gate) RangeStale(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
-	r, err := g.call(ctx, callKind{"RangeStale", prefix}, func(ctx context.Context, _ bool) (r result, err error) {
-		r.items, r.revision, err = g.store.RangeStale(ctx, prefix)
-		return r, err
-	})
-	return r.items, r.revision, err
+	return g.readRange(ctx, callKind{"RangeStale", prefix}, g.store.RangeStale)
+}
+
+// readRange reads a range once the store answers small calls.
+func (g *Gate) readRange(ctx context.Context, kind callKind, read func(context.Context, string) ([]hookhall.Item, hookhall.Revision, error)) ([]hookhall.Item, hookhall.Revision, error) {
+	if err := g.awaitAnswer(ctx); err != nil {
+		g.count(kind, outcomeNotMade)
+		return nil, 0, err
+	}
+	items, revision, err := read(ctx, kind.key)
+	unavailable := errors.Is(err, hookhall.ErrUnavailable)
+	if unavailable && ctx.Err() != nil {
+		return items, revision, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rangeFailed = unavailable
+	if unavailable {
+		g.count(kind, outcomeUnavailable)
+	} else {
+		g.count(kind, outcomeAnswered)
+	}
+	return items, revision, err
+}
+
+// awaitAnswer returns nil if the store answers small calls, as far as is known. If the last call
+// failed, it reads probeKey, or waits for the running probe.
+func (g *Gate) awaitAnswer(ctx context.Context) error {
+	for {
+		probe, pending := g.enterCall(true)
+		switch {
+		case pending != nil:
+			if err := g.awaitProbe(ctx, pending, true); err != nil {
+				return err
+			}
+		case probe:
+			_, err := g.probe(ctx, callKind{"Get", probeKey}, func(ctx context.Context, _ bool) (r result, err error) {
+				r.item, r.revision, err = g.store.Get(ctx, probeKey)
+				return r, err
+			})
+			return err
+		default:
+			return nil
+		}
+	}
 }
 
 // Watch implements hookhall.Store. As a probe it waits for changes no longer than
@@ -204,10 +249,10 @@
 // probe, or waits for the running probe and shares its failure.
 func (g *Gate) call(ctx context.Context, kind callKind, do storeCall) (result, error) {
 	for {
-		probe, pending := g.enterCall()
+		probe, pending := g.enterCall(false)
 		switch {
 		case pending != nil:
-			if err := g.awaitProbe(ctx, pending); err != nil {
+			if err := g.awaitProbe(ctx, pending, false); err != nil {
 				g.count(kind, outcomeNotMade)
 				return result{}, err
 			}
@@ -231,11 +276,11 @@
 
 // enterCall decides how a call is made: as the probe, after the running probe, whose end
 // closes pending, or directly if neither result is set.
-func (g *Gate) enterCall() (probe bool, pending chan struct{}) {
+func (g *Gate) enterCall(isRange bool) (probe bool, pending chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case !g.failing:
+	case !g.isInDoubt(isRange):
 		return false, nil
 	case g.probeDone != nil:
 		return false, g.probeDone
@@ -244,9 +289,12 @@
 	return true, nil
 }
 
+// isInDoubt reports whether a call must not be made before a probe was answered. g.mu must be held.
+func (g *Gate) isInDoubt(isRange bool) bool { return g.failing || (isRange && g.rangeFailed) }
+
 // awaitProbe waits for the running probe. It returns nil if the store answered it, and
 // otherwise errProbeFailed, or hookhall.ErrUnavailable if ctx ends first.
-func (g *Gate) awaitProbe(ctx context.Context, done chan struct{}) error {
+func (g *Gate) awaitProbe(ctx context.Context, done chan struct{}, isRange bool) error {
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -254,7 +302,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.failing {
+	if g.isInDoubt(isRange) {
 		return errProbeFailed
 	}
 	return nil
@@ -338,8 +386,9 @@
 	return err
 }
 
-// recordResult updates the state of the outage after a call. Failed calls whose own
-// ctx has ended are ignored: they don't show whether the store answers.
+// recordResult updates the state of the outage after a small call. Failed calls are ignored if
+// their own ctx has ended, or if the store has answered a call that began later: they don't
+// show whether the store answers now.
 func (g *Gate) recordResult(ctx context.Context, kind callKind, began time.Time, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -348,13 +397,19 @@
 		if g.failing && !g.failedAt.IsZero() {
 			g.logOutage("store answers this process again", kind, began, nil)
 		}
-		g.failing, g.skipped, g.nextPause = false, false, initialPause
+		g.failing, g.skipped, g.nextPause, g.rangeFailed = false, false, initialPause, false
+		if began.After(g.latestAnswered) {
+			g.latestAnswered = began
+		}
 		return
 	}
 	if ctx.Err() != nil {
 		return
 	}
 	g.count(kind, outcomeUnavailable)
+	if !g.failing && began.Before(g.latestAnswered) {
+		return
+	}
 	now := clock.Now()
 	if !g.failing || g.failedAt.IsZero() {
 		g.failing, g.failedAt = true, now
--- a/internal/coordination/outage/gate_test.go
+++ b/internal/coordination/outage/gate_test.go
@@ -24,6 +24,18 @@
 	unavailable   bool
 	calls         int
 	lastWatchWait time.Duration // wait argument of the last Watch
+	rangeTime     time.Duration // that a range takes beyond all other calls
+	rangeError    error         // of ranges
+	gets          int
+}
+
+// readRange answers a range.
+func (s *fakeStore) readRange(ctx context.Context) error {
+	if err := s.answer(ctx); err != nil {
+		return err
+	}
+	time.Sleep(s.rangeTime)
+	return s.rangeError
 }
 
 func (s *fakeStore) answer(ctx context.Context) error {
@@ -51,13 +63,16 @@
 }
 
 func (s *fakeStore) Get(ctx context.Context, key string) (hookhall.Item, hookhall.Revision, error) {
+	s.mu.Lock()
+	s.gets++
+	s.mu.Unlock()
 	return hookhall.Item{Key: key}, 1, s.answer(ctx)
 }
 func (s *fakeStore) Range(ctx context.Context, _ string) ([]hookhall.Item, hookhall.Revision, error) {
-	return nil, 1, s.answer(ctx)
+	return nil, 1, s.readRange(ctx)
 }
 func (s *fakeStore) RangeStale(ctx context.Context, _ string) ([]hookhall.Item, hookhall.Revision, error) {
-	return nil, 1, s.answer(ctx)
+	return nil, 1, s.readRange(ctx)
 }
 func (s *fakeStore) Watch(ctx context.Context, _ string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
 	s.lastWatchWait = wait
@@ -262,3 +277,97 @@
 		watch(8 * time.Second)
 	})
 }
+
+// TestRangesAreApart guards against registrations that end because a range is slow or fails while
+// the store answers small calls.
+func TestRangesAreApart(t *testing.T) {
+	renew := func(t *testing.T, g *Gate) {
+		t.Helper()
+		began := time.Now()
+		if err := g.Renew(t.Context(), hookhall.Lease{Number: 1}); err != nil || time.Since(began) > 0 {
+			t.Errorf("a renewal took %v, %v", time.Since(began), err)
+		}
+	}
+	readRange := func(t *testing.T, g *Gate, want error) {
+		t.Helper()
+		if _, _, err := g.Range(t.Context(), "k/"); !errors.Is(err, want) {
+			t.Errorf("the range returned %v, want %v", err, want)
+		}
+	}
+	t.Run("no call waits for a range that is the first call", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewGate(&fakeStore{rangeTime: 7 * time.Second})
+			go func() { readRange(t, g, nil) }()
+			synctest.Wait()
+			renew(t, g)
+			time.Sleep(7 * time.Second)
+			synctest.Wait()
+		})
+	})
+	t.Run("no call waits for a range that follows an outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{rangeTime: 7 * time.Second}
+			g := NewGate(s)
+			s.setUnavailable(true)
+			_ = g.Renew(t.Context(), hookhall.Lease{Number: 1})
+			s.setUnavailable(false)
+			time.Sleep(time.Second)
+			go func() { readRange(t, g, nil) }()
+			synctest.Wait()
+			renew(t, g)
+			time.Sleep(7 * time.Second)
+			synctest.Wait()
+		})
+	})
+	t.Run("a range that fails stops no other calls", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewGate(&fakeStore{rangeError: hookhall.ErrUnavailable})
+			for range 5 {
+				readRange(t, g, hookhall.ErrUnavailable)
+				renew(t, g)
+			}
+		})
+	})
+	t.Run("a small read comes before a range after one that failed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{rangeError: hookhall.ErrUnavailable}
+			g := NewGate(s)
+			readRange(t, g, hookhall.ErrUnavailable) // the first call of all is such a read, too
+			s.rangeError = nil
+			readRange(t, g, nil)
+			readRange(t, g, nil)
+			if s.gets != 2 {
+				t.Errorf("%d small reads were made", s.gets)
+			}
+		})
+	})
+	t.Run("ranges wait for the end of an outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{}
+			g := NewGate(s)
+			s.setUnavailable(true)
+			readRange(t, g, hookhall.ErrUnavailable)
+			if calls := s.setUnavailable(true); calls != 1 || s.gets != 1 {
+				t.Errorf("%d calls were made, %d of them small", calls, s.gets)
+			}
+		})
+	})
+	t.Run("a call that is lost while later ones are answered is no outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{}
+			g := NewGate(s)
+			renew(t, g)
+			s.setUnavailable(true)
+			go func() { _ = g.Renew(t.Context(), hookhall.Lease{Number: 1}) }()
+			synctest.Wait()
+			s.setUnavailable(false)
+			time.Sleep(unavailableCallTime / 2)
+			renew(t, g)
+			time.Sleep(unavailableCallTime)
+			synctest.Wait()
+			if g.failing {
+				t.Error("the store counts as unavailable")
+			}
+		})
+	})
+}
