catalog: the first reader goes on watching while it lists all targets

Every ten seconds the first reader listed all targets in the loop that also watches them, and after any lost watch once more. Meanwhile no gateway learned of a change, and updates stopped: after 1.1 to 2.5 s all others list the targets too, which makes the store slower still. With 10,003 targets a list has 51 pages.

The list that checks the watch now runs beside it and is reconciled with what the watch brought meanwhile. After one lost watch the next goes on from the same revision; two in a row are an outage, after which a list shows that leases expired together.

TestChangesDuringCheck and all cases of TestLostWatch failed before.

--- a/internal/coordination/catalog/takeover_test.go
+++ b/internal/coordination/catalog/takeover_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,9 @@
 func (s *slowStore) Range(ctx context.Context, prefix string) ([]hookhall.Item, hookhall.Revision, error) {
 	items, at, err := s.fakeStore.Range(ctx, prefix)
 	if s.slow.Load() && prefix != "op/" {
+		for i := range items {
+			items[i].Revision = 1 // of the first write of each
+		}
 		time.Sleep(slowRangeDelay)
 	}
 	return items, at, err
@@ -77,3 +81,82 @@
 		})
 	}
 }
+
+// follow runs f beside a catalog of a store that was made in the same bubble.
+func follow(t *testing.T, s hookhall.Store, f func(c *Catalog)) {
+	t.Helper()
+	c := newCatalog(s)
+	ctx, cancel := context.WithCancel(t.Context())
+	var run sync.WaitGroup
+	run.Go(func() { c.Run(ctx) })
+	f(c)
+	cancel()
+	run.Wait()
+}
+
+// TestChangesDuringCheck guards against a first reader that learns of no change while it lists all
+// targets to check its watch, and against a list that undoes what the watch brought meanwhile.
+func TestChangesDuringCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{fakeStore: newFakeStore()}
+		s.targets = map[string]string{"a": "", "b": "", "c": ""}
+		s.staleTargets = maps.Clone(s.targets)
+		s.update(func() {})
+		follow(t, s, func(c *Catalog) {
+			time.Sleep(time.Second)
+			s.slow.Store(true)
+			time.Sleep(fullReadInterval)
+			s.update(func() { s.targets["b"] = "leaving"; delete(s.targets, "c"); s.targets["d"] = "" })
+			for range 2 * int(slowRangeDelay/time.Second) {
+				time.Sleep(time.Second)
+				expectUsable(t, c, "a", "d")
+				if age := c.TargetsAge(time.Now()); age > readInterval+eventGatherDelay+pollInterval {
+					t.Errorf("the targets' age is %v", age)
+				}
+			}
+		})
+	})
+}
+
+// lossyStore fails the next watches of the targets, as often as losses says.
+type lossyStore struct {
+	*fakeStore
+	losses atomic.Int64
+}
+
+func (s *lossyStore) Watch(ctx context.Context, prefix string, since hookhall.Revision, wait time.Duration) ([]hookhall.Item, hookhall.Revision, error) {
+	if prefix != "op/" && s.losses.Add(-1) >= 0 {
+		return nil, 0, hookhall.ErrUnavailable
+	}
+	return s.fakeStore.Watch(ctx, prefix, since, wait)
+}
+
+// TestLostWatch guards against a list of all targets after each watch whose answer is lost.
+func TestLostWatch(t *testing.T) {
+	for losses, reads := range map[int64]int{1: 0, 2: 1, 5: 1} {
+		t.Run(fmt.Sprint(losses), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &lossyStore{fakeStore: newFakeStore()}
+				s.targets = map[string]string{"a": "", "b": ""}
+				s.staleTargets = maps.Clone(s.targets)
+				s.update(func() {})
+				follow(t, s, func(c *Catalog) {
+					time.Sleep(time.Second)
+					s.mu.Lock()
+					s.targetReads = 0
+					s.mu.Unlock()
+					s.losses.Store(losses)
+					time.Sleep(time.Second)
+					s.update(func() { s.targets["b"] = "leaving" })
+					time.Sleep(2 * time.Second)
+					expectUsable(t, c, "a")
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					if s.targetReads < reads || s.targetReads > int(losses)-1 {
+						t.Errorf("all targets were listed %d times", s.targetReads)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"sort"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -57,10 +59,11 @@
 func (s *Snapshot) Age(now time.Time) time.Duration { return now.Sub(s.Began) }
 
 // followTargets reads the targets whenever their state is too old for the rank of this process.
-// The first reader watches them, and lists all of them every fullReadInterval. It returns when
-// ctx ends.
+// The first reader watches them, and beside that lists all of them every fullReadInterval. It
+// returns when ctx ends.
 func (c *Catalog) followTargets(ctx context.Context) {
 	f := targetsFollower{Catalog: c, backoff: retry.NewWithDelays(minRetryDelay, maxRetryDelay)}
+	defer f.checks.Wait()
 	for ctx.Err() == nil {
 		if !f.isDue(clock.Now()) {
 			f.watchRevision = 0 // updates of peers may be ahead of an earlier watch
@@ -82,7 +85,11 @@
 	backoff       *retry.Backoff
 	copyBegan     time.Time         // lower bound of the time at which the initial copy was made
 	watchRevision hookhall.Revision // the revision to watch from, 0 to list all targets
-	lastFullRead  time.Time         // when all targets were last listed
+	lastFullRead  time.Time         // when all targets were last listed, or begun to be
+	checks        sync.WaitGroup    // the running check
+	isChecking    atomic.Bool       // whether all targets are listed beside the watch
+	// watchFailed is set while the last watch failed, and the one before it did not.
+	watchFailed bool
 	// hasEvents is set when a watch returned changes: others may follow shortly.
 	hasEvents bool
 	// isFollower is set while this process relies on updates of peers.
@@ -129,10 +136,11 @@
 	}
 	f.recordCall(ctx, err)
 	if err != nil {
-		f.watchRevision = 0 // a full read brings whatever was missed
+		f.recordFailure()
 		f.backoff.Wait(ctx)
 		return
 	}
+	f.watchFailed = false
 	f.backoff.Reset()
 	if fresh && !isFirst {
 		f.OnStoreRead()
@@ -144,11 +152,24 @@
 	}
 }
 
+// recordFailure decides how to go on after a call without an answer. One watch may be lost; the next
+// one brings the same changes. After two there is an outage, in which the leases of many targets
+// may have expired: a list shows that they did so together.
+func (f *targetsFollower) recordFailure() {
+	if f.watchRevision == 0 || f.watchFailed {
+		f.watchRevision = 0
+	}
+	f.watchFailed = f.watchRevision > 0
+}
+
 // readOrWatch watches the targets or lists all of them, from a copy on the first call, and reports
 // whether the answer was newer than the known state.
 func (f *targetsFollower) readOrWatch(ctx context.Context, isFirst bool) (fresh bool, err error) {
 	f.hasEvents = false
-	if f.watchRevision > 0 && f.ReaderRank() == 0 && clock.Since(f.lastFullRead) < fullReadInterval {
+	if f.watchRevision > 0 && f.ReaderRank() == 0 {
+		if clock.Since(f.lastFullRead) >= fullReadInterval {
+			f.startCheck(ctx)
+		}
 		return f.watch(ctx)
 	}
 	if !isFirst {
@@ -166,6 +187,26 @@
 	return f.ApplyReading(r, "store"), nil
 }
 
+// startCheck lists all targets beside the watch, unless it still does so: with thousands of targets
+// or a slow store that takes seconds, and meanwhile no gateway would learn of a change.
+func (f *targetsFollower) startCheck(ctx context.Context) {
+	if !f.isChecking.CompareAndSwap(false, true) {
+		return
+	}
+	f.lastFullRead = clock.Now()
+	f.checks.Go(func() {
+		defer f.isChecking.Store(false)
+		r, err := f.readTargets(ctx, false)
+		if err != nil {
+			f.log.Info("list to check the watch not read", "error", err.Error())
+			return
+		}
+		if f.Reconcile(r, "store") {
+			f.OnStoreRead()
+		}
+	})
+}
+
 // watch waits up to readInterval for changes of the targets, applies them, and reports whether the
 // answer was newer than the known state.
 func (f *targetsFollower) watch(ctx context.Context) (fresh bool, err error) {
@@ -228,6 +269,26 @@
 	return true
 }
 
+// Reconcile applies what a reading of all targets has beyond the known state, which may be more
+// recent, and reports whether there was anything. Changes after the reading's revision are kept.
+func (c *Catalog) Reconcile(r Reading, from string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	snapshot := c.snapshot.Load()
+	if snapshot == nil || r.Revision.Era() != snapshot.Revision.Era() {
+		return false
+	}
+	now, before := clock.Now(), c.bucketDigests.combined()
+	listed := make(map[string]bool, len(r.Items))
+	for _, i := range r.Items {
+		c.applyItem(i, from, now)
+		listed[i.Key] = true
+	}
+	c.markMissing(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, false, from, now)
+	c.publish(snapshot.Revision, snapshot.Began, now)
+	return c.bucketDigests.combined() != before
+}
+
 // ApplyEvents applies the events of a watch of the targets up to a revision, read in a call that
 // began at a given time, and reports whether they were newer than the known state.
 func (c *Catalog) ApplyEvents(events []hookhall.Item, revision hookhall.Revision, began time.Time) bool {
