fleet: a table that a peer sends is as old as it is to that peer

A gateway that fetched a table, or at its start a peer's whole state, took the table for the newest one as of the moment of asking. One that was minutes old put off the gateway's own reading, and that of all to which it passed the table on, by up to two and a half seconds each time.

Tables carry the time since they were confirmed. A gateway that asks says which revision it has and gets no content of the same one.

--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -324,7 +324,7 @@
 		t.Fatal(err)
 	}
 	a.ApplyTable(value, 5, "store", time.Now())
-	packed, revision := a.PackedTable()
+	packed, revision, _ := a.PackedTable(time.Now())
 	if len(packed) > len(value)/5 {
 		t.Errorf("%d bytes of %d", len(packed), len(value))
 	}
@@ -334,7 +334,7 @@
 	if !b.ApplyPackedTable(packed, revision, "peer", time.Now()) || b.Table().Version() != 9 {
 		t.Error("the packed table was not applied")
 	}
-	if again, _ := b.PackedTable(); string(again) != string(packed) {
+	if again, _, _ := b.PackedTable(time.Now()); string(again) != string(packed) {
 		t.Error("the table was packed again")
 	}
 	if b.ApplyPackedTable(packed, revision-1, "peer", time.Now()) {
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -28,13 +28,13 @@
 // errNoTable is returned if the store answers but operators have not written a table.
 var errNoTable = errors.New("the store has no table yet")
 
-// PackedTable returns the table's value as Pack compresses it, and its revision, for peers; nil
-// and 0 before the first table.
-func (c *Catalog) PackedTable() ([]byte, hookhall.Revision) {
+// PackedTable returns the table's value as Pack compresses it, its revision, and the time since it
+// was last confirmed, for peers; zeros before the first table.
+func (c *Catalog) PackedTable(now time.Time) (packed []byte, revision hookhall.Revision, age time.Duration) {
 	if s := c.table.Load(); s != nil {
-		return s.packed, s.revision
+		return s.packed, s.revision, now.Sub(s.confirmed)
 	}
-	return nil, 0
+	return nil, 0, 0
 }
 
 // followTable watches the table if this process is the first reader, and otherwise reads it when
--- a/internal/transport/fleet/bootstrap.go
+++ b/internal/transport/fleet/bootstrap.go
@@ -84,7 +84,7 @@
 	}
 	s.Crashes.Merge(readCrashes(state.GetEnds().GetEnds(), clock.Now()), hostOf(peer))
 	s.Advisories.Merge(readAdvisories(state.GetAdvisories(), began), hostOf(peer))
-	s.Catalog.ApplyPackedTable(state.GetTable().GetPacked(), hookhall.Revision(state.GetTable().GetRevision()), hostOf(peer), began)
+	applyTable(s.Catalog, state.GetTable(), peer, began)
 	r := catalog.Reading{Revision: hookhall.Revision(state.GetTargetsRevision()), Began: began.Add(-milliseconds(state.GetAgeMs()))}
 	if r.Items, _, err = unpackBulk(state.GetTargets()); err != nil {
 		return err
@@ -109,13 +109,13 @@
 // GetBeliefs implements pb.FleetServer.
 func (s *Server) GetBeliefs(context.Context, *pb.BeliefsRequest) (*pb.Beliefs, error) {
 	b := s.Broadcaster
-	packed, revision := b.Catalog.PackedTable()
+	table := wireTable(b.Catalog)
 	r := b.Catalog.Reading()
-	if revision == 0 || r.Revision == 0 {
+	if table.GetRevision() == 0 || r.Revision == 0 {
 		return nil, errNoState
 	}
 	out := &pb.Beliefs{
-		Table:           &pb.Table{Packed: packed, Revision: uint64(revision)},
+		Table:           table,
 		TargetsRevision: uint64(r.Revision), AgeMs: ageMS(clock.Since(r.Began)),
 	}
 	h := b.Catalog.Halls()
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/catalog"
 	"github.com/hookhall/hookhall/internal/coordination/placement"
 	"github.com/hookhall/hookhall/internal/coordination/stages"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
@@ -180,12 +181,21 @@
 }
 
 // GetTable implements pb.FleetServer.
-func (s *Server) GetTable(context.Context, *pb.TableRequest) (*pb.Table, error) {
-	packed, revision := s.Broadcaster.Catalog.PackedTable()
-	if revision == 0 {
+func (s *Server) GetTable(_ context.Context, r *pb.TableRequest) (*pb.Table, error) {
+	t := wireTable(s.Broadcaster.Catalog)
+	if t.GetRevision() == 0 {
 		return nil, errNoState
 	}
-	return &pb.Table{Packed: packed, Revision: uint64(revision)}, nil
+	if r.GetHave() == t.GetRevision() {
+		t.Packed = nil
+	}
+	return t, nil
+}
+
+// wireTable returns the table in force, with revision 0 before the first.
+func wireTable(c *catalog.Catalog) *pb.Table {
+	packed, revision, age := c.PackedTable(clock.Now())
+	return &pb.Table{Packed: packed, Revision: uint64(revision), AgeMs: ageMS(age)}
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -323,10 +333,11 @@
 	return err
 }
 
-// FetchTable reads the operators' table that the peer has in force.
-func (c *Client) FetchTable(ctx context.Context) (*pb.Table, error) {
+// FetchTable reads the operators' table that the peer has in force, without its content if it is of
+// the revision that this process has.
+func (c *Client) FetchTable(ctx context.Context, have hookhall.Revision) (*pb.Table, error) {
 	if c.err != nil {
 		return nil, c.err
 	}
-	return c.rpc().GetTable(ctx, &pb.TableRequest{}, allowLargeReply)
+	return c.rpc().GetTable(ctx, &pb.TableRequest{Have: uint64(have)}, allowLargeReply)
 }
--- a/internal/transport/fleet/updates.go
+++ b/internal/transport/fleet/updates.go
@@ -260,14 +260,27 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tableFetchTimeout)
 	defer cancel()
 	began := clock.Now()
-	t, err := s.Clients.Client(m.GetFrom()).FetchTable(ctx)
+	have, _ := s.Catalog.TableAge(began)
+	t, err := s.Clients.Client(m.GetFrom()).FetchTable(ctx, have)
 	if err != nil {
 		return // the table comes from the store, or is fetched after the next update
 	}
-	if s.Catalog.ApplyPackedTable(t.GetPacked(), hookhall.Revision(t.GetRevision()), hostOf(m.GetFrom()), began) {
+	if applyTable(s.Catalog, t, m.GetFrom(), began) {
 		revision, age := s.Catalog.TableAge(clock.Now())
 		m.ConfigRevision, m.ConfigAgeMs = uint64(revision), ageMS(age)
 		m.AgeMs += ageMS(clock.Since(receivedAt))
 		s.relayUpdate(m, clock.Now())
 	}
 }
+
+// applyTable applies a table that a peer sent in answer to a call that began at a given time, and
+// reports whether it is newer than the one in force. The table is as old as it is to the peer:
+// otherwise an outdated table would count as the newest one.
+func applyTable(c *catalog.Catalog, t *pb.Table, peer string, began time.Time) bool {
+	revision, confirmed := hookhall.Revision(t.GetRevision()), began.Add(-milliseconds(t.GetAgeMs()))
+	if len(t.GetPacked()) == 0 {
+		c.ConfirmTable(revision, confirmed)
+		return false
+	}
+	return c.ApplyPackedTable(t.GetPacked(), revision, hostOf(peer), confirmed)
+}
