forward: no final refusal by a table that may be outdated

Callers got a 404 for routes and a 401 for keys that the operators' table had, from gateways that had not heard of a newer table for seconds, and clients do not try again after those answers.

A table that was not confirmed within the bound of the configuration (bounds.config_ms) is no ground for a final refusal any more: the answer is 503 as not run, with a second to come back, and the limit of bodies of such a table does not apply. A request that is sent later than the bound after a change is thus refused by the newest table or not finally. In an outage of the store that lasts longer than the bound this also holds for requests that no table allows; they are refused at once as before, and come back once.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -288,10 +288,11 @@
 		ColdShare: func(target string, service *hookhall.Service) int {
 			return g.coldShare(target, coldLimits.MaxDirectSenders(service))
 		},
-		SlotShare: g.slotShare,
-		HallsIn:   g.hallsIn,
-		Listed:    func() bool { listed, _ := g.members.Listed(); return listed },
-		Meter:     g.metrics, Log: g.logger(logging.Forward),
+		SlotShare:  g.slotShare,
+		HallsIn:    g.hallsIn,
+		TableBound: time.Duration(config.Bounds.ConfigMS) * time.Millisecond,
+		Listed:     func() bool { listed, _ := g.members.Listed(); return listed },
+		Meter:      g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.bodyBudget = g.memoryBudget(requestBodiesShare)
 	g.app = g.newApp()
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -38,6 +38,7 @@
 // BoundsSection has the bounds that operators set.
 type BoundsSection struct {
 	GraceMS       int     `toml:"grace_ms"`        // ms from the signal to stop to the kill
+	ConfigMS      int     `toml:"config_ms"`       // ms from a change of the operators' table until it is in force at all gateways
 	NoticeMS      int     `toml:"notice_ms"`       // ms for which a stopping gateway still accepts work; part of GraceMS
 	RetryRatio    float64 `toml:"retry_ratio"`     // maximum of retries, as a fraction of requests, 0 to 1
 	RetryWindowMS int     `toml:"retry_window_ms"` // ms of the window in which requests and retries are counted
@@ -61,7 +62,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Gateway:  GatewaySection{Cores: 1, LinkMbps: 1000, MemoryMB: 256},
-		Bounds:   BoundsSection{GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1, ExposeShare: 0.1},
+		Bounds:   BoundsSection{ConfigMS: 5000, GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1, ExposeShare: 0.1},
 		Overload: OverloadSection{Admission: "off"},
 		Log:      LogSection{Level: "info"},
 	}
@@ -83,6 +84,7 @@
 	c.positive("gateway.link_mbps", s.Gateway.LinkMbps)
 	c.inRange("gateway.memory_mb", s.Gateway.MemoryMB, 32, 1<<20)
 	c.address("store.address", s.Store.Address)
+	c.inRange("bounds.config_ms", s.Bounds.ConfigMS, 100, 600000)
 	c.inRange("bounds.grace_ms", s.Bounds.GraceMS, 100, 600000)
 	c.inRange("bounds.notice_ms", s.Bounds.NoticeMS, 0, s.Bounds.GraceMS)
 	c.inRange("bounds.retry_window_ms", s.Bounds.RetryWindowMS, 100, 600000)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -162,6 +163,9 @@
 	SlotShare func(slots int, target string) int
 	// HallsIn returns the halls of regions.
 	HallsIn func(regions []string) []string
+	// TableBound is the time within which a change of the operators' table must be in force. A
+	// table that was not confirmed for longer is no ground to refuse a request as unknown.
+	TableBound time.Duration
 	// Listed reports whether this process is on the list of gateways.
 	Listed func() bool
 	Meter  Meter
@@ -170,9 +174,10 @@
 	readTime readTimeEstimate
 }
 
-// MaxBody returns the operators' limit of request bodies in bytes, 0 if there is none.
+// MaxBody returns the operators' limit of request bodies in bytes, 0 if none is known or the table
+// that has it may be outdated.
 func (f *Forwarder) MaxBody() int {
-	if t := f.Catalog.Table(); t != nil {
+	if t, age := f.Catalog.AgedTable(clock.Now()); t != nil && age <= f.TableBound {
 		return t.Routing().Limits.MaxBody
 	}
 	return 0
@@ -210,11 +215,11 @@
 	}
 	path, _, _ := strings.Cut(call.URI, "?")
 	if r.route = r.table.Route(call.Host, path); r.route == nil {
-		return r, hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoRoute, "no route for %s%s in version %d", call.Host, path, r.table.Version())
+		return r, r.refuseByTable(hookhall.CauseNoRoute, fmt.Sprintf("no route for %s%s", call.Host, path))
 	}
 	if r.table.NeedsKey(r.route) {
 		if r.account = r.table.Account(call.Credential); r.account == nil {
-			return r, hookhall.Errorf(hookhall.NotRun, hookhall.CauseUnauthorized, "the key is not known in version %d", r.table.Version())
+			return r, r.refuseByTable(hookhall.CauseUnauthorized, "the key is not known")
 		}
 	}
 	r.service = pickService(r.route.Backends)
@@ -231,6 +236,16 @@
 	return r, nil
 }
 
+// refuseByTable returns the refusal of a request that the table does not allow. If the table may be
+// outdated, a newer one may allow it, and the client is told to come back.
+func (r *request) refuseByTable(cause hookhall.Cause, detail string) *hookhall.Error {
+	if r.tableAge > r.TableBound {
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseNotReady, "%s in version %d, which was not confirmed for %v",
+			detail, r.table.Version(), r.tableAge.Round(time.Millisecond)).WithRetryAfter(minOutageRetryAfter)
+	}
+	return hookhall.Errorf(hookhall.NotRun, cause, "%s in version %d", detail, r.table.Version())
+}
+
 // allowedHalls returns the halls in which a request may run, nil for all. If both its route
 // and its account are bound to regions, the halls must be in regions of both; without a
 // common hall it returns noHall, so that no target is eligible.
@@ -325,7 +340,7 @@
 	if r.table != nil {
 		fields = append(fields, "table", r.table.Version(), "table_age_ms", r.tableAge.Milliseconds(), "targets_age_ms", f.Catalog.TargetsAge(clock.Now()).Milliseconds())
 	}
-	if cause == string(hookhall.CauseNoRoute) || cause == string(hookhall.CauseUnauthorized) {
+	if r.table != nil && err != nil && (r.route == nil || (r.account == nil && r.table.NeedsKey(r.route))) {
 		listed := f.Listed()
 		fields = append(fields, "listed", listed)
 		f.Meter.RefusedByTable(cause, r.tableAge, listed)
