fleet: a gateway that hears no updates asks a peer for the table

Nobody asked a peer.

A process of the last rank whose table was not confirmed in time now asks a peer, which answers with the time since its own was confirmed, before it reads the store. Where many missed an update, the store is read by few.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -80,6 +80,9 @@
 	ReaderRank func() int
 	// GatewayCount returns the number of gateways, this one included. Set before Run.
 	GatewayCount func() int
+	// PullTable asks a peer for a newer table or a later confirmation of the one in force, before
+	// this process reads the store; it waits for the answer. Set before Run.
+	PullTable func(ctx context.Context)
 	// OnStoreRead is called after a read or watch of the store changed the known state or
 	// confirmed it anew, so that peers can be updated. Set before Run.
 	OnStoreRead func()
@@ -140,7 +143,7 @@
 
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
-	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
+	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
 	c.recordAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -43,7 +43,7 @@
 	backoff := retry.NewWithDelays(minRetryDelay, maxRetryDelay)
 	watchRevision := hookhall.Revision(0)
 	for ctx.Err() == nil {
-		if s := c.table.Load(); s != nil && c.ReaderRank() > 0 && !c.needsRead(s.confirmed, clock.Now()) {
+		if c.isTableCurrent(ctx) {
 			watchRevision = 0 // updates of peers may be ahead of an earlier watch
 			retry.Sleep(ctx, pollInterval)
 			continue
@@ -78,6 +78,21 @@
 	}
 }
 
+// isTableCurrent reports whether peers have confirmed the table in time, so that this process need
+// not read it. Peers are asked first: many gateways may have missed an update, and the store may
+// not answer this one.
+func (c *Catalog) isTableCurrent(ctx context.Context) bool {
+	rank := c.ReaderRank()
+	if c.table.Load() == nil || rank == 0 {
+		return false
+	}
+	isCurrent := func() bool { return !c.needsRead(c.table.Load().confirmed, clock.Now()) }
+	if !isCurrent() && rank >= maxRank {
+		c.PullTable(ctx)
+	}
+	return isCurrent()
+}
+
 // logNoTable logs that the store has no table, once until it has one again.
 func (c *Catalog) logNoTable() {
 	if !c.isTableMissing.Swap(true) {
--- a/internal/coordination/catalog/takeover_test.go
+++ b/internal/coordination/catalog/takeover_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"sync"
@@ -160,3 +161,68 @@
 		})
 	}
 }
+
+// TestTableIsPulled guards against a gateway that no update reaches and the store does not answer, and
+// that goes on with its table although peers have a newer one; and against readings of the store by
+// all that missed an update.
+func TestTableIsPulled(t *testing.T) {
+	for name, c := range map[string]struct {
+		rank   int
+		down   bool // the store does not answer
+		pulled bool
+	}{
+		"the store does not answer":   {maxRank, true, true},
+		"the store answers":           {maxRank, false, true},
+		"by the standby, which reads": {1, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.targets = map[string]string{"a": ""}
+				s.staleTargets = maps.Clone(s.targets)
+				s.setTable(1)
+				cat := newCatalog(s)
+				cat.ReaderRank = func() int { return c.rank }
+				newer, err := json.Marshal(hookhall.Routing{Version: 2})
+				if err != nil {
+					t.Fatal(err)
+				}
+				var pulls atomic.Int64
+				helps := false
+				cat.PullTable = func(context.Context) {
+					pulls.Add(1)
+					if helps {
+						cat.ApplyTable(newer, 100, "peer", time.Now())
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var run sync.WaitGroup
+				run.Go(func() { cat.Run(ctx) })
+				time.Sleep(5 * time.Second)
+				if cat.Table().Version() != 1 || (pulls.Load() > 0) != c.pulled {
+					t.Errorf("version %d after %d pulls", cat.Table().Version(), pulls.Load())
+				}
+				s.update(func() { s.down = c.down })
+				helps = true
+				s.mu.Lock()
+				s.operatorReads = 0
+				s.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				want := int64(1)
+				if c.pulled {
+					want = 2
+				}
+				if cat.Table().Version() != want {
+					t.Errorf("version %d, not %d", cat.Table().Version(), want)
+				}
+				s.mu.Lock()
+				if c.pulled && s.operatorReads > 1 {
+					t.Errorf("the store was read %d times", s.operatorReads)
+				}
+				s.mu.Unlock()
+				cancel()
+				run.Wait()
+			})
+		})
+	}
+}
--- a/internal/transport/fleet/tables_test.go
+++ b/internal/transport/fleet/tables_test.go
@@ -77,3 +77,77 @@
 		expectTable(t, other, 5, age, age+10*time.Second)
 	})
 }
+
+// listPeers makes a process list others at the given addresses.
+func listPeers(b *Broadcaster, addresses ...string) {
+	list := newFixedPeers(1)
+	for _, a := range addresses {
+		list.list = append(list.list, hookhall.Member{Address: a})
+	}
+	b.Peers = list
+}
+
+// TestPullTable guards against gateways that stay with an outdated table because no update is sent
+// to them, and against one call after another to peers that know nothing newer.
+func TestPullTable(t *testing.T) {
+	t.Run("a newer table", func(t *testing.T) {
+		peer, address := startServer(t, 1, 10)
+		own, _ := startServer(t, 1, 10)
+		listPeers(own, address)
+		setTable(t, peer, 5, 200*time.Millisecond)
+		own.PullTable(t.Context())
+		expectTable(t, own, 5, 200*time.Millisecond, 5*time.Second)
+	})
+	t.Run("a confirmation of the same table", func(t *testing.T) {
+		peer, address := startServer(t, 1, 10)
+		own, _ := startServer(t, 1, 10)
+		listPeers(own, address)
+		setTable(t, peer, 5, 200*time.Millisecond)
+		setTable(t, own, 5, time.Minute)
+		own.PullTable(t.Context())
+		expectTable(t, own, 5, 200*time.Millisecond, 5*time.Second)
+	})
+	t.Run("a peer with an outdated table, then one that does not answer, then none for a time", func(t *testing.T) {
+		peer, address := startServer(t, 1, 10)
+		own, _ := startServer(t, 1, 10)
+		setTable(t, peer, 5, time.Minute)
+		listPeers(own, address)
+		own.PullTable(t.Context())
+		expectTable(t, own, 5, time.Minute, time.Hour)
+		if _, ok := own.tablePull.next(own, time.Now()); ok {
+			t.Error("a peer is asked again at once")
+		}
+		later := time.Now().Add(2 * pullPause)
+		if next, ok := own.tablePull.next(own, later); !ok || next != address {
+			t.Errorf("asks %q after the pause", next)
+		}
+		own.unresponsiveSince.Store(address, later)
+		own.tablePull.record(false, time.Now())
+		if next, ok := own.tablePull.next(own, later); ok {
+			t.Errorf("asks %q, which did not answer", next)
+		}
+	})
+	t.Run("the peer that helped is asked again", func(t *testing.T) {
+		var addresses []string
+		for range 8 {
+			peer, address := startServer(t, 1, 10)
+			setTable(t, peer, 5, 0)
+			addresses = append(addresses, address)
+		}
+		own, _ := startServer(t, 1, 10)
+		listPeers(own, addresses...)
+		own.PullTable(t.Context())
+		first, _ := own.tablePull.next(own, time.Now())
+		for range 20 {
+			own.PullTable(t.Context())
+			if next, _ := own.tablePull.next(own, time.Now()); next != first {
+				t.Fatalf("asks %q after %q", next, first)
+			}
+		}
+	})
+	t.Run("without other gateways", func(t *testing.T) {
+		own, _ := startServer(t, 1, 10)
+		own.PullTable(t.Context())
+		expectTable(t, own, 1, 0, 10*time.Second)
+	})
+}
--- a/internal/transport/fleet/updates.go
+++ b/internal/transport/fleet/updates.go
@@ -78,6 +78,7 @@
 	// disables that.
 	OnUpdate func(began time.Time)
 
+	tablePull         pull         // of the table
 	repairing         atomic.Bool  // whether a gap in the targets is being repaired
 	bootstrapping     atomic.Bool  // whether the state of a peer is being fetched
 	fetchingTable     atomic.Bool  // whether a table is being fetched
