catalog, fleet: a repair sends what changed, not whole buckets

A gateway that had missed an update of a hundred targets asked for the 51 of 64 buckets in which they lie, 79 % of all targets: some 260 KB from a weak instance with a link of 20 Mbit/s, for up to 900 gateways at once, and again with each update, up to ten a second. A repair that met a list which had changed meanwhile counted as failed: with a thousand changes a second none succeeded.

A gateway now names the revision up to which it has all changes and gets the later ones, with the keys that were removed; buckets remain for a peer that no longer knows those, and after three repairs in a row that leave another digest. The changes since the own revision are complete whatever arrived meanwhile. After a failed repair there is a pause, whole buckets are sent to two peers at a time, and a copy of an update that a gateway with a gap has passed on is not passed on again.

TestRepairIsSmall, TestRepairBesideUpdates, TestRepeatedUpdates, TestRepairsPause, TestBucketRepairsAreLimited. The items of TestRepair have revisions now, as the store gives them, and each repair is tried both ways.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -44,6 +44,15 @@
 	// well within the three seconds in which a change must be in force.
 	fleetDelayStep = 4 * time.Millisecond
 	maxFleetDelay  = 1200 * time.Millisecond
+	// readTimePerTarget, times the targets and the gateways, is the time in which all gateways would
+	// read all targets with a third of the store's link: an entry takes some 330 bytes of one
+	// gigabit per second. Those that must read for themselves spread over it, up to
+	// maxReadSpread: all at once, none would get the list in the time that a call may take.
+	readTimePerTarget = 8 * time.Microsecond
+	maxReadSpread     = 30 * time.Second
+	// minPullSpread is the spread from which peers are asked first. In smaller fleets the store
+	// answers sooner than a peer that hangs.
+	minPullSpread = 100 * time.Millisecond
 	// maxTakeoverAge is the maximum age of the state from which a new first reader watches. An
 	// older state comes from an outage, after which many leases may have expired at once.
 	maxTakeoverAge = 2 * time.Second
@@ -83,6 +92,8 @@
 	// PullTable asks a peer for a newer table or a later confirmation of the one in force, before
 	// this process reads the store; it waits for the answer. Set before Run.
 	PullTable func(ctx context.Context)
+	// PullTargets does the same for the targets. Set before Run.
+	PullTargets func(ctx context.Context)
 	// OnStoreRead is called after a read or watch of the store changed the known state or
 	// confirmed it anew, so that peers can be updated. Set before Run.
 	OnStoreRead func()
@@ -130,6 +141,14 @@
 	// syncedRevision is the latest revision up to which updates of peers were complete, as shown
 	// by their digest.
 	syncedRevision hookhall.Revision
+	// lastUpdate and lastUpdateBegan are the revision and the time of the last update that was
+	// applied, also of one that left a gap.
+	lastUpdate      hookhall.Revision
+	lastUpdateBegan time.Time
+	// unverified is the number of repairs since the digests last agreed with a peer's.
+	unverified int
+	// forgottenRevision is the latest revision of a removed key that is no longer known.
+	forgottenRevision hookhall.Revision
 	// eraBaseRevision is the store's revision at the first full reading of the targets in the
 	// latest era that was read. olderTableEra is the last era in which the store had an older
 	// table than the one in force.
@@ -143,7 +162,7 @@
 
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
-	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
+	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, PullTargets: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
 	c.recordAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -257,6 +257,7 @@
 				c.recordDeparted(e.target.Incarnation(), now)
 			}
 			delete(c.entriesByKey, key)
+			c.forgottenRevision = max(c.forgottenRevision, e.revision)
 			c.listingsByAddress.CompareAndDelete(e.target.Address, listingOf(e))
 		}
 	}
--- a/internal/coordination/catalog/follow_test.go
+++ b/internal/coordination/catalog/follow_test.go
@@ -99,8 +99,9 @@
 	})
 }
 
-// TestRepair checks that a repair of the differing buckets brings the peer's list, whatever
-// updates were lost, and that the digests always match the listed targets.
+// TestRepair checks that a repair brings the peer's list, whatever updates were lost, by the
+// changes since the own revision and by the differing buckets, and that the digests always match
+// the listed targets.
 func TestRepair(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
@@ -117,11 +118,27 @@
 				t.Fatal("the digests do not match the listed targets")
 			}
 		}
+		lastChange := map[string]hookhall.Item{} // by key, as the store has it
 		for at := hookhall.Revision(2); at < 12; at++ {
 			r := Reading{Revision: at, Began: time.Now()}
+			listed := map[string]bool{}
 			for i := range rapid.IntRange(0, 200).Draw(t, "targets") {
 				value := rapid.SampledFrom([]string{"ready", "leaving", "cold 1 2000", "cold 2 0"}).Draw(t, "value")
-				r.Items = append(r.Items, hookhall.Item{Key: fmt.Sprint("t/x", i*rapid.IntRange(1, 3).Draw(t, "step")), Value: []byte(value)})
+				item := hookhall.Item{Key: fmt.Sprint("t/x", i*rapid.IntRange(1, 3).Draw(t, "step")), Value: []byte(value), Revision: at}
+				if listed[item.Key] {
+					continue
+				}
+				listed[item.Key] = true
+				if last, ok := lastChange[item.Key]; ok && string(last.Value) == value {
+					item = last
+				}
+				lastChange[item.Key] = item
+				r.Items = append(r.Items, item)
+			}
+			for key := range lastChange {
+				if !listed[key] {
+					delete(lastChange, key)
+				}
 			}
 			reader.ApplyReading(r, "store")
 			update := reader.RecentUpdate(time.Now())
@@ -130,9 +147,19 @@
 				update.Changed = update.Changed[:len(update.Changed)/2]
 			}
 			if _, gap := follower.ApplyUpdate(update, "reader"); gap {
-				if !follower.ApplyRepair(reader.RepairFor(follower.Digests()), "reader") {
+				request := follower.RepairRequest()
+				if rapid.Bool().Draw(t, "by buckets") {
+					request.Since = 0
+				}
+				repair := reader.RepairFor(request)
+				if !follower.ApplyRepair(repair, "reader") {
 					t.Fatal("the repair left a gap")
 				}
+				for _, i := range repair.Items {
+					if repair.Since > 0 && i.Revision <= repair.Since {
+						t.Fatal("a repair has a change that the follower knows")
+					}
+				}
 			}
 			checkDigests(reader)
 			checkDigests(follower)
--- /dev/null
+++ b/internal/coordination/catalog/repair_test.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hookhall/hookhall"
+)
+
+// reading returns a reading of n targets that were all written at revision 1, except those that
+// changed at other revisions.
+func reading(at hookhall.Revision, n int, changed map[int]hookhall.Revision) Reading {
+	r := Reading{Revision: at, Began: time.Now()}
+	for i := range n {
+		item := hookhall.Item{Key: fmt.Sprint("t/target-", i), Value: []byte("ready"), Revision: 1}
+		if revision, ok := changed[i]; ok {
+			item.Revision, item.Value = revision, []byte("leaving")
+		}
+		r.Items = append(r.Items, item)
+	}
+	return r
+}
+
+// without removes targets from the end of a reading.
+func (r Reading) without(n int) Reading {
+	r.Items = r.Items[:len(r.Items)-n]
+	return r
+}
+
+// TestRepairIsSmall guards against repairs that send nearly all targets because a few that changed
+// lie in nearly all buckets: many gateways that have missed the same update would fill the links
+// of those which they ask.
+func TestRepairIsSmall(t *testing.T) {
+	const total, missed, gone = 10000, 100, 20
+	changed := map[int]hookhall.Revision{}
+	for i := range missed {
+		changed[i*97] = 2
+	}
+	run := func(name string, test func(t *testing.T, reader, follower *Catalog)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+				reader.ApplyReading(reading(1, total, nil), "store")
+				follower.ApplyReading(reading(1, total, nil), "store")
+				time.Sleep(time.Second)
+				reader.ApplyReading(reading(2, total, changed).without(gone), "store")
+				test(t, reader, follower)
+				if follower.Snapshot().Digest != reader.Snapshot().Digest || follower.Snapshot().Revision != reader.Snapshot().Revision {
+					t.Error("the lists differ")
+				}
+			})
+		})
+	}
+	run("the changes since the own revision", func(t *testing.T, reader, follower *Catalog) {
+		repair := reader.RepairFor(follower.RepairRequest())
+		if len(repair.Items) > missed || len(repair.Gone) != gone || repair.Since != 1 {
+			t.Fatalf("%d targets and %d keys were sent", len(repair.Items), len(repair.Gone))
+		}
+		if !follower.ApplyRepair(repair, "reader") {
+			t.Error("the repair left a gap")
+		}
+	})
+	run("whole buckets once removed keys are forgotten", func(t *testing.T, reader, follower *Catalog) {
+		time.Sleep(missingTTL + time.Second)
+		reader.ApplyReading(reading(3, total, changed).without(gone+1), "store")
+		repair := reader.RepairFor(follower.RepairRequest())
+		if repair.Since != 0 || len(repair.Buckets) == 0 {
+			t.Fatalf("changes since %d were sent, and %d buckets", repair.Since, len(repair.Buckets))
+		}
+		if !follower.ApplyRepair(repair, "reader") {
+			t.Error("the repair left a gap")
+		}
+	})
+}
+
+// TestRepairBesideUpdates guards against a gap that is never closed because each repair meets a list
+// that an update has changed meanwhile, and against lists that stay wrong because of that.
+func TestRepairBesideUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+		reader.ApplyReading(reading(1, 100, nil), "store")
+		follower.ApplyReading(reading(1, 100, nil), "store")
+		changed := map[int]hookhall.Revision{}
+		change := func(at hookhall.Revision) {
+			time.Sleep(2 * changeResendTime) // updates no longer have the change before
+			changed[int(at)] = at
+			reader.ApplyReading(reading(at, 100, changed), "store")
+		}
+		change(2)
+		change(3)
+		repair := reader.RepairFor(follower.RepairRequest())
+		change(4)
+		if _, gap := follower.ApplyUpdate(reader.RecentUpdate(time.Now()), "reader"); !gap {
+			t.Fatal("the follower lacks no change")
+		}
+		if !follower.ApplyRepair(repair, "reader") || follower.Snapshot().Revision != 3 {
+			t.Errorf("the follower is at revision %v", follower.Snapshot().Revision)
+		}
+		time.Sleep(minUpdateInterval)
+		reader.ApplyEvents(nil, 5, time.Now())
+		if _, gap := follower.ApplyUpdate(reader.RecentUpdate(time.Now()), "reader"); gap {
+			t.Error("the next update shows a gap")
+		}
+		for range maxUnverified {
+			if follower.RepairRequest().Since == 0 {
+				t.Fatal("buckets are asked for too soon")
+			}
+			wrong := reader.RepairFor(follower.RepairRequest())
+			wrong.Digest++
+			wrong.Revision++
+			wrong.Began = time.Now()
+			follower.ApplyRepair(wrong, "reader")
+			time.Sleep(time.Second)
+		}
+		if follower.RepairRequest().Since != 0 {
+			t.Error("buckets are not asked for although the digests don't agree")
+		}
+	})
+}
+
+// TestRepeatedUpdates guards against copies of one update that multiply on their way: a process with
+// a gap would pass on each of them.
+func TestRepeatedUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+		reader.ApplyReading(reading(2, 100, map[int]hookhall.Revision{1: 2}), "store")
+		follower.ApplyReading(reading(1, 50, nil), "store")
+		time.Sleep(time.Second)
+		update := reader.RecentUpdate(time.Now())
+		if fresh, gap := follower.ApplyUpdate(update, "reader"); !fresh || !gap {
+			t.Errorf("the first copy: fresh %v, gap %v", fresh, gap)
+		}
+		for range 5 {
+			update.Began = update.Began.Add(3 * time.Millisecond)
+			if fresh, _ := follower.ApplyUpdate(update, "reader"); fresh {
+				t.Error("a copy counts as another update")
+			}
+		}
+		update.Began = update.Began.Add(minUpdateInterval)
+		if fresh, _ := follower.ApplyUpdate(update, "reader"); !fresh {
+			t.Error("the next update counts as a copy")
+		}
+	})
+}
--- a/internal/coordination/catalog/updates.go
+++ b/internal/coordination/catalog/updates.go
@@ -16,6 +16,9 @@
 // times. A process that has missed all of them repairs the buckets that differ.
 const changeResendTime = time.Second
 
+// minUpdateInterval is shorter than the time between two updates of one reader.
+const minUpdateInterval = 50 * time.Millisecond
+
 // BucketCount is the number of buckets into which the targets are divided by the hash of their
 // keys. With 3,000 targets, a bucket has some 50, and its repair takes some 2 KB.
 const BucketCount = 64
@@ -75,22 +78,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	snapshot := c.snapshot.Load()
-	if snapshot == nil || c.isOlder(update.Revision, update.Began) {
+	if snapshot == nil || c.isOlder(update.Revision, update.Began) || c.isRepeated(update) {
 		return false, false
 	}
+	c.lastUpdate = update.Revision
+	c.lastUpdateBegan = update.Began
 	now := clock.Now()
 	for _, i := range update.Changed {
 		c.applyItem(i, from, now)
 	}
-	var lost []*entry
-	for _, key := range update.Gone {
-		if e := c.entriesByKey[key]; e != nil && e.missingSince.IsZero() && e.revision <= update.Revision {
-			lost = append(lost, e)
-		}
-	}
-	c.markMissing(lost, update.Revision, c.isLaterEra(update.Revision), from, now)
+	c.markMissing(c.listedEntries(update.Gone, update.Revision), update.Revision, c.isLaterEra(update.Revision), from, now)
 	if c.bucketDigests.combined() == update.Digest {
-		c.syncedRevision = update.Revision
+		c.syncedRevision, c.unverified = update.Revision, 0
 		c.publish(update.Revision, update.Began, now)
 		return true, false
 	}
@@ -99,44 +98,11 @@
 	return true, true
 }
 
-// Digests returns the digests of all buckets.
-func (c *Catalog) Digests() Digests {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.bucketDigests
-}
-
-// Repair has the sender's listed targets of the buckets in which the receiver's digests differ.
-type Repair struct {
-	Reading
-	Buckets []int
-	// Digest combines all buckets, including those that do not differ.
-	Digest uint64
-}
-
-// RepairFor returns the repair for a peer: the listed targets of the buckets in which the
-// peer's digests differ from those of this process.
-func (c *Catalog) RepairFor(theirs Digests) Repair {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	snapshot := c.snapshot.Load()
-	if snapshot == nil {
-		return Repair{}
-	}
-	r := Repair{Reading: Reading{Revision: snapshot.Revision, Began: snapshot.Began}, Digest: c.bucketDigests.combined()}
-	differs := [BucketCount]bool{}
-	for b := range BucketCount {
-		if c.bucketDigests[b] != theirs[b] {
-			differs[b] = true
-			r.Buckets = append(r.Buckets, b)
-		}
-	}
-	for key, e := range c.entriesByKey {
-		if e.missingSince.IsZero() && differs[bucketOf(key)] {
-			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
-		}
-	}
-	return r
+// isRepeated reports whether an update is a copy of the last one that was applied, on another path. A
+// process with a gap, whose snapshot does not advance, would otherwise pass on every copy. The
+// times of two copies differ by how each path rounds ages. c.mu must be held.
+func (c *Catalog) isRepeated(update Update) bool {
+	return update.Revision < c.lastUpdate || (update.Revision == c.lastUpdate && update.Began.Sub(c.lastUpdateBegan) < minUpdateInterval)
 }
 
 // Reading returns all listed targets, as of the last reading or update.
@@ -156,39 +122,6 @@
 	return r
 }
 
-// ApplyRepair applies a repair from a peer, and reports whether the snapshot is now as recent as
-// the peer's, which requires that all buckets agree. Otherwise it keeps its revision and age.
-func (c *Catalog) ApplyRepair(r Repair, from string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	snapshot := c.snapshot.Load()
-	if snapshot == nil || c.isOlder(r.Revision, r.Began) {
-		return false
-	}
-	now := clock.Now()
-	repaired := [BucketCount]bool{}
-	for _, b := range r.Buckets {
-		if b < 0 || b >= BucketCount {
-			return false
-		}
-		repaired[b] = true
-	}
-	listed := map[string]bool{}
-	for _, i := range r.Items {
-		c.applyItem(i, from, now)
-		listed[i.Key] = true
-	}
-	c.markMissing(c.unlisted(listed, r.Revision, func(key string) bool { return repaired[bucketOf(key)] }), r.Revision, c.isLaterEra(r.Revision), from, now)
-	if c.bucketDigests.combined() != r.Digest {
-		c.publish(snapshot.Revision, snapshot.Began, now)
-		return false
-	}
-	c.log.Info("gap repaired", "from", from, "buckets", len(r.Buckets), "targets", len(r.Items), "revision", r.Revision)
-	c.syncedRevision = r.Revision
-	c.publish(r.Revision, r.Began, now)
-	return true
-}
-
 // unlisted returns the entries with matching keys that are listed here and were at a revision, but
 // are not in a reading of that revision. c.mu must be held.
 func (c *Catalog) unlisted(listed map[string]bool, revision hookhall.Revision, matches func(key string) bool) []*entry {
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -66,6 +67,8 @@
 	Bindings Bindings
 	// Broadcaster has the catalog and the other state that peers read and update.
 	Broadcaster *Broadcaster
+
+	bucketRepairs atomic.Int64 // number of peers that are being sent whole buckets
 }
 
 // RunStage implements pb.FleetServer.
--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -5,74 +5,149 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
-// repairTimeout bounds reading the differing targets of a peer. 100 KB take 0.2 s on the
-// slowest link, which has 10 Mbit/s and is shared.
-const repairTimeout = time.Second
+const (
+	// repairTimeout bounds reading the differing targets of a peer. 100 KB take 0.2 s on the
+	// slowest link, which has 10 Mbit/s and is shared.
+	repairTimeout = time.Second
+	// minRepairPause and maxRepairPause bound the pause, before jitter, after a repair that failed.
+	// Updates arrive up to ten times a second, and each shows the gap again.
+	minRepairPause = 250 * time.Millisecond
+	maxRepairPause = 4 * time.Second
+	// maxBucketRepairs is the number of peers that are sent whole buckets at a time: up to all
+	// targets, which take a weak instance some tenths of a second to compress.
+	maxBucketRepairs = 2
+)
 
-// repairTargets reads the targets that differ from those of the sender of an update. Only
-// one repair runs at a time. If it fails, this process reads the store once its targets
-// are too old.
-func (s *Broadcaster) repairTargets(peer string) {
-	if !s.repairing.CompareAndSwap(false, true) {
+// errBusy is returned to peers while maxBucketRepairs are being sent.
+var errBusy = status.Error(codes.Unavailable, "too many peers are being sent targets")
+
+// repairs is the state of the repairs of this process's targets.
+type repairs struct {
+	running atomic.Bool
+
+	mu        sync.Mutex
+	pause     time.Duration // after the next failure, before jitter
+	notBefore time.Time     // no repair that an update asks for begins earlier
+}
+
+// isDue reports whether a repair that an update asks for may begin.
+func (r *repairs) isDue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.notBefore)
+}
+
+// record records the outcome of a repair.
+func (r *repairs) record(repaired bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if repaired {
+		r.pause, r.notBefore = 0, time.Time{}
 		return
 	}
-	go func() {
-		defer s.repairing.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), repairTimeout)
-		defer cancel()
-		own := s.Catalog.Digests()
-		askedAt := clock.Now()
-		t, err := s.Clients.Client(peer).FetchTargets(ctx, own)
-		if err != nil {
-			s.Clients.Log.Info("gap not repaired", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
-			return // the next update starts another repair
-		}
-		items, _, err := unpackBulk(t.GetItems())
-		if err != nil {
-			s.Clients.Log.Error("peer target list not readable", "peer", peer, "error", err.Error())
-			return
-		}
-		r := catalog.Repair{Reading: catalog.Reading{Revision: hookhall.Revision(t.GetRevision()), Items: items, Began: askedAt.Add(-milliseconds(t.GetAgeMs()))}, Digest: t.GetDigest()}
-		for _, b := range t.GetBuckets() {
-			r.Buckets = append(r.Buckets, int(b))
-		}
-		if !s.Catalog.ApplyRepair(r, hostOf(peer)) {
-			s.Clients.Log.Info("gap not repaired: the lists changed meanwhile, or the peer's is older", "peer", peer, "after", clock.Since(askedAt), "buckets", len(r.Buckets), "targets", len(items))
-		}
-	}()
+	r.pause = min(max(2*r.pause, minRepairPause), maxRepairPause)
+	r.notBefore = now.Add(retry.Jitter(r.pause))
+}
+
+// repairTargets begins to read what the targets lack from the sender of an update. Only one repair
+// runs at a time. If none succeeds, this process reads the store once its targets are too old.
+func (s *Broadcaster) repairTargets(peer string) {
+	if s.repairs.isDue(clock.Now()) {
+		go s.repairFrom(context.Background(), peer)
+	}
+}
+
+// PullTargets asks a peer for changes of the targets, or for a later confirmation of them.
+func (s *Broadcaster) PullTargets(ctx context.Context) {
+	if peer, ok := s.targetsPull.next(s, clock.Now()); ok {
+		age, repaired := s.repairFrom(ctx, peer)
+		s.targetsPull.record(repaired && age <= maxHelpfulAge, clock.Now())
+	}
+}
+
+// repairFrom reads what the targets lack from a peer, and returns how long ago the peer's were
+// confirmed, and whether these are as recent now. It does nothing while another repair runs.
+func (s *Broadcaster) repairFrom(ctx context.Context, peer string) (age time.Duration, repaired bool) {
+	if !s.repairs.running.CompareAndSwap(false, true) {
+		return 0, false
+	}
+	defer s.repairs.running.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	askedAt := clock.Now()
+	r, err := s.Clients.Client(peer).FetchRepair(ctx, s.Catalog.RepairRequest())
+	if err != nil {
+		s.repairs.record(false, clock.Now())
+		s.Clients.Log.Info("gap not repaired", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
+		return 0, false
+	}
+	repaired = s.Catalog.ApplyRepair(r, hostOf(peer))
+	s.repairs.record(repaired, clock.Now())
+	if !repaired {
+		s.Clients.Log.Info("gap not repaired: the lists changed meanwhile, or the peer's is older", "peer", peer, "after", clock.Since(askedAt), "buckets", len(r.Buckets), "targets", len(r.Items))
+	}
+	return askedAt.Sub(r.Began), repaired
 }
 
 // GetTargets implements pb.FleetServer.
 func (s *Server) GetTargets(_ context.Context, r *pb.TargetsRequest) (*pb.Targets, error) {
-	var theirs catalog.Digests
-	copy(theirs[:], r.GetDigests())
-	d := s.Broadcaster.Catalog.RepairFor(theirs)
+	request := catalog.RepairRequest{Since: hookhall.Revision(r.GetSince())}
+	copy(request.Digests[:], r.GetDigests())
+	d := s.Broadcaster.Catalog.RepairFor(request)
 	if d.Revision == 0 {
 		return nil, errNoState
 	}
+	if len(d.Buckets) > 0 {
+		defer s.bucketRepairs.Add(-1)
+		if s.bucketRepairs.Add(1) > maxBucketRepairs {
+			return nil, errBusy
+		}
+	}
 	items, err := packBulk(d.Items, nil)
 	if err != nil {
 		return nil, err
 	}
-	out := &pb.Targets{Revision: uint64(d.Revision), AgeMs: ageMS(clock.Since(d.Began)), Digest: d.Digest, Items: items}
+	out := &pb.Targets{
+		Revision: uint64(d.Revision), AgeMs: ageMS(clock.Since(d.Began)), Digest: d.Digest, Items: items,
+		Since: uint64(d.Since), Gone: d.Gone,
+	}
 	for _, b := range d.Buckets {
 		out.Buckets = append(out.Buckets, int32(b))
 	}
 	return out, nil
 }
 
-// FetchTargets reads the peer's targets in the buckets whose digests differ from own.
-func (c *Client) FetchTargets(ctx context.Context, own catalog.Digests) (*pb.Targets, error) {
+// FetchRepair reads what the peer's targets have beyond those of the request.
+func (c *Client) FetchRepair(ctx context.Context, request catalog.RepairRequest) (catalog.Repair, error) {
 	if c.err != nil {
-		return nil, c.err
+		return catalog.Repair{}, c.err
+	}
+	askedAt := clock.Now()
+	t, err := c.rpc().GetTargets(ctx, &pb.TargetsRequest{Digests: request.Digests[:], Since: uint64(request.Since)}, allowLargeReply)
+	if err != nil {
+		return catalog.Repair{}, err
+	}
+	items, _, err := unpackBulk(t.GetItems())
+	r := catalog.Repair{
+		Reading: catalog.Reading{Revision: hookhall.Revision(t.GetRevision()), Items: items, Began: askedAt.Add(-milliseconds(t.GetAgeMs()))},
+		Since:   hookhall.Revision(t.GetSince()), Gone: t.GetGone(), Digest: t.GetDigest(),
+	}
+	for _, b := range t.GetBuckets() {
+		r.Buckets = append(r.Buckets, int(b))
 	}
-	return c.rpc().GetTargets(ctx, &pb.TargetsRequest{Digests: own[:]}, allowLargeReply)
+	return r, errors.Wrap(err, "targets of "+c.address)
 }
--- a/internal/transport/fleet/repair_test.go
+++ b/internal/transport/fleet/repair_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/quarantine"
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 )
 
@@ -24,12 +26,7 @@
 func startServer(t *testing.T, n int, revision hookhall.Revision) (*Broadcaster, string) {
 	t.Helper()
 	b := &Broadcaster{Peers: newFixedPeers(1), Clients: NewClients(log.New(io.Discard)), Catalog: readyCatalog(t), Crashes: quarantine.New(nil, nil, nil, log.New(io.Discard)), Rollouts: &rollouts.Rollouts{}}
-	r := catalog.Reading{Revision: revision, Began: time.Now()}
-	for i := range n {
-		value := fmt.Sprintf(`{"service":"pool","address":"10.0.%d.%d:80","state":"ready"}`, i/250, i%250)
-		r.Items = append(r.Items, hookhall.Item{Key: fmt.Sprint("t/target-", i), Value: []byte(value)})
-	}
-	b.Catalog.ApplyReading(r, "store")
+	b.Catalog.ApplyReading(catalog.Reading{Revision: revision, Items: targetItems(0, n, 1), Began: time.Now()}, "store")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -41,13 +38,26 @@
 	return b, l.Addr().String()
 }
 
+// targetItems returns n targets from a number on that were written at a revision.
+func targetItems(from, n int, revision hookhall.Revision) []hookhall.Item {
+	var items []hookhall.Item
+	for i := from; i < from+n; i++ {
+		value := fmt.Sprintf(`{"service":"pool","address":"10.0.%d.%d:80","state":"ready"}`, i/250, i%250)
+		items = append(items, hookhall.Item{Key: fmt.Sprint("t/target-", i), Value: []byte(value), Revision: revision})
+	}
+	return items
+}
+
 // TestGapIsRepairedByPeer guards against a process that reads the store after each update
 // that it missed. An update whose digest differs makes it read the targets of the sender,
 // after which its list is complete.
 func TestGapIsRepairedByPeer(t *testing.T) {
-	sender, address := startServer(t, 3000, 11)
+	sender, address := startServer(t, 2900, 10)
 	other, _ := startServer(t, 2900, 10)
 	now := time.Now()
+	added := sender.Catalog.Reading()
+	added.Revision, added.Began, added.Items = 11, now, append(added.Items, targetItems(2900, 100, 11)...)
+	sender.Catalog.ApplyReading(added, "store")
 	m := sender.currentUpdate(now)
 	m.From, m.Bulk, m.ConfigRevision = address, nil, 0
 	other.HandleUpdate(m)
@@ -82,3 +92,78 @@
 		t.Error("invalid bytes were accepted as a bulk")
 	}
 }
+
+// withChanges changes targets of a server at a revision.
+func withChanges(t *testing.T, b *Broadcaster, revision hookhall.Revision, changed int) {
+	t.Helper()
+	r := b.Catalog.Reading()
+	r.Revision, r.Began = revision, time.Now()
+	for i := range r.Items[:changed] {
+		r.Items[i].Value = []byte(strings.Replace(string(r.Items[i].Value), "ready", "draining", 1))
+		r.Items[i].Revision = revision
+	}
+	if !b.Catalog.ApplyReading(r, "store") {
+		t.Fatal("the changes were not applied")
+	}
+}
+
+// TestPullTargets guards against gateways that list all targets because no update reaches them,
+// while a peer knows the few that changed.
+func TestPullTargets(t *testing.T) {
+	peer, address := startServer(t, 3000, 11)
+	own, _ := startServer(t, 3000, 11)
+	listPeers(own, address)
+	withChanges(t, peer, 12, 30)
+	repair, err := own.Clients.Client(address).FetchRepair(t.Context(), own.Catalog.RepairRequest())
+	if err != nil || len(repair.Items) != 30 || repair.Since != 11 {
+		t.Fatalf("%d targets since %d, %v", len(repair.Items), repair.Since, err)
+	}
+	own.PullTargets(t.Context())
+	if own.Catalog.Snapshot().Digest != peer.Catalog.Snapshot().Digest || own.Catalog.Snapshot().Revision != 12 {
+		t.Error("the lists differ")
+	}
+	if next, ok := own.targetsPull.next(own, time.Now()); !ok || next != address {
+		t.Errorf("asks %q next", next)
+	}
+}
+
+// TestRepairsPause guards against repairs that are asked for again with each update although the
+// last one failed.
+func TestRepairsPause(t *testing.T) {
+	var r repairs
+	now := time.Now()
+	pause := time.Duration(0)
+	for range 10 {
+		r.record(false, now)
+		pause = min(max(2*pause, minRepairPause), maxRepairPause)
+		if r.isDue(now.Add(pause/2)) || !r.isDue(now.Add(2*pause)) {
+			t.Fatalf("the pause is not %v", pause)
+		}
+	}
+	r.record(true, now)
+	if !r.isDue(now) {
+		t.Error("a repair that succeeded is followed by a pause")
+	}
+}
+
+// TestBucketRepairsAreLimited guards against a gateway that compresses all targets for many peers at
+// the same time and does nothing else meanwhile.
+func TestBucketRepairsAreLimited(t *testing.T) {
+	peer, _ := startServer(t, 100, 11)
+	server := &Server{Broadcaster: peer}
+	ask := func() error {
+		_, err := server.GetTargets(t.Context(), &pb.TargetsRequest{})
+		return err
+	}
+	server.bucketRepairs.Store(maxBucketRepairs)
+	if err := ask(); !errors.Is(err, errBusy) {
+		t.Errorf("beside %d others: %v", maxBucketRepairs, err)
+	}
+	server.bucketRepairs.Store(maxBucketRepairs - 1)
+	if err := ask(); err != nil {
+		t.Error(err)
+	}
+	if n := server.bucketRepairs.Load(); n != maxBucketRepairs-1 {
+		t.Errorf("%d repairs count as running", n)
+	}
+}
--- a/internal/transport/fleet/updates.go
+++ b/internal/transport/fleet/updates.go
@@ -79,7 +79,8 @@
 	OnUpdate func(began time.Time)
 
 	tablePull         pull         // of the table
-	repairing         atomic.Bool  // whether a gap in the targets is being repaired
+	targetsPull       pull         // of the targets
+	repairs           repairs      // of gaps in the targets
 	bootstrapping     atomic.Bool  // whether the state of a peer is being fetched
 	fetchingTable     atomic.Bool  // whether a table is being fetched
 	fetchingMembers   atomic.Bool  // whether a list of members is being fetched
