catalog: a large fleet asks peers before it lists all targets

When updates were late, all gateways listed all targets from the store within 1.1 to 2.5 s: 986 lists of 10,003 targets are 16 s of the store's link, so none came in the time that a call may take, and all began again.

A process of the last rank whose targets are too old asks a peer for the changes first, if the store does not answer it or the fleet is so large that readings by all take more than a tenth of a second of a third of the store's link. Those that no peer helps read the store in turns that are spread over that time, 30 s at most. Small fleets read as before.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -225,7 +225,7 @@
 	g.broadcaster.Bootstrapper = g.bootstrapper
 	g.broadcaster.OnUpdate = g.storeGate.ReportAnswered
 	g.catalog.OnStoreRead = g.broadcaster.Broadcast
-	g.catalog.PullTable = g.broadcaster.PullTable
+	g.catalog.PullTable, g.catalog.PullTargets = g.broadcaster.PullTable, g.broadcaster.PullTargets
 	g.catalog.ReaderRank = g.readerRank
 	g.catalog.GatewayCount = g.members.Count
 	g.adapters.Connections.MaxIdle = g.maxIdleConnections
--- a/internal/coordination/catalog/table.go
+++ b/internal/coordination/catalog/table.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	isCurrent := func() bool { return !c.needsRead(c.table.Load().confirmed, clock.Now()) }
-	if !isCurrent() && rank >= maxRank {
+	if !isCurrent() && rank >= maxRank && c.prefersPeers() {
 		c.PullTable(ctx)
 	}
 	return isCurrent()
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -67,7 +68,11 @@
 	for ctx.Err() == nil {
 		if !f.isDue(clock.Now()) {
 			f.watchRevision = 0 // updates of peers may be ahead of an earlier watch
-			f.isFollower = true
+			f.isFollower, f.awaitsTurn = true, false
+			retry.Sleep(ctx, pollInterval)
+			continue
+		}
+		if f.leavesReadingToOthers(ctx) {
 			retry.Sleep(ctx, pollInterval)
 			continue
 		}
@@ -94,6 +99,49 @@
 	hasEvents bool
 	// isFollower is set while this process relies on updates of peers.
 	isFollower bool
+	// awaitsTurn is set while a process of maxRank waits to read the store, which it does at turnAt.
+	awaitsTurn bool
+	turnAt     time.Time
+}
+
+// leavesReadingToOthers reports whether a process of maxRank, whose targets are too old, does not
+// read the store yet: a peer has what it lacks, or it is not its turn.
+func (f *targetsFollower) leavesReadingToOthers(ctx context.Context) bool {
+	if f.ReaderRank() < maxRank || f.snapshot.Load() == nil {
+		return false
+	}
+	if f.prefersPeers() {
+		f.PullTargets(ctx)
+	}
+	now := clock.Now()
+	if !f.isDue(now) {
+		return true
+	}
+	spread := f.readSpread()
+	if !f.awaitsTurn {
+		f.awaitsTurn = true
+		if first := now.Add(time.Duration(rand.Float64() * float64(spread))); f.turnAt.Before(first) {
+			f.turnAt = first
+		}
+	}
+	if now.Before(f.turnAt) {
+		return true
+	}
+	f.turnAt = now.Add(spread)
+	return false
+}
+
+// prefersPeers reports whether a process of maxRank asks a peer before it reads the store: the store
+// does not answer it, or readings by all would be too much for the store.
+func (c *Catalog) prefersPeers() bool { return c.Failing() || c.readSpread() >= minPullSpread }
+
+// readSpread returns the time over which the gateways of this fleet spread when they read all
+// targets for themselves.
+func (c *Catalog) readSpread() time.Duration {
+	c.mu.Lock()
+	targets := c.listedCount
+	c.mu.Unlock()
+	return min(time.Duration(c.GatewayCount()*targets)*readTimePerTarget, maxReadSpread)
 }
 
 // takeOver lets a new first reader watch from the revision up to which its peers have updated
