catalog: a hundred lines a second about changes of targets

While a fleet starts, each gateway logged a line for each of 10,003 targets within ten seconds, which takes processor time that the weakest instances, of a fifth of a core, need for the list itself. Lines about single targets are limited to a hundred a second; the next one has the number of those without a line.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -16,6 +16,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/routetable"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -145,6 +146,10 @@
 	// applied, also of one that left a gap.
 	lastUpdate      hookhall.Revision
 	lastUpdateBegan time.Time
+	// changeLines limits the lines about changes of single targets; unloggedChanges counts those
+	// without a line since the last one.
+	changeLines     *rate.Limiter
+	unloggedChanges int
 	// unverified is the number of repairs since the digests last agreed with a peer's.
 	unverified int
 	// forgottenRevision is the latest revision of a removed key that is no longer known.
@@ -162,7 +167,7 @@
 
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
-	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, PullTargets: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64()}
+	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, PullTargets: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64(), changeLines: rate.NewLimiter(maxChangeLines, maxChangeLines)}
 	c.recordAnswer(clock.Now())
 	return c
 }
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -25,6 +25,9 @@
 	// missingTTL is how long the entry of a missing target is kept, so that an older reading
 	// cannot list it again.
 	missingTTL = 30 * time.Second
+	// maxChangeLines is the number of lines per second about changes of single targets, and of those
+	// that may follow each other at once.
+	maxChangeLines = 100
 	// sweepInterval is the minimum interval between checks of all entries for expiry: a check at
 	// each change would be too frequent with thousands of targets.
 	sweepInterval = time.Second
@@ -131,7 +134,7 @@
 	if e == nil {
 		e = c.addEntry(i.Key, t, from, now)
 	} else if !e.missingSince.IsZero() {
-		c.log.Info("target listed again", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missingSince))
+		c.logChange(now, "target listed again", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missingSince))
 		e.changedAt = now
 	}
 	c.updateEntry(e, t, i.Value, from, now)
@@ -146,7 +149,7 @@
 	if c.snapshot.Load() != nil {
 		// The first reading is no change to peers, and is logged as one line.
 		e.changedAt = now
-		c.log.Info("target listed", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
+		c.logChange(now, "target listed", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
 	return e
 }
@@ -170,7 +173,7 @@
 	if !e.isLeaving && (t.Leaving || c.hasDeparted(t.Incarnation(), now)) {
 		e.isLeaving = true
 		c.markDirty(e)
-		c.log.Info("target leaving", "target", t.ID, "service", t.Pool, "from", from)
+		c.logChange(now, "target leaving", "target", t.ID, "service", t.Pool, "from", from)
 	}
 	if t.Pool != e.target.Pool || t.Address != e.target.Address {
 		c.listingsByAddress.CompareAndDelete(e.target.Address, listingOf(e)) // another target may have taken the address
@@ -270,5 +273,20 @@
 	e.revision = max(e.revision, revision)
 	c.toggleDigest(e, e.digest)
 	c.markDirty(e)
-	c.log.Info("target missing", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", !e.lapsesAt.IsZero(), "left", e.isLeaving)
+	c.logChange(now, "target missing", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", !e.lapsesAt.IsZero(), "left", e.isLeaving)
+}
+
+// logChange logs a change of one target, up to maxChangeLines a second: when a fleet starts, each
+// gateway learns of thousands of targets within seconds. The next line that is logged has the
+// number of those that were not. c.mu must be held.
+func (c *Catalog) logChange(now time.Time, message string, fields ...any) {
+	if !c.changeLines.AllowN(now, 1) {
+		c.unloggedChanges++
+		return
+	}
+	if c.unloggedChanges > 0 {
+		fields = append(fields, "not_logged_before", c.unloggedChanges)
+		c.unloggedChanges = 0
+	}
+	c.log.Info(message, fields...)
 }
--- a/internal/coordination/catalog/leaving.go
+++ b/internal/coordination/catalog/leaving.go
@@ -34,7 +34,7 @@
 	}
 	e.isLeaving = true
 	c.markDirty(e)
-	c.log.Info("target leaving", "target", incarnation.ID, "service", e.target.Pool, "from", from)
+	c.logChange(now, "target leaving", "target", incarnation.ID, "service", e.target.Pool, "from", from)
 	if snapshot := c.snapshot.Load(); snapshot != nil {
 		c.publish(snapshot.Revision, snapshot.Began, now)
 	}
--- a/internal/coordination/catalog/repair_test.go
+++ b/internal/coordination/catalog/repair_test.go
@@ -4,11 +4,14 @@
 package catalog
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 )
 
@@ -147,3 +150,23 @@
 		}
 	})
 }
+
+// TestChangeLinesAreLimited guards against gateways that spend their processor time on a line for each
+// of thousands of targets that start at the same time.
+func TestChangeLinesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		c := newCatalog(newFakeStore())
+		c.log = log.New(&lines)
+		c.ApplyReading(reading(1, 0, nil), "store")
+		c.ApplyReading(reading(2, 5000, nil), "store")
+		if n := strings.Count(lines.String(), "target listed"); n != maxChangeLines {
+			t.Errorf("%d of 5,000 changes have a line", n)
+		}
+		time.Sleep(time.Second)
+		c.ApplyReading(reading(3, 5001, nil), "store")
+		if want := fmt.Sprint("not_logged_before=", 5000-maxChangeLines); !strings.Contains(lines.String(), want) {
+			t.Errorf("%q is not logged", want)
+		}
+	})
+}
