catalog: a repair counts as complete only if the sender knew all removals

A sender answers with changes only from the revision of its first list on, and later if it was told of the removal of a key that it never knew; a removal is filed at the latest revision at which it can have happened. The digest must agree after changes, too, unless either side has those of a later update; otherwise whole buckets follow. What counts as a change is one of the digest, not of the revision, which may grow with each heartbeat.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -150,9 +150,10 @@
 	// without a line since the last one.
 	changeLines     *rate.Limiter
 	unloggedChanges int
-	// unverified is the number of repairs since the digests last agreed with a peer's.
-	unverified int
-	// forgottenRevision is the latest revision of a removed key that is no longer known.
+	// needsBuckets is set if the changes since the own revision were not enough to agree with a peer.
+	needsBuckets bool
+	// forgottenRevision is the latest revision at which a key may have been removed that this
+	// process does not know: changes since an earlier one are not complete.
 	forgottenRevision hookhall.Revision
 	// eraBaseRevision is the store's revision at the first full reading of the targets in the
 	// latest era that was read. olderTableEra is the last era in which the store had an older
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -54,6 +54,9 @@
 	// revision is the store's revision at the key's last known change, 0 if the sender of the
 	// change did not give it.
 	revision hookhall.Revision
+	// changedRevision is that of the last known change of digest, or of whether the target is
+	// listed: unlike revision it does not grow with each heartbeat.
+	changedRevision hookhall.Revision
 	// isLeaving is set once the present incarnation has announced that it is leaving.
 	isLeaving bool
 	// coldUntil is the end of the cold time that the target reported, counted from when this
@@ -61,6 +64,12 @@
 	coldUntil time.Time
 }
 
+// markRemoved records that a missing target was removed at a revision, or before it.
+func (e *entry) markRemoved(revision hookhall.Revision) {
+	e.revision = max(e.revision, revision)
+	e.changedRevision = e.revision
+}
+
 // usable reports whether the target may get requests, its hall aside.
 func (e *entry) usable(now time.Time) bool {
 	if e.isLeaving || e.target.Leaving {
@@ -137,6 +146,9 @@
 		c.logChange(now, "target listed again", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missingSince))
 		e.changedAt = now
 	}
+	if wasListed, digest := e.missingSince.IsZero(), e.digest; !wasListed || digest != targetDigest(&t) {
+		e.changedRevision = i.Revision
+	}
 	c.updateEntry(e, t, i.Value, from, now)
 	e.revision = max(e.revision, i.Revision)
 }
@@ -260,7 +272,7 @@
 				c.recordDeparted(e.target.Incarnation(), now)
 			}
 			delete(c.entriesByKey, key)
-			c.forgottenRevision = max(c.forgottenRevision, e.revision)
+			c.forgetRemoval(e.changedRevision)
 			c.listingsByAddress.CompareAndDelete(e.target.Address, listingOf(e))
 		}
 	}
@@ -270,7 +282,7 @@
 func (c *Catalog) unlist(e *entry, revision hookhall.Revision, from string, now time.Time) {
 	c.listedCount--
 	e.missingSince, e.changedAt = now, now
-	e.revision = max(e.revision, revision)
+	e.markRemoved(revision)
 	c.toggleDigest(e, e.digest)
 	c.markDirty(e)
 	c.logChange(now, "target missing", "target", e.target.ID, "service", e.target.Pool, "from", from, "lapse", !e.lapsesAt.IsZero(), "left", e.isLeaving)
@@ -290,3 +302,9 @@
 	}
 	c.log.Info(message, fields...)
 }
+
+// forgetRemoval records that a key was removed at a revision, or before it, and that this process
+// does not know which one. c.mu must be held.
+func (c *Catalog) forgetRemoval(revision hookhall.Revision) {
+	c.forgottenRevision = max(c.forgottenRevision, revision)
+}
--- a/internal/coordination/catalog/follow_test.go
+++ b/internal/coordination/catalog/follow_test.go
@@ -105,8 +105,10 @@
 func TestRepair(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader, follower := newCatalog(newFakeStore()), newCatalog(newFakeStore())
-		reader.ApplyReading(readyReading(1, "x0"), "store")
-		follower.ApplyReading(readyReading(1, "x0"), "store")
+		first := readyReading(1, "x0")
+		first.Items[0].Revision = 1
+		reader.ApplyReading(first, "store")
+		follower.ApplyReading(first, "store")
 		checkDigests := func(c *Catalog) {
 			var want Digests
 			for key, e := range c.entriesByKey {
@@ -118,7 +120,7 @@
 				t.Fatal("the digests do not match the listed targets")
 			}
 		}
-		lastChange := map[string]hookhall.Item{} // by key, as the store has it
+		lastChange := map[string]hookhall.Item{first.Items[0].Key: first.Items[0]} // as the store has it
 		for at := hookhall.Revision(2); at < 12; at++ {
 			r := Reading{Revision: at, Began: time.Now()}
 			listed := map[string]bool{}
--- a/internal/coordination/catalog/repair.go
+++ b/internal/coordination/catalog/repair.go
@@ -4,14 +4,12 @@
 package catalog
 
 import (
+	"time"
+
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
-// maxUnverified is the number of repairs in a row that may leave another digest than the peer's, as
-// updates that arrive during a repair do, before the differing buckets are repaired instead.
-const maxUnverified = 3
-
 // RepairRequest is what a process that lacks changes asks a peer for.
 type RepairRequest struct {
 	// Since is the revision up to which the process has all changes; 0 asks for whole buckets.
@@ -26,7 +24,8 @@
 	Since   hookhall.Revision
 	Gone    []string // keys that were removed since
 	Buckets []int
-	// Digest combines all buckets, including those that do not differ.
+	// Digest combines all buckets, including those that do not differ; 0 if the sender has changes
+	// after Revision.
 	Digest uint64
 }
 
@@ -35,14 +34,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := RepairRequest{Digests: c.bucketDigests}
-	if snapshot := c.snapshot.Load(); snapshot != nil && c.unverified < maxUnverified {
+	if snapshot := c.snapshot.Load(); snapshot != nil && !c.needsBuckets {
 		r.Since = snapshot.Revision
 	}
 	return r
 }
 
-// RepairFor returns the repair that a peer asked for. It has whole buckets if this process no
-// longer knows all keys that were removed since the peer's revision.
+// RepairFor returns the repair that a peer asked for. It has whole buckets if this process does not
+// know all keys that were removed since the peer's revision.
 func (c *Catalog) RepairFor(request RepairRequest) Repair {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -50,7 +49,10 @@
 	if snapshot == nil {
 		return Repair{}
 	}
-	r := Repair{Reading: Reading{Revision: snapshot.Revision, Began: snapshot.Began}, Digest: c.bucketDigests.combined()}
+	r := Repair{Reading: Reading{Revision: snapshot.Revision, Began: snapshot.Began}}
+	if c.lastUpdate <= snapshot.Revision {
+		r.Digest = c.bucketDigests.combined() // else of a later list
+	}
 	since := request.Since
 	if since > 0 && since >= c.forgottenRevision && since.Era() == snapshot.Revision.Era() {
 		r.Since = since
@@ -66,7 +68,7 @@
 func (c *Catalog) addChangesSince(r *Repair, since hookhall.Revision) {
 	for key, e := range c.entriesByKey {
 		switch {
-		case e.revision <= since && e.revision > 0:
+		case e.changedRevision <= since && e.changedRevision > 0:
 		case e.missingSince.IsZero():
 			r.Items = append(r.Items, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
 		default:
@@ -93,9 +95,7 @@
 }
 
 // ApplyRepair applies a repair from a peer, and reports whether the snapshot is now as recent as
-// the peer's. After a repair of buckets that requires that all buckets agree. The changes since the
-// own revision are complete in any case: their digest may differ because of an update that
-// arrived meanwhile, and the next update shows whether it was that.
+// the peer's. Otherwise the snapshot keeps its revision and age.
 func (c *Catalog) ApplyRepair(r Repair, from string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,6 +103,41 @@
 	if snapshot == nil || c.isOlder(r.Revision, r.Began) || r.Since > snapshot.Revision {
 		return false
 	}
+	now, complete := clock.Now(), false
+	if r.Since > 0 {
+		complete = c.applyChanges(r, from, now)
+	} else {
+		complete = c.applyBuckets(r, from, now)
+	}
+	if !complete {
+		c.publish(snapshot.Revision, snapshot.Began, now)
+		return false
+	}
+	c.log.Info("gap repaired", "from", from, "since", r.Since, "buckets", len(r.Buckets), "targets", len(r.Items), "gone", len(r.Gone), "revision", r.Revision)
+	if c.bucketDigests.combined() == r.Digest {
+		c.syncedRevision = r.Revision
+	}
+	c.publish(r.Revision, r.Began, now)
+	return true
+}
+
+// applyChanges applies the changes since this process's revision, and reports whether the list is
+// complete up to that of the repair. Its digest shows that, unless either side has changes of a
+// later update; the next update then shows it. Whole buckets are asked for if the changes are
+// not enough. c.mu must be held.
+func (c *Catalog) applyChanges(r Repair, from string, now time.Time) bool {
+	for _, i := range r.Items {
+		c.applyItem(i, from, now)
+	}
+	c.markMissing(c.removedEntries(r.Gone, r.Revision), r.Revision, c.isLaterEra(r.Revision), from, now)
+	isLater := r.Digest == 0 || c.lastUpdate > r.Revision
+	c.needsBuckets = !isLater && c.bucketDigests.combined() != r.Digest
+	return !c.needsBuckets
+}
+
+// applyBuckets replaces the listed targets of whole buckets, and reports whether all buckets agree
+// with the sender's. c.mu must be held.
+func (c *Catalog) applyBuckets(r Repair, from string, now time.Time) bool {
 	repaired := [BucketCount]bool{}
 	for _, b := range r.Buckets {
 		if b < 0 || b >= BucketCount {
@@ -110,39 +145,30 @@
 		}
 		repaired[b] = true
 	}
-	now, restored := clock.Now(), c.isLaterEra(r.Revision)
 	listed := map[string]bool{}
 	for _, i := range r.Items {
 		c.applyItem(i, from, now)
 		listed[i.Key] = true
 	}
-	lost := c.listedEntries(r.Gone, r.Revision)
-	if r.Since == 0 {
-		lost = c.unlisted(listed, r.Revision, func(key string) bool { return repaired[bucketOf(key)] })
-	}
-	c.markMissing(lost, r.Revision, restored, from, now)
-	verified := c.bucketDigests.combined() == r.Digest
-	if !verified && r.Since == 0 {
-		c.publish(snapshot.Revision, snapshot.Began, now)
-		return false
-	}
-	c.log.Info("gap repaired", "from", from, "since", r.Since, "buckets", len(r.Buckets), "targets", len(r.Items), "gone", len(r.Gone), "verified", verified, "revision", r.Revision)
-	if verified {
-		c.syncedRevision, c.unverified = r.Revision, 0
-	} else {
-		c.unverified++
-	}
-	c.publish(r.Revision, r.Began, now)
-	return true
+	lost := c.unlisted(listed, r.Revision, func(key string) bool { return repaired[bucketOf(key)] })
+	c.markMissing(lost, r.Revision, c.isLaterEra(r.Revision), from, now)
+	c.needsBuckets = false // if an update has arrived meanwhile, changes are enough the next time
+	return c.bucketDigests.combined() == r.Digest
 }
 
-// listedEntries returns the entries of keys that are listed here and were at a revision. c.mu must be
-// held.
-func (c *Catalog) listedEntries(keys []string, revision hookhall.Revision) []*entry {
+// removedEntries returns the entries of keys that were removed at a revision or before it and are
+// still listed here, and records the removal of those that are not. c.mu must be held.
+func (c *Catalog) removedEntries(keys []string, revision hookhall.Revision) []*entry {
 	var list []*entry
 	for _, key := range keys {
-		if e := c.entriesByKey[key]; e != nil && e.missingSince.IsZero() && e.revision <= revision {
+		e := c.entriesByKey[key]
+		switch {
+		case e == nil:
+			c.forgetRemoval(revision)
+		case e.missingSince.IsZero() && e.revision <= revision:
 			list = append(list, e)
+		case !e.missingSince.IsZero():
+			e.markRemoved(revision)
 		}
 	}
 	return list
--- a/internal/coordination/catalog/repair_test.go
+++ b/internal/coordination/catalog/repair_test.go
@@ -109,23 +109,110 @@
 		if _, gap := follower.ApplyUpdate(reader.RecentUpdate(time.Now()), "reader"); gap {
 			t.Error("the next update shows a gap")
 		}
-		for range maxUnverified {
-			if follower.RepairRequest().Since == 0 {
-				t.Fatal("buckets are asked for too soon")
-			}
-			wrong := reader.RepairFor(follower.RepairRequest())
-			wrong.Digest++
-			wrong.Revision++
-			wrong.Began = time.Now()
-			follower.ApplyRepair(wrong, "reader")
-			time.Sleep(time.Second)
+	})
+}
+
+// TestIncompleteRepair guards against lists that count as complete although the sender of a repair did
+// not know a change: it has begun later, was not told, or is told something else.
+func TestIncompleteRepair(t *testing.T) {
+	agree := func(t *testing.T, sender, receiver *Catalog) {
+		t.Helper()
+		for range 2 { // the second repair has whole buckets if the first was not enough
+			receiver.ApplyRepair(sender.RepairFor(receiver.RepairRequest()), "sender")
+		}
+		if receiver.Snapshot().Digest != sender.Snapshot().Digest || receiver.Snapshot().Revision != sender.Snapshot().Revision {
+			t.Errorf("the list of revision %v differs from that of %v", receiver.Snapshot().Revision, sender.Snapshot().Revision)
+		}
+	}
+	run := func(name string, test func(t *testing.T, sender, receiver *Catalog)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sender, receiver := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+				receiver.ApplyReading(reading(10, 100, nil), "store")
+				time.Sleep(time.Second)
+				test(t, sender, receiver)
+			})
+		})
+	}
+	run("a sender that began after a removal", func(t *testing.T, sender, receiver *Catalog) {
+		sender.ApplyReading(reading(15, 100, nil).without(1), "store")
+		agree(t, sender, receiver)
+	})
+	run("a sender that lists targets of later revisions than its reading", func(t *testing.T, sender, receiver *Catalog) {
+		sender.ApplyReading(reading(9, 100, map[int]hookhall.Revision{3: 12}).without(1), "store")
+		sender.ApplyEvents(nil, 15, time.Now())
+		agree(t, sender, receiver)
+	})
+	run("a removal that the sender finds in a list of an earlier revision", func(t *testing.T, sender, receiver *Catalog) {
+		sender.ApplyReading(reading(10, 100, nil), "store")
+		sender.ApplyEvents(nil, 14, time.Now())
+		receiver.ApplyEvents(nil, 12, time.Now())
+		sender.Reconcile(reading(11, 100, nil).without(2), "store")
+		time.Sleep(time.Second)
+		sender.ApplyEvents(nil, 15, time.Now())
+		agree(t, sender, receiver)
+	})
+	run("a removal that the sender learns again from the store", func(t *testing.T, sender, receiver *Catalog) {
+		sender.ApplyReading(reading(10, 100, nil), "store")
+		sender.ApplyReading(reading(11, 100, nil).without(1), "store")
+		receiver.ApplyEvents(nil, 12, time.Now())
+		time.Sleep(time.Second)
+		sender.ApplyEvents([]hookhall.Item{{Key: "t/target-99", Revision: 13, Deleted: true}}, 14, time.Now())
+		agree(t, sender, receiver)
+	})
+	run("a digest that does not agree", func(t *testing.T, sender, receiver *Catalog) {
+		sender.ApplyReading(reading(10, 100, nil), "store")
+		sender.ApplyEvents(nil, 15, time.Now())
+		wrong := sender.RepairFor(receiver.RepairRequest())
+		wrong.Digest++
+		if receiver.ApplyRepair(wrong, "sender") || receiver.Snapshot().Revision != 10 {
+			t.Error("the list counts as complete")
+		}
+		if receiver.RepairRequest().Since != 0 {
+			t.Error("whole buckets are not asked for")
+		}
+		agree(t, sender, receiver)
+		if receiver.RepairRequest().Since == 0 {
+			t.Error("whole buckets are asked for again")
 		}
-		if follower.RepairRequest().Since != 0 {
-			t.Error("buckets are not asked for although the digests don't agree")
+	})
+	run("a sender with a gap", func(t *testing.T, sender, receiver *Catalog) {
+		reader := newCatalog(newFakeStore())
+		for _, c := range []*Catalog{reader, sender} {
+			c.ApplyReading(reading(10, 100, nil), "store")
+		}
+		changed := map[int]hookhall.Revision{1: 11}
+		reader.ApplyReading(reading(11, 100, changed), "store")
+		time.Sleep(2 * changeResendTime)
+		changed[2] = 12
+		reader.ApplyReading(reading(12, 100, changed), "store")
+		if _, gap := sender.ApplyUpdate(reader.RecentUpdate(time.Now()), "reader"); !gap {
+			t.Fatal("the sender has no gap")
 		}
+		receiver.ApplyRepair(sender.RepairFor(receiver.RepairRequest()), "sender")
+		if receiver.Snapshot().Revision > 10 {
+			t.Errorf("the receiver is at %v", receiver.Snapshot().Revision)
+		}
+		agree(t, reader, receiver)
 	})
 }
 
+// TestHeartbeatsAreNoChanges guards against repairs that send all targets because each heartbeat
+// raises the revision of a key.
+func TestHeartbeatsAreNoChanges(t *testing.T) {
+	sender, receiver := newCatalog(newFakeStore()), newCatalog(newFakeStore())
+	receiver.ApplyReading(reading(10, 100, nil), "store")
+	sender.ApplyReading(reading(10, 100, nil), "store")
+	beats := reading(20, 100, nil)
+	for i := range beats.Items {
+		beats.Items[i].Revision = 15
+	}
+	sender.ApplyReading(beats, "store")
+	if repair := sender.RepairFor(receiver.RepairRequest()); len(repair.Items) > 0 {
+		t.Errorf("%d targets are sent", len(repair.Items))
+	}
+}
+
 // TestRepeatedUpdates guards against copies of one update that multiply on their way: a process with
 // a gap would pass on each of them.
 func TestRepeatedUpdates(t *testing.T) {
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -304,13 +304,18 @@
 	if r.Revision.Era() > c.eraBaseRevision.Era() { // an update may have shown the era before
 		c.eraBaseRevision = r.Revision
 	}
+	isFirst := c.snapshot.Load() == nil
 	listed := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
 		c.applyItem(i, from, now)
 		listed[i.Key] = true
+		if isFirst {
+			c.forgetRemoval(i.Revision)
+		}
 	}
 	c.markMissing(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, restored, from, now)
-	if c.snapshot.Load() == nil {
+	if isFirst {
+		c.forgetRemoval(r.Revision)
 		c.log.Info("targets loaded", "count", len(c.entriesByKey), "revision", r.Revision, "from", from)
 	}
 	c.publish(r.Revision, r.Began, now)
@@ -323,16 +328,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	snapshot := c.snapshot.Load()
-	if snapshot == nil || r.Revision.Era() != snapshot.Revision.Era() {
-		return false
-	}
 	now, before := clock.Now(), c.bucketDigests.combined()
+	if snapshot == nil || r.Revision.Era() != snapshot.Revision.Era() || now.Sub(r.Began) > missingTTL {
+		return false // removals since then may be forgotten
+	}
 	listed := make(map[string]bool, len(r.Items))
 	for _, i := range r.Items {
 		c.applyItem(i, from, now)
 		listed[i.Key] = true
 	}
-	c.markMissing(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, false, from, now)
+	c.markMissing(c.unlisted(listed, r.Revision, func(string) bool { return true }), snapshot.Revision, false, from, now)
 	c.publish(snapshot.Revision, snapshot.Began, now)
 	return c.bucketDigests.combined() != before
 }
@@ -352,10 +357,16 @@
 	}
 	var lost []*entry
 	for key, i := range last {
-		if e := c.entriesByKey[key]; i.Deleted && e != nil && e.missingSince.IsZero() {
-			lost = append(lost, e)
-		} else if !i.Deleted {
+		e := c.entriesByKey[key]
+		switch {
+		case !i.Deleted:
 			c.applyItem(i, "store", now)
+		case e == nil:
+			c.forgetRemoval(i.Revision)
+		case e.missingSince.IsZero():
+			lost = append(lost, e)
+		default:
+			e.markRemoved(i.Revision)
 		}
 	}
 	c.markMissing(lost, revision, false, "store", now)
--- a/internal/coordination/catalog/updates.go
+++ b/internal/coordination/catalog/updates.go
@@ -87,9 +87,9 @@
 	for _, i := range update.Changed {
 		c.applyItem(i, from, now)
 	}
-	c.markMissing(c.listedEntries(update.Gone, update.Revision), update.Revision, c.isLaterEra(update.Revision), from, now)
+	c.markMissing(c.removedEntries(update.Gone, update.Revision), update.Revision, c.isLaterEra(update.Revision), from, now)
 	if c.bucketDigests.combined() == update.Digest {
-		c.syncedRevision, c.unverified = update.Revision, 0
+		c.syncedRevision, c.needsBuckets = update.Revision, false
 		c.publish(update.Revision, update.Began, now)
 		return true, false
 	}
