members: while a fleet starts, no gateway owns everything by its own list

A gateway counted its own time on the list from its registration, and that of the others from when it read the list, up to a second later. Members own work after they were listed for a settle time, three seconds in a large fleet, so for up to a second each gateway saw itself as the only settled member and owned all roles by its own list: it watched the store as the first reader, sent updates to the whole fleet, and ran the pools and placements of its requests itself.

Members that a process learns of while it starts count from its first list on, itself included.

--- a/internal/coordination/members/members.go
+++ b/internal/coordination/members/members.go
@@ -78,7 +78,7 @@
 	cutOff         atomic.Bool                    // this process can't connect to targets that others reach
 	published      atomic.Pointer[availability]   // what its key states of that; not nil
 	lease          atomic.Pointer[hookhall.Lease] // nil while this process is not registered
-	listedSince    sync.Map                       // address to the time.Time when it was first listed or, for this process, registered
+	listedSince    sync.Map                       // address to the time.Time when it was first listed; see firstListed
 	storeFailing   atomic.Bool                    // the last call of the store by this process failed
 	unlisted       atomic.Bool                    // a list is known, and this process is not on it
 	assigned       atomic.Pointer[assignment]     // owners of the roles; nil before the first call
@@ -248,8 +248,23 @@
 }
 
 // settleTime returns how long a change of the list takes to reach all members.
-func (m *Members) settleTime() time.Duration {
-	return max(minSettleTime, min(time.Duration(m.Count())*settleTimePerMember, maxSettleTime))
+func (m *Members) settleTime() time.Duration { return settleTimeOf(m.Count()) }
+
+// settleTimeOf is settleTime in a fleet with the given number of members.
+func settleTimeOf(count int) time.Duration {
+	return max(minSettleTime, min(time.Duration(count)*settleTimePerMember, maxSettleTime))
+}
+
+// firstListed returns since when members count as listed that are listed now for the first time.
+// Those that this process learns of while it starts count from its first list on, and so does
+// this process: it can't tell which of them are newcomers, and otherwise those that it happens to
+// list first, itself among them, would own everything until the others have settled.
+// m.mu must be held, unless no other goroutine has m yet.
+func (m *Members) firstListed(now time.Time) time.Time {
+	if m.hasList && now.Sub(m.firstListAt) < settleTimeOf(len(m.listingByKey)) {
+		return m.firstListAt
+	}
+	return now
 }
 
 // ownerScore returns the score of a member for a key; the member with the highest score
@@ -298,6 +313,7 @@
 // addresses joined and left. m.mu must be held, unless no other goroutine has m yet.
 func (m *Members) publish() {
 	now := clock.Now()
+	since := m.firstListed(now)
 	list := []hookhall.Member{m.advertised()}
 	isListed := map[string]bool{m.self.Address: true}
 	isSelfListed := false
@@ -307,9 +323,12 @@
 		if !isListed[member.Address] {
 			isListed[member.Address] = true
 			list = append(list, member)
-			m.listedSince.LoadOrStore(member.Address, now)
+			m.listedSince.LoadOrStore(member.Address, since)
 		}
 	}
+	if isSelfListed {
+		m.listedSince.LoadOrStore(m.self.Address, since)
+	}
 	for address := range isListed {
 		delete(m.addressRemovedAt, address)
 	}
--- a/internal/coordination/members/register.go
+++ b/internal/coordination/members/register.go
@@ -9,7 +9,6 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/retry"
-	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/pkg/errors"
 )
 
@@ -99,7 +98,6 @@
 	}
 	if !m.stopping.Load() {
 		m.lease.Store(&lease)
-		m.listedSince.LoadOrStore(m.self.Address, clock.Now())
 		m.log.Info("Registered.", "lease", lease.Number, "era", lease.Era)
 	}
 	return nil
