catalog: a large fleet asks the store for changes, and lists in turns from its start

Found in review of the turns in which gateways list all targets for themselves:

- A gateway that no peer helps waited for a turn of up to 30 s although the store answers it.
It now asks the store for the changes since its own revision, which is one small call; turns are for lists only.
A copy from the start counts as four targets for each gateway at least.
- A list that failed cost a whole further turn.
- A list that failed by its size counted as an outage of the store, upon which gateways send updates to lost peers and don't take over as first reader.
The gate says now whether small calls are answered.
- A range that waited for a small read failed if another range failed at the moment at which that read was answered.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -224,6 +224,7 @@
 	g.quarantine.Meter = g.metrics
 	g.broadcaster.Bootstrapper = g.bootstrapper
 	g.broadcaster.OnUpdate = g.storeGate.ReportAnswered
+	g.catalog.StoreFailing = g.storeGate.Failing
 	g.catalog.OnStoreRead = g.broadcaster.Broadcast
 	g.catalog.PullTable, g.catalog.PullTargets = g.broadcaster.PullTable, g.broadcaster.PullTargets
 	g.catalog.ReaderRank = g.readerRank
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -51,6 +51,11 @@
 	// maxReadSpread: all at once, none would get the list in the time that a call may take.
 	readTimePerTarget = 8 * time.Microsecond
 	maxReadSpread     = 30 * time.Second
+	// minTargetsPerGateway is the number of targets per gateway that a starting process assumes.
+	minTargetsPerGateway = 4
+	// maxCatchUpAge is the maximum age of the state from which a process asks for changes: the
+	// answer has all of them at once.
+	maxCatchUpAge = 10 * time.Second
 	// minPullSpread is the spread from which peers are asked first. In smaller fleets the store
 	// answers sooner than a peer that hangs.
 	minPullSpread = 100 * time.Millisecond
@@ -90,6 +95,9 @@
 	ReaderRank func() int
 	// GatewayCount returns the number of gateways, this one included. Set before Run.
 	GatewayCount func() int
+	// StoreFailing reports whether the store does not answer this process. A list that fails, which
+	// may be too large, does not show that. Set before Run.
+	StoreFailing func() bool
 	// PullTable asks a peer for a newer table or a later confirmation of the one in force, before
 	// this process reads the store; it waits for the answer. Set before Run.
 	PullTable func(ctx context.Context)
@@ -150,6 +158,8 @@
 	// without a line since the last one.
 	changeLines     *rate.Limiter
 	unloggedChanges int
+	// firstBegan is when the first reading began.
+	firstBegan time.Time
 	// needsBuckets is set if the changes since the own revision were not enough to agree with a peer.
 	needsBuckets bool
 	// forgottenRevision is the latest revision at which a key may have been removed that this
@@ -169,6 +179,7 @@
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
 	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, PullTargets: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64(), changeLines: rate.NewLimiter(maxChangeLines, maxChangeLines)}
+	c.StoreFailing = c.isFailing.Load
 	c.recordAnswer(clock.Now())
 	return c
 }
@@ -311,8 +322,8 @@
 	return now.Sub(confirmed) >= maxAge
 }
 
-// Failing reports whether this process's last call of the store failed.
-func (c *Catalog) Failing() bool { return c.isFailing.Load() }
+// Failing reports whether the store does not answer this process.
+func (c *Catalog) Failing() bool { return c.StoreFailing() }
 
 // TimeSinceAnswer returns the time since the store last answered this process, or since New
 // before the first answer. It grows, too, while this process makes no calls.
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -72,7 +72,7 @@
 			retry.Sleep(ctx, pollInterval)
 			continue
 		}
-		if f.leavesReadingToOthers(ctx) {
+		if f.awaitPeersOrTurn(ctx) {
 			retry.Sleep(ctx, pollInterval)
 			continue
 		}
@@ -99,14 +99,18 @@
 	hasEvents bool
 	// isFollower is set while this process relies on updates of peers.
 	isFollower bool
-	// awaitsTurn is set while a process of maxRank waits to read the store, which it does at turnAt.
+	// catchesUp is set if a process of maxRank asks the store for changes once.
+	catchesUp bool
+	// awaitsTurn is set while a process of maxRank waits to list all targets, which it does at
+	// turnAt, a random time within turnSpread.
 	awaitsTurn bool
 	turnAt     time.Time
+	turnSpread time.Duration
 }
 
-// leavesReadingToOthers reports whether a process of maxRank, whose targets are too old, does not
-// read the store yet: a peer has what it lacks, or it is not its turn.
-func (f *targetsFollower) leavesReadingToOthers(ctx context.Context) bool {
+// awaitPeersOrTurn reports whether a process of maxRank, whose targets are too old, does not call the
+// store yet: a peer has what it lacks, or it is not its turn.
+func (f *targetsFollower) awaitPeersOrTurn(ctx context.Context) bool {
 	if f.ReaderRank() < maxRank || f.snapshot.Load() == nil {
 		return false
 	}
@@ -114,23 +118,46 @@
 		f.PullTargets(ctx)
 	}
 	now := clock.Now()
-	if !f.isDue(now) {
-		return true
+	return !f.isDue(now) || !f.prepareCatchUp(now) && !f.isTurn(now)
+}
+
+// prepareCatchUp decides whether a process of maxRank in a large fleet asks the store for the changes
+// since its own revision, which is a small call, rather than list all targets.
+func (f *targetsFollower) prepareCatchUp(now time.Time) bool {
+	f.watchRevision, f.catchesUp = 0, false
+	snapshot := f.snapshot.Load()
+	if f.readSpread() < minPullSpread || snapshot.Began.Equal(f.copyBegan) || snapshot.Age(now) > maxCatchUpAge || f.watchFailed {
+		return false
 	}
+	f.watchRevision, f.catchesUp = snapshot.Revision, true
+	return true
+}
+
+// isTurn reports whether this process may list all targets for itself now.
+func (f *targetsFollower) isTurn(now time.Time) bool {
 	spread := f.readSpread()
-	if !f.awaitsTurn {
-		f.awaitsTurn = true
-		if first := now.Add(time.Duration(rand.Float64() * float64(spread))); f.turnAt.Before(first) {
-			f.turnAt = first
+	if !f.awaitsTurn || f.turnSpread < spread/2 {
+		f.awaitsTurn, f.turnSpread = true, spread
+		if turnAt := now.Add(randomPart(spread)); f.turnAt.Before(turnAt) {
+			f.turnAt = turnAt
 		}
 	}
-	if now.Before(f.turnAt) {
-		return true
+	return !now.Before(f.turnAt)
+}
+
+// endTurn sets the next turn after a list of all targets.
+func (f *targetsFollower) endTurn(now time.Time, err error) {
+	f.awaitsTurn = false
+	if err == nil {
+		f.turnAt = now.Add(f.turnSpread)
+	} else {
+		f.turnAt = now.Add(randomPart(f.turnSpread / 4))
 	}
-	f.turnAt = now.Add(spread)
-	return false
 }
 
+// randomPart returns a random part of a duration.
+func randomPart(d time.Duration) time.Duration { return time.Duration(rand.Float64() * float64(d)) }
+
 // prefersPeers reports whether a process of maxRank asks a peer before it reads the store: the store
 // does not answer it, or readings by all would be too much for the store.
 func (c *Catalog) prefersPeers() bool { return c.Failing() || c.readSpread() >= minPullSpread }
@@ -138,10 +165,15 @@
 // readSpread returns the time over which the gateways of this fleet spread when they read all
 // targets for themselves.
 func (c *Catalog) readSpread() time.Duration {
+	gateways := c.GatewayCount()
 	c.mu.Lock()
 	targets := c.listedCount
+	if snapshot := c.snapshot.Load(); snapshot != nil && snapshot.Began.Equal(c.firstBegan) {
+		// A copy from the start of a fleet lacks most targets.
+		targets = max(targets, minTargetsPerGateway*gateways)
+	}
 	c.mu.Unlock()
-	return min(time.Duration(c.GatewayCount()*targets)*readTimePerTarget, maxReadSpread)
+	return min(time.Duration(gateways*targets)*readTimePerTarget, maxReadSpread)
 }
 
 // takeOver lets a new first reader watch from the revision up to which its peers have updated
@@ -179,10 +211,13 @@
 	fresh, err := f.readOrWatch(ctx, isFirst)
 	if errors.Is(err, hookhall.ErrHistoryGone) {
 		f.recordCall(ctx, nil)
-		f.watchRevision = 0
+		f.watchRevision, f.watchFailed = 0, true
 		return
 	}
 	f.recordCall(ctx, err)
+	if !f.catchesUp {
+		f.endTurn(clock.Now(), err)
+	}
 	if err != nil {
 		f.recordFailure()
 		f.backoff.Wait(ctx)
@@ -204,7 +239,7 @@
 // one brings the same changes. After two there is an outage, in which the leases of many targets
 // may have expired: a list shows that they did so together.
 func (f *targetsFollower) recordFailure() {
-	if f.watchRevision == 0 || f.watchFailed {
+	if f.watchFailed {
 		f.watchRevision = 0
 	}
 	f.watchFailed = f.watchRevision > 0
@@ -214,12 +249,17 @@
 // whether the answer was newer than the known state.
 func (f *targetsFollower) readOrWatch(ctx context.Context, isFirst bool) (fresh bool, err error) {
 	f.hasEvents = false
-	if f.watchRevision > 0 && f.ReaderRank() == 0 {
+	switch {
+	case f.watchRevision > 0 && f.ReaderRank() == 0:
+		f.catchesUp = false
 		if clock.Since(f.lastFullRead) >= fullReadInterval {
 			f.startCheck(ctx)
 		}
-		return f.watch(ctx)
+		return f.watch(ctx, readInterval)
+	case f.watchRevision > 0 && f.catchesUp:
+		return f.watch(ctx, 0)
 	}
+	f.catchesUp = false
 	if !isFirst {
 		f.log.Info("reading all targets", "rank", f.ReaderRank(), "age", f.TargetsAge(clock.Now()), "watched_to", f.watchRevision)
 	}
@@ -255,17 +295,17 @@
 	})
 }
 
-// watch waits up to readInterval for changes of the targets, applies them, and reports whether the
-// answer was newer than the known state.
-func (f *targetsFollower) watch(ctx context.Context) (fresh bool, err error) {
+// watch waits for changes of the targets, applies them, and reports whether the answer was newer than
+// the known state.
+func (f *targetsFollower) watch(ctx context.Context, wait time.Duration) (fresh bool, err error) {
 	began := clock.Now()
-	events, revision, err := f.store.Watch(ctx, f.schema.TargetPrefix(), f.watchRevision, readInterval)
+	events, revision, err := f.store.Watch(ctx, f.schema.TargetPrefix(), f.watchRevision, wait)
 	if err != nil {
 		return false, err
 	}
 	f.watchRevision = revision
-	if len(events) == 0 && clock.Since(began) >= readInterval {
-		began = began.Add(readInterval) // the store waited that long and found no change
+	if len(events) == 0 && clock.Since(began) >= wait {
+		began = began.Add(wait) // the store waited that long and found no change
 	}
 	f.hasEvents = len(events) > 0
 	return f.ApplyEvents(events, revision, began), nil
@@ -315,6 +355,7 @@
 	}
 	c.markMissing(c.unlisted(listed, r.Revision, func(string) bool { return true }), r.Revision, restored, from, now)
 	if isFirst {
+		c.firstBegan = r.Began
 		c.forgetRemoval(r.Revision)
 		c.log.Info("targets loaded", "count", len(c.entriesByKey), "revision", r.Revision, "from", from)
 	}
--- a/internal/coordination/outage/gate.go
+++ b/internal/coordination/outage/gate.go
@@ -174,7 +174,7 @@
 		probe, pending := g.enterCall(true)
 		switch {
 		case pending != nil:
-			if err := g.awaitProbe(ctx, pending, true); err != nil {
+			if err := g.awaitProbe(ctx, pending); err != nil {
 				return err
 			}
 		case probe:
@@ -245,6 +245,13 @@
 	return g.store.Revoke(ctx, lease)
 }
 
+// Failing reports whether the last small call was not answered.
+func (g *Gate) Failing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failing && !g.failedAt.IsZero()
+}
+
 // call makes a call directly while the store answers. Otherwise the call becomes the
 // probe, or waits for the running probe and shares its failure.
 func (g *Gate) call(ctx context.Context, kind callKind, do storeCall) (result, error) {
@@ -252,7 +259,7 @@
 		probe, pending := g.enterCall(false)
 		switch {
 		case pending != nil:
-			if err := g.awaitProbe(ctx, pending, false); err != nil {
+			if err := g.awaitProbe(ctx, pending); err != nil {
 				g.count(kind, outcomeNotMade)
 				return result{}, err
 			}
@@ -280,7 +287,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case !g.isInDoubt(isRange):
+	case !g.failing && !(isRange && g.rangeFailed):
 		return false, nil
 	case g.probeDone != nil:
 		return false, g.probeDone
@@ -289,12 +296,9 @@
 	return true, nil
 }
 
-// isInDoubt reports whether a call must not be made before a probe was answered. g.mu must be held.
-func (g *Gate) isInDoubt(isRange bool) bool { return g.failing || (isRange && g.rangeFailed) }
-
 // awaitProbe waits for the running probe. It returns nil if the store answered it, and
 // otherwise errProbeFailed, or hookhall.ErrUnavailable if ctx ends first.
-func (g *Gate) awaitProbe(ctx context.Context, done chan struct{}, isRange bool) error {
+func (g *Gate) awaitProbe(ctx context.Context, done chan struct{}) error {
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -302,10 +306,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.isInDoubt(isRange) {
+	if g.failing {
 		return errProbeFailed
 	}
-	return nil
+	return nil // a further range may have failed meanwhile; that is no reason to fail this one
 }
 
 // probe waits for the end of the pause, makes the call and ends the probe.
