fleet: pulls don't put off repairs, and large repairs are limited by their size

Found in review: pulls that bring nothing, as in an outage of the store, made the next repair of a gap wait for up to five seconds; a table that took longer than half a second to come made its sender count as unresponsive for updates, too; and changes since an early revision, which may be nearly all targets, were sent to any number of peers at a time.

--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -68,7 +68,7 @@
 	// Broadcaster has the catalog and the other state that peers read and update.
 	Broadcaster *Broadcaster
 
-	bucketRepairs atomic.Int64 // number of peers that are being sent whole buckets
+	largeRepairs atomic.Int64 // number of peers that are being sent many targets
 }
 
 // RunStage implements pb.FleetServer.
--- a/internal/transport/fleet/pull.go
+++ b/internal/transport/fleet/pull.go
@@ -82,8 +82,6 @@
 	t, err := s.Clients.Client(peer).FetchTable(ctx, have)
 	if err == nil {
 		applyTable(s.Catalog, t, peer, began)
-	} else {
-		s.unresponsiveSince.Store(peer, clock.Now())
 	}
 	s.tablePull.record(err == nil && milliseconds(t.GetAgeMs()) <= maxHelpfulAge, clock.Now())
 }
--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -27,12 +27,14 @@
 	// Updates arrive up to ten times a second, and each shows the gap again.
 	minRepairPause = 250 * time.Millisecond
 	maxRepairPause = 4 * time.Second
-	// maxBucketRepairs is the number of peers that are sent whole buckets at a time: up to all
-	// targets, which take a weak instance some tenths of a second to compress.
-	maxBucketRepairs = 2
+	// maxLargeRepairs is the number of peers that are sent whole buckets or more than
+	// minLargeRepair targets at a time. All targets of a large fleet take a weak instance some
+	// tenths of a second to compress.
+	maxLargeRepairs = 2
+	minLargeRepair  = 1000
 )
 
-// errBusy is returned to peers while maxBucketRepairs are being sent.
+// errBusy is returned to peers while maxLargeRepairs are being sent.
 var errBusy = status.Error(codes.Unavailable, "too many peers are being sent targets")
 
 // repairs is the state of the repairs of this process's targets.
@@ -66,24 +68,42 @@
 // repairTargets begins to read what the targets lack from the sender of an update. Only one repair
 // runs at a time. If none succeeds, this process reads the store once its targets are too old.
 func (s *Broadcaster) repairTargets(peer string) {
-	if s.repairs.isDue(clock.Now()) {
-		go s.repairFrom(context.Background(), peer)
+	if !s.repairs.isDue(clock.Now()) {
+		return
 	}
+	go func() {
+		if outcome := s.repairFrom(context.Background(), peer); outcome != repairSkipped {
+			s.repairs.record(outcome >= repairedToOlder, clock.Now())
+		}
+	}()
 }
 
 // PullTargets asks a peer for changes of the targets, or for a later confirmation of them.
 func (s *Broadcaster) PullTargets(ctx context.Context) {
-	if peer, ok := s.targetsPull.next(s, clock.Now()); ok {
-		age, repaired := s.repairFrom(ctx, peer)
-		s.targetsPull.record(repaired && age <= maxHelpfulAge, clock.Now())
+	peer, ok := s.targetsPull.next(s, clock.Now())
+	if !ok {
+		return
+	}
+	if outcome := s.repairFrom(ctx, peer); outcome != repairSkipped {
+		s.targetsPull.record(outcome == repairedToRecent, clock.Now())
 	}
 }
 
-// repairFrom reads what the targets lack from a peer, and returns how long ago the peer's were
-// confirmed, and whether these are as recent now. It does nothing while another repair runs.
-func (s *Broadcaster) repairFrom(ctx context.Context, peer string) (age time.Duration, repaired bool) {
+// repairOutcome is the outcome of asking a peer for what the targets lack.
+type repairOutcome int
+
+const (
+	repairSkipped    repairOutcome = iota // another repair is running
+	repairFailed                          // the peer did not answer
+	repairUseless                         // the peer's targets are older, or changed too much meanwhile
+	repairedToOlder                       // the targets are as recent as the peer's, which hears no updates itself
+	repairedToRecent                      // the targets are as recent as those of a peer that hears updates
+)
+
+// repairFrom reads what the targets lack from a peer.
+func (s *Broadcaster) repairFrom(ctx context.Context, peer string) repairOutcome {
 	if !s.repairs.running.CompareAndSwap(false, true) {
-		return 0, false
+		return repairSkipped
 	}
 	defer s.repairs.running.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
@@ -91,16 +111,17 @@
 	askedAt := clock.Now()
 	r, err := s.Clients.Client(peer).FetchRepair(ctx, s.Catalog.RepairRequest())
 	if err != nil {
-		s.repairs.record(false, clock.Now())
-		s.Clients.Log.Info("gap not repaired", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
-		return 0, false
+		s.Clients.Log.Info("targets not read from peer", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
+		return repairFailed
 	}
-	repaired = s.Catalog.ApplyRepair(r, hostOf(peer))
-	s.repairs.record(repaired, clock.Now())
-	if !repaired {
-		s.Clients.Log.Info("gap not repaired: the lists changed meanwhile, or the peer's is older", "peer", peer, "after", clock.Since(askedAt), "buckets", len(r.Buckets), "targets", len(r.Items))
+	switch {
+	case !s.Catalog.ApplyRepair(r, hostOf(peer)):
+		s.Clients.Log.Debug("targets of peer are older, or leave a gap", "peer", peer, "after", clock.Since(askedAt), "since", r.Since, "buckets", len(r.Buckets), "targets", len(r.Items), "revision", r.Revision)
+		return repairUseless
+	case askedAt.Sub(r.Began) > maxHelpfulAge:
+		return repairedToOlder
 	}
-	return askedAt.Sub(r.Began), repaired
+	return repairedToRecent
 }
 
 // GetTargets implements pb.FleetServer.
@@ -111,9 +132,9 @@
 	if d.Revision == 0 {
 		return nil, errNoState
 	}
-	if len(d.Buckets) > 0 {
-		defer s.bucketRepairs.Add(-1)
-		if s.bucketRepairs.Add(1) > maxBucketRepairs {
+	if len(d.Buckets) > 0 || len(d.Items) > minLargeRepair {
+		defer s.largeRepairs.Add(-1)
+		if s.largeRepairs.Add(1) > maxLargeRepairs {
 			return nil, errBusy
 		}
 	}
--- a/internal/transport/fleet/repair_test.go
+++ b/internal/transport/fleet/repair_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -93,15 +92,12 @@
 	}
 }
 
-// withChanges changes targets of a server at a revision.
-func withChanges(t *testing.T, b *Broadcaster, revision hookhall.Revision, changed int) {
+// removeTargets removes targets of a server at a revision, and adds others.
+func removeTargets(t *testing.T, b *Broadcaster, revision hookhall.Revision, removed, added int) {
 	t.Helper()
 	r := b.Catalog.Reading()
 	r.Revision, r.Began = revision, time.Now()
-	for i := range r.Items[:changed] {
-		r.Items[i].Value = []byte(strings.Replace(string(r.Items[i].Value), "ready", "draining", 1))
-		r.Items[i].Revision = revision
-	}
+	r.Items = append(r.Items[removed:], targetItems(len(r.Items), added, revision)...)
 	if !b.Catalog.ApplyReading(r, "store") {
 		t.Fatal("the changes were not applied")
 	}
@@ -113,10 +109,10 @@
 	peer, address := startServer(t, 3000, 11)
 	own, _ := startServer(t, 3000, 11)
 	listPeers(own, address)
-	withChanges(t, peer, 12, 30)
+	removeTargets(t, peer, 12, 30, 20)
 	repair, err := own.Clients.Client(address).FetchRepair(t.Context(), own.Catalog.RepairRequest())
-	if err != nil || len(repair.Items) != 30 || repair.Since != 11 {
-		t.Fatalf("%d targets since %d, %v", len(repair.Items), repair.Since, err)
+	if err != nil || len(repair.Items) != 20 || len(repair.Gone) != 30 || repair.Since != 11 {
+		t.Fatalf("%d targets and %d removed keys since %v, %v", len(repair.Items), len(repair.Gone), repair.Since, err)
 	}
 	own.PullTargets(t.Context())
 	if own.Catalog.Snapshot().Digest != peer.Catalog.Snapshot().Digest || own.Catalog.Snapshot().Revision != 12 {
@@ -146,24 +142,24 @@
 	}
 }
 
-// TestBucketRepairsAreLimited guards against a gateway that compresses all targets for many peers at
+// TestLargeRepairsAreLimited guards against a gateway that compresses all targets for many peers at
 // the same time and does nothing else meanwhile.
-func TestBucketRepairsAreLimited(t *testing.T) {
+func TestLargeRepairsAreLimited(t *testing.T) {
 	peer, _ := startServer(t, 100, 11)
 	server := &Server{Broadcaster: peer}
 	ask := func() error {
 		_, err := server.GetTargets(t.Context(), &pb.TargetsRequest{})
 		return err
 	}
-	server.bucketRepairs.Store(maxBucketRepairs)
+	server.largeRepairs.Store(maxLargeRepairs)
 	if err := ask(); !errors.Is(err, errBusy) {
-		t.Errorf("beside %d others: %v", maxBucketRepairs, err)
+		t.Errorf("beside %d others: %v", maxLargeRepairs, err)
 	}
-	server.bucketRepairs.Store(maxBucketRepairs - 1)
+	server.largeRepairs.Store(maxLargeRepairs - 1)
 	if err := ask(); err != nil {
 		t.Error(err)
 	}
-	if n := server.bucketRepairs.Load(); n != maxBucketRepairs-1 {
+	if n := server.largeRepairs.Load(); n != maxLargeRepairs-1 {
 		t.Errorf("%d repairs count as running", n)
 	}
 }
