--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -75,9 +75,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body := h.bodyBudget.New(h.maxBody() + 1)
+	limit := h.maxBody()
+	body := h.bodyBudget.New(limit + 1)
 	defer body.Release()
-	call, failure := h.read(w, r, body)
+	call, failure := h.read(w, r, body, limit)
 	if failure != nil {
 		h.logRejected(r, failure)
 		h.Refuse(w, failure)
@@ -125,10 +126,10 @@
 	return defaultMaxBodyBytes
 }
 
-// read reads a complete request. Its body is held in the given buffer and is valid until
+// read reads a complete request, whose body has at most limit bytes. The body is held in the given buffer and is valid until
 // the buffer is released.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer) (*hookhall.Call, *hookhall.Error) {
-	bufferFull, err := body.Fill(http.MaxBytesReader(w, r.Body, int64(h.maxBody())))
+func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int) (*hookhall.Call, *hookhall.Error) {
+	bufferFull, err := body.Fill(http.MaxBytesReader(w, r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
