--- a/internal/app/logging/async.go
+++ b/internal/app/logging/async.go
@@ -14,7 +14,7 @@
 	// maxQueuedLines bounds how many lines wait for a slow underlying writer; further
 	// ones are dropped.
 	maxQueuedLines = 2048
-	// Lines are combined into writes of at most maxWriteBytes, after flushInterval at the
+	// Lines are combined into writes of at most maxWriteBytes, or of one longer line, after flushInterval at the
 	// latest. A pipe takes that much (PIPE_BUF) as a whole, so that a collector that reads
 	// in the middle of a write never gets a part of a line.
 	maxWriteBytes = 4 << 10
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -178,7 +178,26 @@
 
 // New returns a Catalog without a table and targets; Run fills it.
 func New(store hookhall.Store, schema hookhall.StoreSchema, logger *log.Logger) *Catalog {
-	c := &Catalog{store: store, schema: schema, log: logger, entriesByKey: map[string]*entry{}, rejectedHashes: map[string]uint64{}, departedAt: map[hookhall.Incarnation]time.Time{}, entriesByPool: map[string]map[string]*entry{}, changesByPool: map[string]*poolChanges{}, readmittedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, ReaderRank: func() int { return 0 }, GatewayCount: func() int { return 1 }, PullTable: func(context.Context) {}, PullTargets: func(context.Context) {}, OnStoreRead: func() {}, ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false }, OnRestart: func(_, _ hookhall.Target) {}, OnVersions: func(string, map[string]bool) {}, readJitter: rand.Float64(), changeLines: rate.NewLimiter(maxChangeLines, maxChangeLines)}
+	c := &Catalog{
+		store: store, schema: schema, log: logger,
+		ReaderRank:        func() int { return 0 },
+		GatewayCount:      func() int { return 1 },
+		PullTable:         func(context.Context) {},
+		PullTargets:       func(context.Context) {},
+		OnStoreRead:       func() {},
+		OnRestart:         func(_, _ hookhall.Target) {},
+		OnVersions:        func(string, map[string]bool) {},
+		ApplyOperatorKeys: func([]hookhall.Item, hookhall.Revision, bool) bool { return false },
+		readJitter:        rand.Float64(),
+		entriesByKey:      map[string]*entry{},
+		entriesByPool:     map[string]map[string]*entry{},
+		changesByPool:     map[string]*poolChanges{},
+		rejectedHashes:    map[string]uint64{},
+		departedAt:        map[hookhall.Incarnation]time.Time{},
+		readmittedAt:      map[string]time.Time{},
+		heldUntil:         map[string]time.Time{},
+		changeLines:       rate.NewLimiter(maxChangeLines, maxChangeLines),
+	}
 	c.StoreFailing = c.isFailing.Load
 	c.recordAnswer(clock.Now())
 	return c
--- a/internal/coordination/catalog/doc.go
+++ b/internal/coordination/catalog/doc.go
@@ -9,17 +9,25 @@
 // One process, the first reader, reads the store for all. It follows the table with watches
 // that wait only briefly, so that a connection that was cut silently is noticed well within the
 // time in which a change must be in force. It watches the targets in the same way; such a watch
-// returns nothing while only heartbeats change their keys. It also lists all targets every ten
-// seconds, in case the watch missed a change. The other processes receive updates from peers
+// returns nothing while only heartbeats change their keys. Beside the watch it lists all targets
+// every ten seconds, in case the watch missed a change. The other processes receive updates from peers
 // (ApplyUpdate, ConfirmTable, ApplyPackedTable) and read the store themselves when the last
 // update is too old: the second reader first, then all others. A new first reader watches from
 // the revision up to which its peers have updated it, and lists all targets within ten seconds.
+//
+// In a large fleet the store can't serve readings by all. Where updates are late there, a process
+// asks a peer for what it lacks (PullTable, PullTargets), then the store for the changes since its
+// own revision, and lists all targets only in a turn that it has drawn at random.
+// The same holds for a process that the store does not answer.
+//
 // Ages count from the moment at which the reading that confirmed the state began, by the
 // monotonic clock.
 //
 // An update has the recent changes and a digest of all targets. A process that lacks an
-// earlier change computes another digest, and asks the sender for the buckets of targets in
-// which their digests differ.
+// earlier change computes another digest, and asks the sender for the changes since its own
+// revision. Its snapshot keeps its revision and age until then. If the sender does not know all
+// removals since that revision, or the digests still differ, it sends the buckets of targets
+// whose digests differ.
 //
 // A target that announces that it is leaving, in its key or in an answer to any gateway, gets
 // no new requests in that incarnation. A target that goes missing gets no new requests
--- a/internal/coordination/catalog/repair_test.go
+++ b/internal/coordination/catalog/repair_test.go
@@ -104,7 +104,7 @@
 		if !follower.ApplyRepair(repair, "reader") || follower.Snapshot().Revision != 3 {
 			t.Errorf("the follower is at revision %v", follower.Snapshot().Revision)
 		}
-		time.Sleep(minUpdateInterval)
+		time.Sleep(copyTolerance)
 		reader.ApplyEvents(nil, 5, time.Now())
 		if _, gap := follower.ApplyUpdate(reader.RecentUpdate(time.Now()), "reader"); gap {
 			t.Error("the next update shows a gap")
@@ -231,7 +231,7 @@
 				t.Error("a copy counts as another update")
 			}
 		}
-		update.Began = update.Began.Add(minUpdateInterval)
+		update.Began = update.Began.Add(copyTolerance)
 		if fresh, _ := follower.ApplyUpdate(update, "reader"); !fresh {
 			t.Error("the next update counts as a copy")
 		}
--- a/internal/coordination/catalog/updates.go
+++ b/internal/coordination/catalog/updates.go
@@ -13,11 +13,12 @@
 )
 
 // changeResendTime is how long a change is repeated in updates, so that it is sent two or three
-// times. A process that has missed all of them repairs the buckets that differ.
+// times. A process that has missed all of them asks for a repair.
 const changeResendTime = time.Second
 
-// minUpdateInterval is shorter than the time between two updates of one reader.
-const minUpdateInterval = 50 * time.Millisecond
+// copyTolerance is how much the times of two copies of one update may differ, as each path rounds
+// ages. The updates of one reader are further apart.
+const copyTolerance = 50 * time.Millisecond
 
 // BucketCount is the number of buckets into which the targets are divided by the hash of their
 // keys. With 3,000 targets, a bucket has some 50, and its repair takes some 2 KB.
@@ -99,10 +100,10 @@
 }
 
 // isRepeated reports whether an update is a copy of the last one that was applied, on another path. A
-// process with a gap, whose snapshot does not advance, would otherwise pass on every copy. The
-// times of two copies differ by how each path rounds ages. c.mu must be held.
+// process with a gap, whose snapshot does not advance, would otherwise pass on every copy. c.mu must
+// be held.
 func (c *Catalog) isRepeated(update Update) bool {
-	return update.Revision < c.lastUpdate || (update.Revision == c.lastUpdate && update.Began.Sub(c.lastUpdateBegan) < minUpdateInterval)
+	return update.Revision < c.lastUpdate || (update.Revision == c.lastUpdate && update.Began.Sub(c.lastUpdateBegan) < copyTolerance)
 }
 
 // Reading returns all listed targets, as of the last reading or update.
--- a/internal/coordination/outage/doc.go
+++ b/internal/coordination/outage/doc.go
@@ -15,6 +15,8 @@
 // that has just started does not know whether the store answers, so it starts with
 // a probe as well.
 //
+// Ranges are apart: see Gate.
+//
 // # Invariants
 //
 //   - While the last call was answered no caller waits.
