placement: a request's own deadline is no failure of the placement owner

A request whose deadline passed while its placement owner was asked made that member lose all its work in the view of this gateway for 1.5 s: reading the store for all, brokers, placements. Only the time-out of the call itself counts now.

--- a/internal/coordination/placement/client.go
+++ b/internal/coordination/placement/client.go
@@ -82,11 +82,12 @@
 		placement.Choice = c.Local.Place(placement.ticket, service, criteria)
 		return placement
 	}
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	choice, err := c.Remote(owner.Address).Place(ctx, placement.ticket, service, criteria, limits)
+	choice, err := c.Remote(owner.Address).Place(callCtx, placement.ticket, service, criteria, limits)
 	if err != nil {
-		if ctx.Err() == context.DeadlineExceeded {
+		// A request whose own time is over says nothing about the owner.
+		if ctx.Err() == nil && callCtx.Err() == context.DeadlineExceeded {
 			c.Fleet.Suspect(owner.Address, clock.Now())
 		}
 		return Placement{}
