forward: a final status without the target's signature is not passed on

An answer with a status from 300 to 499 that bore no signature went to the client as the target's own, and clients do not try again after most of them. Whatever listens at an address that a target has left, or a target that sends wrong bytes, could thus end proper requests with a 404. Targets sign their failures, too, and those that did not run a request say so.

Such an answer is treated as a success without a signature always was: the target may have run the request, so it is tried at another target if it may run twice, and ends with 502 otherwise. Statuses of 500 and more are passed on as before. TestUnsignedAnswers: the six unsigned statuses failed before.

--- a/internal/coordination/forward/outdated_test.go
+++ b/internal/coordination/forward/outdated_test.go
@@ -5,10 +5,15 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/routetable"
 )
 
@@ -49,3 +54,27 @@
 		})
 	}
 }
+
+// TestUnsignedAnswers guards against an answer that is not the target's and that clients take for
+// final, such as a 404 of whatever listens at the address of a target that has left.
+func TestUnsignedAnswers(t *testing.T) {
+	for _, status := range []int{200, 204, 301, 400, 404, 409, 429, 499, 500, 503, 504} {
+		for _, signed := range []bool{true, false} {
+			t.Run(fmt.Sprint(status, " signed ", signed), func(t *testing.T) {
+				r := &request{Forwarder: newAdmissionFixture(AdmissionOff, 0).Forwarder, route: &hookhall.Route{}}
+				a := &attempt{
+					activeCall: balance.NewTracker().Begin(hookhall.Target{}, balance.Criteria{}, clock.Now()),
+					reply:      &hookhall.Reply{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))},
+				}
+				a.reply.Info.Sealed = signed
+				failure := r.checkAnswer(a, nil)
+				if passedOn := signed || status >= 500; (failure == nil) != passedOn {
+					t.Fatalf("the result is %v", failure)
+				}
+				if failure != nil && failure.Verdict != hookhall.MayHaveRun {
+					t.Errorf("the verdict is %s", failure.Verdict)
+				}
+			})
+		}
+	}
+}
