fleet: an update is sent to 32 peers at most, and a large one may take longer

While a thousand targets a second register, an update has 30 KB or more, which the weakest instances don't apply within the 300 ms after which a peer counts as unresponsive. Its children are then sent to in its place, and theirs, so that a slow gateway whose peers are all slow sends to the whole fleet, several times a second.

The time for a call grows with the size of the update, and a process sends one message to 32 peers at most; others ask a peer when they hear nothing.

--- a/internal/transport/fleet/updates.go
+++ b/internal/transport/fleet/updates.go
@@ -21,8 +21,15 @@
 )
 
 const (
-	// sendTimeout bounds a call that sends an update, crashes or advisories to one peer.
-	sendTimeout = 300 * time.Millisecond
+	// sendTimeout bounds a call that sends an update, crashes or advisories to one peer, with
+	// sendTimePerByte for each byte of an update's changes: otherwise a weak peer counts as
+	// unresponsive because it is sent much.
+	sendTimeout     = 300 * time.Millisecond
+	sendTimePerByte = 8 * time.Microsecond
+	// maxSends is the number of peers to which a process sends one message, those in place of
+	// unresponsive ones included. Without it, a process whose peers are all slow sends to the whole
+	// fleet and is slow itself. Gateways that get no update ask for one.
+	maxSends = 32
 	// skipDuration is how long no calls are sent to a peer that did not answer. Its
 	// children in the tree receive the calls directly.
 	skipDuration = time.Second
@@ -149,7 +156,10 @@
 func (s *Broadcaster) sendToSubtree(root string, parent int, send sendFunc) {
 	all := s.Peers.All()
 	first := sort.Search(len(all), func(i int) bool { return all[i].Address >= root })
-	s.sendToChildren(root, all, first, parent, send)
+	var sends atomic.Int64
+	s.sendToChildren(root, all, first, parent, func(address string, position int) bool {
+		return sends.Add(1) > maxSends || send(address, position)
+	})
 }
 
 // sendToChildren sends to the children of a position in the tree; first is the root's
@@ -194,7 +204,7 @@
 
 // sendUpdate sends an update to one peer and reports whether it answered.
 func (s *Broadcaster) sendUpdate(address string, m *pb.News) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout+time.Duration(len(m.GetBulk()))*sendTimePerByte)
 	defer cancel()
 	return s.Clients.Client(address).SendUpdate(ctx, m) == nil
 }
