catalog: a change is sent three times, and many changes in fewer updates

With a thousand targets a second that register, the first reader sent eight updates a second, each with the changes of the last second, and each gateway unpacked and applied all of them: eight to ten times every change, while two or three were meant.

A change is sent three times at most, within a second as before, and after a watch with 50 changes or more the reader waits for 0.3 s, not 0.1 s. TestChangesAreSentThreeTimes.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -32,6 +32,11 @@
 	// arrive with the next call: when all targets start at once, each of them is one change. A
 	// tenth of a second is a small part of the three seconds in which a change must be in force.
 	eventGatherDelay = 100 * time.Millisecond
+	// manyEventsGatherDelay is that pause after manyEvents or more: each gateway of the fleet
+	// unpacks and applies every update, and one of hundreds of changes takes the weakest
+	// instances a tenth of their processor for a second.
+	manyEvents            = 50
+	manyEventsGatherDelay = 300 * time.Millisecond
 	// rankDelayStep is added, once for the second reader and twice plus a random part for all
 	// others, to readInterval, the age at which they read the store themselves. The state of the
 	// table that peers send is already as old as a watch and the reader's interval together.
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -51,6 +51,8 @@
 	// the first reading.
 	value     []byte
 	changedAt time.Time
+	// sends is the number of updates to all peers that had that change.
+	sends int
 	// revision is the store's revision at the key's last known change, 0 if the sender of the
 	// change did not give it.
 	revision hookhall.Revision
@@ -144,7 +146,7 @@
 		e = c.addEntry(i.Key, t, from, now)
 	} else if !e.missingSince.IsZero() {
 		c.logChange(now, "target listed again", "target", t.ID, "service", t.Pool, "after", now.Sub(e.missingSince))
-		e.changedAt = now
+		e.changedAt, e.sends = now, 0
 	}
 	if wasListed, digest := e.missingSince.IsZero(), e.digest; !wasListed || digest != targetDigest(&t) {
 		e.changedRevision = i.Revision
@@ -160,7 +162,7 @@
 	c.index(e)
 	if c.snapshot.Load() != nil {
 		// The first reading is no change to peers, and is logged as one line.
-		e.changedAt = now
+		e.changedAt, e.sends = now, 0
 		c.logChange(now, "target listed", "target", t.ID, "service", t.Pool, "address", t.Address, "hall", t.Hall, "leaving", t.Leaving, "from", from)
 	}
 	return e
@@ -179,7 +181,7 @@
 	} else if sum != e.digest {
 		c.toggleDigest(e, e.digest^sum)
 		c.markDirty(e)
-		e.changedAt = now
+		e.changedAt, e.sends = now, 0
 	}
 	e.missingSince, e.lapsesAt = time.Time{}, time.Time{}
 	if !e.isLeaving && (t.Leaving || c.hasDeparted(t.Incarnation(), now)) {
@@ -281,7 +283,7 @@
 // unlist marks one entry as missing, as of a revision. c.mu must be held.
 func (c *Catalog) unlist(e *entry, revision hookhall.Revision, from string, now time.Time) {
 	c.listedCount--
-	e.missingSince, e.changedAt = now, now
+	e.missingSince, e.changedAt, e.sends = now, now, 0
 	e.markRemoved(revision)
 	c.toggleDigest(e, e.digest)
 	c.markDirty(e)
--- a/internal/coordination/catalog/repair_test.go
+++ b/internal/coordination/catalog/repair_test.go
@@ -257,3 +257,28 @@
 		}
 	})
 }
+
+// TestChangesAreSentThreeTimes guards against updates that repeat each of a thousand changes a second
+// ten times, which all gateways unpack.
+func TestChangesAreSentThreeTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCatalog(newFakeStore())
+		c.ApplyReading(reading(1, 100, nil), "store")
+		c.ApplyReading(reading(2, 100, map[int]hookhall.Revision{1: 2}).without(1), "store")
+		sent := func(update Update) bool { return len(update.Changed) == 1 && len(update.Gone) == 1 }
+		for n := range 2 * maxChangeSends {
+			if single := c.RecentUpdate(time.Now()); sent(single) != (n < maxChangeSends) {
+				t.Errorf("to a single peer after %d updates: %v", n, sent(single))
+			}
+			if update := c.NextUpdate(time.Now()); sent(update) != (n < maxChangeSends) {
+				t.Errorf("update %d has the changes: %v", n+1, sent(update))
+			}
+		}
+		time.Sleep(time.Second)
+		c.ApplyReading(reading(3, 100, map[int]hookhall.Revision{1: 2, 2: 3}).without(1), "store")
+		time.Sleep(changeResendTime + time.Millisecond)
+		if update := c.NextUpdate(time.Now()); len(update.Changed) > 0 {
+			t.Error("a change is sent for longer than changeResendTime")
+		}
+	})
+}
--- a/internal/coordination/catalog/targets.go
+++ b/internal/coordination/catalog/targets.go
@@ -95,8 +95,8 @@
 	isChecking    atomic.Bool       // whether all targets are listed beside the watch
 	// watchFailed is set while the last watch failed, and the one before it did not.
 	watchFailed bool
-	// hasEvents is set when a watch returned changes: others may follow shortly.
-	hasEvents bool
+	// eventCount is the number of changes that the last watch returned: others may follow shortly.
+	eventCount int
 	// isFollower is set while this process relies on updates of peers.
 	isFollower bool
 	// catchesUp is set if a process of maxRank asks the store for changes once.
@@ -228,7 +228,9 @@
 	if fresh && !isFirst {
 		f.OnStoreRead()
 	}
-	if f.hasEvents {
+	if f.eventCount >= manyEvents {
+		retry.Sleep(ctx, manyEventsGatherDelay)
+	} else if f.eventCount > 0 {
 		retry.Sleep(ctx, eventGatherDelay)
 	} else if f.watchRevision == 0 || !f.lastFullRead.Before(now) {
 		retry.Sleep(ctx, pollInterval) // unlike a watch, a full read does not wait in the store
@@ -248,7 +250,7 @@
 // readOrWatch watches the targets or lists all of them, from a copy on the first call, and reports
 // whether the answer was newer than the known state.
 func (f *targetsFollower) readOrWatch(ctx context.Context, isFirst bool) (fresh bool, err error) {
-	f.hasEvents = false
+	f.eventCount = 0
 	switch {
 	case f.watchRevision > 0 && f.ReaderRank() == 0:
 		f.catchesUp = false
@@ -307,7 +309,7 @@
 	if len(events) == 0 && clock.Since(began) >= wait {
 		began = began.Add(wait) // the store waited that long and found no change
 	}
-	f.hasEvents = len(events) > 0
+	f.eventCount = len(events)
 	return f.ApplyEvents(events, revision, began), nil
 }
 
--- a/internal/coordination/catalog/updates.go
+++ b/internal/coordination/catalog/updates.go
@@ -12,9 +12,12 @@
 	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
-// changeResendTime is how long a change is repeated in updates, so that it is sent two or three
-// times. A process that has missed all of them asks for a repair.
-const changeResendTime = time.Second
+// A change is repeated in updates for changeResendTime, but not more than maxChangeSends times: while
+// changes come quickly, updates do, too. A process that has missed all of them asks for a repair.
+const (
+	changeResendTime = time.Second
+	maxChangeSends   = 3
+)
 
 // copyTolerance is how much the times of two copies of one update may differ, as each path rounds
 // ages. The updates of one reader are further apart.
@@ -49,10 +52,30 @@
 	Gone     []string        // keys that are no longer listed
 }
 
-// RecentUpdate returns the update to send to peers, with the changes of the last changeResendTime.
+// NextUpdate returns the update to send to all peers, with the changes that are not sent often enough
+// yet.
+func (c *Catalog) NextUpdate(now time.Time) Update {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	update := c.recentUpdate(now)
+	for _, i := range update.Changed {
+		c.entriesByKey[i.Key].sends++
+	}
+	for _, key := range update.Gone {
+		c.entriesByKey[key].sends++
+	}
+	return update
+}
+
+// RecentUpdate returns the same update for a single peer.
 func (c *Catalog) RecentUpdate(now time.Time) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.recentUpdate(now)
+}
+
+// recentUpdate returns the update with the recent changes. c.mu must be held.
+func (c *Catalog) recentUpdate(now time.Time) Update {
 	snapshot := c.snapshot.Load()
 	if snapshot == nil {
 		return Update{}
@@ -60,7 +83,7 @@
 	update := Update{Revision: snapshot.Revision, Began: snapshot.Began, Digest: snapshot.Digest}
 	for key, e := range c.entriesByKey {
 		switch {
-		case now.Sub(e.changedAt) > changeResendTime:
+		case now.Sub(e.changedAt) > changeResendTime || e.sends >= maxChangeSends:
 		case e.missingSince.IsZero():
 			update.Changed = append(update.Changed, hookhall.Item{Key: key, Value: e.value, Revision: e.revision})
 		default:
--- a/internal/transport/fleet/updates.go
+++ b/internal/transport/fleet/updates.go
@@ -110,12 +110,16 @@
 // waiting for them.
 func (s *Broadcaster) Broadcast() {
 	now := clock.Now()
-	s.relayUpdate(s.currentUpdate(now), now)
+	s.relayUpdate(s.updateOf(s.Catalog.NextUpdate(now), now), now)
 }
 
-// currentUpdate returns the most recent update that this process knows.
+// currentUpdate returns the most recent update that this process knows, for a single peer.
 func (s *Broadcaster) currentUpdate(now time.Time) *pb.News {
-	targets := s.Catalog.RecentUpdate(now)
+	return s.updateOf(s.Catalog.RecentUpdate(now), now)
+}
+
+// updateOf returns an update of the targets together with all else that this process knows.
+func (s *Broadcaster) updateOf(targets catalog.Update, now time.Time) *pb.News {
 	revision, age := s.Catalog.TableAge(now)
 	m := &pb.News{
 		Reader: s.Peers.Self().Address, TargetsRevision: uint64(targets.Revision), Digest: targets.Digest, Gone: targets.Gone,
