upstream: a test of resets that does not depend on the load

The test's target accepts and resets in the same process, and the pool watches a new connection for as long as connecting took and two milliseconds more.

Connections of the test are now returned by its dialer once the target has reset them, so that all 20 have to be found before the request is written, as before.

--- a/internal/transport/upstream/resets_test.go
+++ b/internal/transport/upstream/resets_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -132,12 +134,50 @@
 	}
 }
 
+// TestAwaitReset checks that a reset is waited for as long as it may take, and no longer.
+func TestAwaitReset(t *testing.T) {
+	const wait = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		resetAfter time.Duration
+		found      bool
+	}{
+		"at once":             {0, true},
+		"while it is awaited": {wait - time.Millisecond, true},
+		"later":               {wait + time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				own, other := net.Pipe()
+				time.AfterFunc(c.resetAfter, func() { _ = other.Close() })
+				synctest.Wait()
+				began := time.Now()
+				err := newConn(own, "target").awaitReset(wait)
+				if took := time.Since(began); (err != nil) != c.found || took != min(c.resetAfter, wait) {
+					t.Errorf("%v after %v", err, took)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestResetBeforeRequest guards against requests that can't be retried because their verdict
 // is may-have-run. Once a target has reset a new connection, further ones are watched for a
 // reset before the request is written, so that a request without a slot has not run.
 func TestResetBeforeRequest(t *testing.T) {
 	target := newLimitedTarget(t, 0)
 	pool := NewPool()
+	dial := pool.Dial
+	pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		before := target.resets.Load()
+		c, err := dial(ctx, address)
+		// How soon the target resets depends on the load of the machine, and a reset that comes after
+		// the request was written proves nothing.
+		for err == nil && target.maxConns.Load() == 0 && target.resets.Load() == before {
+			time.Sleep(100 * time.Microsecond)
+		}
+		return c, err
+	}
 	if err := send(t, pool, target.address, "first", true); err == nil {
 		t.Fatal("a target without connection slots served a request")
 	}
