bindings: the own list is read again after peers that did not answer

A gateway that had been suspended for 1.9 s looked up the versions of the service, which it knew one of, asked a peer that had just been killed, listed two new targets of v2 meanwhile, and then went on with the one version that it had looked up before. The own list is now looked up again once peers have not answered. The case in TestUnknownBinding failed before.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -270,7 +270,14 @@
 			break
 		}
 	}
-	if len(own.Versions) != 1 || len(seen.Versions) != 1 || (unanswered > 0 && !await(ctx, b.hasCurrentList)) {
+	if unanswered > 0 {
+		if !await(ctx, b.hasCurrentList) {
+			return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
+		}
+		own = b.Known(q) // the list may have brought another version meanwhile
+		seen.add(own)
+	}
+	if len(own.Versions) != 1 || len(seen.Versions) != 1 {
 		return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
 	}
 	return Found{Service: q.Service, Version: own.Versions[0], Source: SourceSole, Asked: asked, Unanswered: unanswered}
--- a/internal/coordination/bindings/bindings_test.go
+++ b/internal/coordination/bindings/bindings_test.go
@@ -317,6 +317,13 @@
 			f.at(8).checkFound(t, strconv.Itoa(i), "", bindings.SourceUnknown)
 		}
 	})
+	run(t, "another version is listed while peers that don't answer are asked", func(t *testing.T) {
+		f := newFleet(2, "v1")
+		time.Sleep(window)
+		f.at(1).isDead = true
+		time.AfterFunc(roundTrip, func() { f.at(0).list("v1", "v2") })
+		f.at(0).checkFound(t, "a", "", bindings.SourceUnknown)
+	})
 	run(t, "this gateway lists no target", func(t *testing.T) {
 		f := newFleet(5, "v1")
 		time.Sleep(window)
