fleet: whole buckets follow at once if the changes were not enough

A gateway whose list still differed after the changes since its revision waited for the next update before it asked for whole buckets.

--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -108,8 +108,17 @@
 	defer s.repairs.running.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
+	outcome := s.askForRepair(ctx, peer, s.Catalog.RepairRequest())
+	if request := s.Catalog.RepairRequest(); outcome == repairUseless && request.Since == 0 {
+		return s.askForRepair(ctx, peer, request) // the changes were not enough
+	}
+	return outcome
+}
+
+// askForRepair asks a peer for a repair and applies it.
+func (s *Broadcaster) askForRepair(ctx context.Context, peer string, request catalog.RepairRequest) repairOutcome {
 	askedAt := clock.Now()
-	r, err := s.Clients.Client(peer).FetchRepair(ctx, s.Catalog.RepairRequest())
+	r, err := s.Clients.Client(peer).FetchRepair(ctx, request)
 	if err != nil {
 		s.Clients.Log.Info("targets not read from peer", "peer", peer, "after", clock.Since(askedAt), "error", err.Error())
 		return repairFailed
--- a/internal/transport/fleet/repair_test.go
+++ b/internal/transport/fleet/repair_test.go
@@ -51,24 +51,33 @@
 // that it missed. An update whose digest differs makes it read the targets of the sender,
 // after which its list is complete.
 func TestGapIsRepairedByPeer(t *testing.T) {
-	sender, address := startServer(t, 2900, 10)
-	other, _ := startServer(t, 2900, 10)
-	now := time.Now()
-	added := sender.Catalog.Reading()
-	added.Revision, added.Began, added.Items = 11, now, append(added.Items, targetItems(2900, 100, 11)...)
-	sender.Catalog.ApplyReading(added, "store")
-	m := sender.currentUpdate(now)
-	m.From, m.Bulk, m.ConfigRevision = address, nil, 0
-	other.HandleUpdate(m)
-	want := sender.Catalog.Snapshot().Digest
-	for end := now.Add(10 * time.Second); other.Catalog.Snapshot().Digest != want; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the gap was not repaired within 10 s")
+	repair := func(t *testing.T, sender, other *Broadcaster, address string) {
+		t.Helper()
+		now := time.Now()
+		m := sender.currentUpdate(now)
+		m.From, m.Bulk, m.ConfigRevision = address, nil, 0
+		other.HandleUpdate(m)
+		want := sender.Catalog.Snapshot().Digest
+		for end := now.Add(10 * time.Second); other.Catalog.Snapshot().Digest != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the gap was not repaired within 10 s")
+			}
+		}
+		if n := len(other.Catalog.Reading().Items); n != 3000 {
+			t.Errorf("%d targets are listed, want 3000", n)
 		}
 	}
-	if n := len(other.Catalog.Reading().Items); n != 3000 {
-		t.Errorf("%d targets are listed, want 3000", n)
-	}
+	t.Run("by a sender that knows the changes", func(t *testing.T) {
+		sender, address := startServer(t, 2910, 10)
+		other, _ := startServer(t, 2910, 10)
+		removeTargets(t, sender, 11, 10, 100)
+		repair(t, sender, other, address)
+	})
+	t.Run("by a sender that began after them", func(t *testing.T) {
+		sender, address := startServer(t, 3000, 11)
+		other, _ := startServer(t, 2900, 10)
+		repair(t, sender, other, address)
+	})
 }
 
 // TestBulk guards against updates that fill the slowest links: 3,000 targets must take at
