--- a/internal/coordination/catalog/repair_test.go
+++ b/internal/coordination/catalog/repair_test.go
@@ -113,7 +113,7 @@
 }
 
 // TestIncompleteRepair guards against lists that count as complete although the sender of a repair did
-// not know a change: it has begun later, was not told, or is told something else.
+// not know a change: it has begun later, missed it, or has another digest.
 func TestIncompleteRepair(t *testing.T) {
 	agree := func(t *testing.T, sender, receiver *Catalog) {
 		t.Helper()
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -237,7 +237,7 @@
 }
 
 // refuseByTable returns the refusal of a request that the table does not allow. If the table may be
-// outdated, a newer one may allow it, and the client is told to come back.
+// outdated, a newer one may allow it, so the answer is 503 with a Retry-After.
 func (r *request) refuseByTable(cause hookhall.Cause, detail string) *hookhall.Error {
 	if r.tableAge > r.TableBound {
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseNotReady, "%s in version %d, which was not confirmed for %v",
--- a/internal/transport/fleet/pull.go
+++ b/internal/transport/fleet/pull.go
@@ -19,7 +19,7 @@
 	// pullPause is the pause, before jitter, after a peer that did not know anything newer:
 	// in an outage of the store nobody does.
 	pullPause = time.Second
-	// maxHelpfulAge is the age up to which a peer's state shows that the peer hears updates. Those
+	// maxHelpfulAge is the age up to which a peer's state shows that updates reach the peer. Those
 	// arrive twice a second and are at most that old.
 	maxHelpfulAge = time.Second
 )
--- a/internal/transport/fleet/repair.go
+++ b/internal/transport/fleet/repair.go
@@ -96,8 +96,8 @@
 	repairSkipped    repairOutcome = iota // another repair is running
 	repairFailed                          // the peer did not answer
 	repairUseless                         // the peer's targets are older, or changed too much meanwhile
-	repairedToOlder                       // the targets are as recent as the peer's, which hears no updates itself
-	repairedToRecent                      // the targets are as recent as those of a peer that hears updates
+	repairedToOlder                       // the targets are as recent as the peer's, which updates do not reach
+	repairedToRecent                      // the targets are as recent as those of a peer that updates reach
 )
 
 // repairFrom reads what the targets lack from a peer.
