review: a bare 503 of a target that has run the request is passed on

Case 2, rule REFUSED: a grey engine runs requests of an unsafe route and fails 0.4 of them with a 503 that has neither Not-Executed nor Server-Seal. The gateway passes it on, which promises that the request has not run; the clients send their purchases again, and they run twice.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 // cases has the cases by name. Each returns the number of breaches of its rule.
 var cases = map[string]func(w *world) (breaches int, err error){
 	"stage-surplus": runStageSurplus,
+	"refused":       runRefused,
 }
 
 func main() {
