--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run-case.sh" 3 garbage
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(w *world) (breaches int, err error){
 	"stage-surplus": runStageSurplus,
 	"refused":       runRefused,
+	"garbage":       runGarbage,
 }
 
 func main() {
--- a/review/standin/service.go
+++ b/review/standin/service.go
@@ -18,6 +18,7 @@
 const (
 	faultNone    engineFault = iota
 	faultBare503             // runs the request, and answers 503 without Not-Executed and Server-Seal
+	faultGarbage             // runs the request, and sends bytes that are no answer
 )
 
 // serviceEngine is an engine of a plain service.
@@ -86,6 +87,10 @@
 	case faultBare503:
 		e.w.record.add("%s answers %s with 503, without Not-Executed and Server-Seal", e.id, id)
 		return write(c, encodeAnswer(http.StatusServiceUnavailable, header, nil))
+	case faultGarbage:
+		n := sendGarbage(c)
+		e.w.record.add("%s sent %d bytes that are no answer to %s until its connection was closed", e.id, n, id)
+		return false
 	}
 	header.Set("Server-Seal", e.id)
 	return write(c, encodeAnswer(http.StatusOK, header, []byte("answer to "+id)))
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -231,6 +231,13 @@
 	return g.clients
 }
 
+// pid returns the process id.
+func (g *gatewayProcess) pid() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.process.Process.Pid
+}
+
 // kill ends the process and waits for its end.
 func (g *gatewayProcess) kill() {
 	g.mu.Lock()
