platform: a bare 421 is no statement that a request has not run

Callers could see: a target runs a request that must run once and fails it with 421, without Not-Executed and without naming another instance. The gateway took the status for "another target has the address", ran the request at the next target as well, and in the end answered 503 with Retry-After, so that the client sent it once more. Two runs and a false promise for each request, plain and streaming.

Cause: the dialect derived "not run" from status 421 itself. So 421 is evidence with Not-Executed or with the id of another instance than the addressed one; else it counts as may have run (502). Not-Executed with a status below 400, or with 500 or 504, which stand for a request that ran, is not believed either.

On the code before, the three cases of 421 in TestRefusedRequestHasRun failed (all four requests ran twice; 503, Retry-After 0.300). TestNotRunNeedsEvidence has the table; it does not compile on the code before.

--- a/forward.go
+++ b/forward.go
@@ -77,7 +77,7 @@
 	ID string
 	// Sealed is set when the answer has the target's signature.
 	Sealed bool
-	// NotRun is set when the target states that the call did not run.
+	// NotRun is set when the target states that the call did not run, or another target answered.
 	NotRun bool
 	// Misdirected is set when a target other than the addressed one answered.
 	Misdirected bool
@@ -129,8 +129,9 @@
 	EndToEnd(name string) bool
 	// OutgoingHeader returns the header of one attempt; it doesn't modify the header of c.
 	OutgoingHeader(c *Call, a Attempt) http.Header
-	// ReadReply reads the ReplyInfo of a target's answer.
-	ReadReply(status int, h http.Header) ReplyInfo
+	// ReadReply reads the ReplyInfo of an answer to a call that was addressed to a target id, "" for
+	// whichever target has the address.
+	ReadReply(status int, h http.Header, addressed string) ReplyInfo
 	// SetRetryAfter adds to the header of a refusal after which time the client may retry.
 	SetRetryAfter(h http.Header, after time.Duration)
 }
