upstream: a refusal without an id is believed on kept connections

Callers saw: a safe request that its target refused with Not-Executed, but without Request-Id, on a connection that was used before, was answered with 504 at its deadline, 5 s, instead of going to another target at once.

Cause: believes such a refusal on the first answer of a connection only. On a kept one it was skipped as an answer to another request, and the gateway waited for one that never came. The reason for the rule holds on: a second copy of such a refusal can't be told from the next one. Now it is believed on each connection, and the connection carries no further request, so that no copy of it is read. All earlier answers of a kept connection have named their request, and so would copies of them. Requests that must run once have connections of their own, as before.

--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -102,9 +102,10 @@
 	// Matches reports whether an answer is the one to this request; nil accepts
 	// any answer.
 	Matches func(status int, h http.Header) bool
-	// MatchesFirst reports the same of an answer that does not match, on a connection that has
-	// carried no other request, so that no other answer can come there. It may be nil.
-	MatchesFirst func(status int, h http.Header) bool
+	// MatchesUnnamed reports the same of an answer that does not say whose it is. Its connection
+	// carries no further request, so that a second copy of it can't be taken for another answer.
+	// It may be nil.
+	MatchesUnnamed func(status int, h http.Header) bool
 	// NewConnection requires a new connection instead of a kept one. Only requests that must run
 	// at most once need it.
 	NewConnection bool
@@ -371,7 +372,7 @@
 		go func() { writeResult <- writeRequest(c, &r) }()
 	}
 	p.beginAwaiting(c, &r)
-	head, err := readHead(c, parseRequest, r.matchesOn(c))
+	head, err := readHead(c, parseRequest, r.accepts())
 	p.endAwaiting(c)
 	if err != nil {
 		stop()
@@ -394,7 +395,7 @@
 	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay}
 	resp.Body = &answerBody{Reader: head.Body, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
-		if c.relay != "" || !complete || !active || head.Close || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
+		if c.relay != "" || !complete || !active || head.Close || !r.isNamed(head) || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
 			_ = c.Close()
 			return
 		}
@@ -409,12 +410,17 @@
 	return resp, nil
 }
 
-// matchesOn returns the function that recognises the answer to r on c, nil if any is.
-func (r *Request) matchesOn(c *conn) func(status int, h http.Header) bool {
-	if r.Matches == nil || r.MatchesFirst == nil || !c.idleSince.IsZero() {
+// accepts returns the function that recognises the answer to r, nil if any is.
+func (r *Request) accepts() func(status int, h http.Header) bool {
+	if r.Matches == nil || r.MatchesUnnamed == nil {
 		return r.Matches
 	}
-	return func(status int, h http.Header) bool { return r.Matches(status, h) || r.MatchesFirst(status, h) }
+	return func(status int, h http.Header) bool { return r.Matches(status, h) || r.MatchesUnnamed(status, h) }
+}
+
+// isNamed reports whether an answer that was accepted says that it is the one to r.
+func (r *Request) isNamed(head *http.Response) bool {
+	return r.MatchesUnnamed == nil || r.Matches == nil || r.Matches(head.StatusCode, head.Header)
 }
 
 // framingOf returns how the end of an answer's body is marked. An answer whose status has no
