front: the head of a request has the operators' limit

Cause: maxHeaderBytes was decoded and used nowhere, so that the bound was that of net/http, 1 MB a connection. Now the connection counts the bytes of each head, and answers 431 beyond the limit of the table in force and the 4 KB that net/http reads ahead; 64 KB while no table is known. Its connection is closed after up to 200 ms in which the rest is read, so that the answer isn't lost to a reset. own_answers counts it.

TestRequestHeadAtItsLimit: heads up to the limit are served on kept connections with bodies of 90 KB, longer ones get 431, five runs. The limits headerTimeoutMs and idleTimeoutMs remain unused.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -304,7 +304,12 @@
 	}
 	g.bodyBudget = g.memoryBudget(requestBodiesShare)
 	g.connections = &front.Connections{}
-	g.intake = &front.Intake{Limiter: &intake.Limiter{}, OnClosedUnread: g.metrics.ClosedUnread}
+	g.intake = &front.Intake{
+		Limiter: &intake.Limiter{}, OnClosedUnread: g.metrics.ClosedUnread, MaxHead: g.forwarder.MaxHead,
+		OnHeadTooLong: func() {
+			g.metrics.OwnAnswer(http.StatusRequestHeaderFieldsTooLarge, string(hookhall.CauseTooLarge))
+		},
+	}
 	g.clientsListener.Limit(g.intake)
 	g.monitorDelay()
 	g.app = g.newApp()
@@ -324,7 +329,8 @@
 	g.handler.Meter = g.metrics
 	g.drain = front.NewDrain(g.handler, g.handler.Refuse)
 	g.handler.IsCrowded = g.intake.Limiter.Limited
-	clientServer := newServer(g.clientsListener, g.drain)
+	clientServer := newServer(g.clientsListener, g.intake.AfterHead(g.drain))
+	clientServer.ConnContext = g.intake.ConnContext
 	clientServer.ConnState = func(c net.Conn, state http.ConnState) {
 		g.connections.StateChanged(c, state)
 		g.intake.StateChanged(c, state)
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -186,6 +186,15 @@
 	return 0
 }
 
+// MaxHead returns the operators' limit of a request's head in bytes, 0 if none is known or the table that
+// has it may be outdated.
+func (f *Forwarder) MaxHead() int {
+	if t, age := f.Catalog.AgedTable(clock.Now()); t != nil && age <= f.TableBound {
+		return t.Routing().Limits.MaxHeader
+	}
+	return 0
+}
+
 // Serve answers call by writing to answer. If it returns a *hookhall.Error, nothing was written to
 // answer; hookhall.ErrTruncated means that the answer was begun and could not be completed.
 func (f *Forwarder) Serve(ctx context.Context, call *hookhall.Call, answer hookhall.AnswerWriter) error {
--- a/internal/transport/front/intake.go
+++ b/internal/transport/front/intake.go
@@ -27,6 +27,10 @@
 	// OnClosedUnread is called for each connection that is closed with a request unread. It may be
 	// nil.
 	OnClosedUnread func()
+	// MaxHead returns the operators' limit of a request's head in bytes, 0 if none is known. It may be
+	// nil, as may OnHeadTooLong, which is called for each request that exceeds the limit.
+	MaxHead       func() int
+	OnHeadTooLong func()
 
 	closedUnread, closedIdle atomic.Int64
 	listener                 *Listener
@@ -55,6 +59,9 @@
 type clientConn struct {
 	*net.TCPConn
 	intake *Intake
+	// inHead is set until the head of a request is read, and headLeft is how many bytes it may still have.
+	inHead   atomic.Bool
+	headLeft atomic.Int64
 
 	mu     sync.Mutex
 	phase  phase
@@ -65,6 +72,7 @@
 // expectTimeout.
 func (i *Intake) admit(c *net.TCPConn) net.Conn {
 	connection := &clientConn{TCPConn: c, intake: i}
+	connection.beginHead()
 	if i.Limiter.Limited() {
 		i.Limiter.Expect()
 		connection.phase = phaseExpected
@@ -138,7 +146,7 @@
 			return 0, io.EOF
 		}
 	}
-	n, err := c.TCPConn.Read(b)
+	n, err := c.readBounded(b)
 	if n > 0 {
 		c.markActive()
 	}
@@ -206,6 +214,7 @@
 	case http.StateActive:
 		c.markActive() // of a request that was read together with the one before
 	case http.StateIdle:
+		c.beginHead()
 		c.end(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		c.end(phaseClosed)
