--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -83,6 +83,8 @@
 	// readHeaderTimeout bounds how long a client may take to send a request's header; the
 	// connection of a slower one is closed.
 	readHeaderTimeout = 10 * time.Second
+	// maxInternalHeadBytes bounds the heads of readiness checks and of operators' requests.
+	maxInternalHeadBytes = 16 << 10
 	// memoryLimitShare is the Go runtime's soft memory limit, as a fraction of the memory
 	// that the process may use. Near the limit the garbage collector runs more often.
 	memoryLimitShare = 0.7
@@ -336,12 +338,14 @@
 		g.intake.StateChanged(c, state)
 	}
 	readyServer := newServer(g.readyListener, http.HandlerFunc(g.serveReady))
+	readyServer.MaxHeaderBytes = maxInternalHeadBytes
 	mux := http.NewServeMux()
 	mux.Handle(pathMetrics, g.metrics.Handler())
 	mux.HandleFunc(pathState, g.serveState)
 	mux.HandleFunc("GET "+pathCrashes, g.serveRefusedContents)
 	mux.HandleFunc("DELETE "+pathCrashes+"/{content}", g.serveRelease)
 	operatorServer := newServer(g.metricsListener, mux)
+	operatorServer.MaxHeaderBytes = maxInternalHeadBytes
 	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0),
 		kgrpc.UnaryInterceptor(fleet.CheckUnaryReceiver(g.settings.Gateway.Instance)), kgrpc.StreamInterceptor(fleet.CheckStreamReceiver(g.settings.Gateway.Instance)))
 	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Bindings: g.bindings, Broadcaster: g.broadcaster})
