front: a body that stops coming is given up at its client's deadline

Callers saw: requests with bodies of more than 4 KB were refused with 503 for as long as a few clients kept half-sent bodies open. With 80 clients that had sent all but one byte of 1 MB, to a gateway of 128 MB, each further request of 1 MB got 503, long after the deadlines of all of the 80.

Cause: the body had no bound in time, so that its part of the memory for bodies was held until the connection ended. Now it is read until the deadline that the client states, or 30 s; after that the request can't be served, and is refused (503, not run) with its connection closed.

TestStalledBodiesRefuseOthers failed before: 5 of 5 requests refused. With the fix all are served. The limit headerTimeoutMs of the operators' table is still unused (10 s for a head).

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -23,6 +23,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 const (
 	// defaultMaxBodyBytes bounds a request's body if the service has no bound.
 	defaultMaxBodyBytes = 64 << 20
+	// defaultBodyTimeout bounds the time for a body if the client states no deadline.
+	defaultBodyTimeout = 30 * time.Second
 	// bodyRetryDelay is the delay after which a client should retry whose body did not
 	// fit into the shared budget.
 	bodyRetryDelay = time.Second
@@ -137,11 +140,12 @@
 // read reads a complete request, whose body has at most limit bytes. The body is held in the given buffer and is valid until
 // the buffer is released.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int) (*hookhall.Call, *hookhall.Error) {
-	h.reading.Add(1)
-	bufferFull, err := body.Fill(http.MaxBytesReader(w, r.Body, int64(limit)))
-	h.reading.Add(-1)
+	info, invalid := h.dialect.Read(r.Header)
+	bufferFull, err := h.fill(w, r, body, limit, info.ClientTimeout)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
 	case errors.As(err, &tooLarge):
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", tooLarge.Limit)
 	case err != nil:
@@ -149,15 +153,36 @@
 	case bufferFull:
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	}
-	info, err := h.dialect.Read(r.Header)
-	if err != nil {
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", err)
+	if invalid != nil {
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", invalid)
 	}
 	return &hookhall.Call{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body.Bytes(), CallInfo: info,
 	}, nil
 }
 
+// fill reads a body of at most limit bytes. Without a whole body within the time that the client waits, 0 for
+// defaultBodyTimeout, it fails with os.ErrDeadlineExceeded.
+func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, clientTimeout time.Duration) (bufferFull bool, err error) {
+	h.reading.Add(1)
+	defer h.reading.Add(-1)
+	if r.ContentLength != 0 {
+		if clientTimeout <= 0 {
+			clientTimeout = defaultBodyTimeout
+		}
+		// Connection deadlines are compared with time.Now, not with package clock. The recorders of tests
+		// have none.
+		controller := http.NewResponseController(w)
+		_ = controller.SetReadDeadline(time.Now().Add(clientTimeout))
+		defer func() {
+			if err == nil {
+				_ = controller.SetReadDeadline(time.Time{})
+			}
+		}()
+	}
+	return body.Fill(http.MaxBytesReader(w, r.Body, int64(limit)))
+}
+
 // logRejected logs a request that is refused before it was read completely.
 func (h *Handler) logRejected(r *http.Request, e *hookhall.Error) {
 	info, _ := h.dialect.Read(r.Header) // of invalid header fields, the readable part is logged
