front: deadlines of connections come from one function

TestOneClock failed: heads.go read the system clock for the deadline of a connection, which is allowed in front.go only, since such deadlines are compared with it. One function there now has the reason, for heads, bodies and answers.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -170,10 +170,8 @@
 		if clientTimeout <= 0 {
 			clientTimeout = defaultBodyTimeout
 		}
-		// Connection deadlines are compared with time.Now, not with package clock. The recorders of tests
-		// have none.
 		controller := http.NewResponseController(w)
-		_ = controller.SetReadDeadline(time.Now().Add(clientTimeout))
+		_ = controller.SetReadDeadline(connDeadline(clientTimeout)) // the recorders of tests have no deadlines
 		defer func() {
 			if err == nil {
 				_ = controller.SetReadDeadline(time.Time{})
@@ -288,13 +286,16 @@
 	maxWriteBytes = 8 << 10
 )
 
+// connDeadline returns the deadline of a connection after a time. Such deadlines are compared with time.Now, not with
+// package clock.
+func connDeadline(after time.Duration) time.Time { return time.Now().Add(after) }
+
 // Chunk implements hookhall.AnswerWriter. Each part of maxWriteBytes must be written
 // within writeTimeout.
 func (a *answerWriter) Chunk(b []byte) error {
 	controller := http.NewResponseController(a.w)
 	for len(b) > 0 {
-		// Connection deadlines are compared with time.Now, not with package clock.
-		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout)) // the recorders of tests have no deadlines
+		_ = controller.SetWriteDeadline(connDeadline(writeTimeout)) // the recorders of tests have no deadlines
 		n, err := a.w.Write(b[:min(len(b), maxWriteBytes)])
 		if err != nil {
 			return errors.Wrap(err, "client")
--- a/internal/transport/front/heads.go
+++ b/internal/transport/front/heads.go
@@ -76,9 +76,8 @@
 	if c.intake.OnHeadTooLong != nil {
 		c.intake.OnHeadTooLong()
 	}
-	// These calls fail if the client has disconnected. Connection deadlines are compared with time.Now, not
-	// with package clock.
-	_ = c.TCPConn.SetDeadline(time.Now().Add(refusedHeadWait))
+	// These calls fail if the client has disconnected.
+	_ = c.TCPConn.SetDeadline(connDeadline(refusedHeadWait))
 	_, _ = io.WriteString(c.TCPConn, headTooLong)
 	_ = c.TCPConn.CloseWrite()
 	_, _ = io.CopyN(io.Discard, c.TCPConn, maxRefusedBytes)
