--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -31,6 +31,8 @@
 	Inputs *results
 	// Quiet leaves the runs out of the record.
 	Quiet bool
+	// Born is the Unix millisecond of its start; 0 says nothing of it.
+	Born int64
 	// Ran is called for each request that the engine begins to run; it may be nil.
 	Ran func(r *http.Request)
 
@@ -48,21 +50,28 @@
 		return err
 	}
 	e.address = l.Addr().String()
-	e.server = &http.Server{Handler: e}
-	go func() { _ = e.server.Serve(l) }()
+	e.serve(l)
+	return nil
+}
+
+// serve serves on a listener and writes the engine's entry now and from time to time.
+func (e *engine) serve(l net.Listener) {
+	server := &http.Server{Handler: e}
+	e.server = server
+	go func() { _ = server.Serve(l) }()
 	e.beat("ready")
+	born := e.Born
 	go func() {
 		for range time.Tick(heartbeat) {
 			e.mu.Lock()
-			silent := e.silent
+			over := e.silent || e.Born != born
 			e.mu.Unlock()
-			if silent {
+			if over {
 				return
 			}
 			e.beat("ready")
 		}
 	}()
-	return nil
 }
 
 // beat writes the engine's entry.
@@ -73,10 +82,14 @@
 		return
 	}
 	e.seq++
-	e.w.store.put("servers/"+e.ID, map[string]any{
+	entry := map[string]any{
 		"service": e.Service, "address": e.address, "zone": e.Hall, "version": e.Version, "slots": 64, "state": state, "coldLeftMs": 0,
 		"stage": "prefill_decode", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": e.seq,
-	})
+	}
+	if e.Born != 0 {
+		entry["born"] = e.Born
+	}
+	e.w.store.put("servers/"+e.ID, entry)
 }
 
 // leave removes the engine's entry. It serves on.
@@ -90,6 +103,27 @@
 // end ends the engine.
 func (e *engine) end() { _ = e.server.Close() }
 
+// crash ends the engine as a failing process does. Its entry stays until it starts again.
+func (e *engine) crash() {
+	e.mu.Lock()
+	e.silent = true
+	e.mu.Unlock()
+	e.end()
+}
+
+// restart starts the engine again at its address and under its id.
+func (e *engine) restart() error {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.silent, e.seq, e.Born = false, 0, time.Now().UnixMilli()
+	e.mu.Unlock()
+	e.serve(l)
+	return nil
+}
+
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 	"pipeline": playPipeline,
 	"surplus":  playSurplus,
 	"takeups":  playTakeUps,
+	"crowd":    playCrowd,
 }
 
 func main() {
--- a/review/standin2/takeups.go
+++ b/review/standin2/takeups.go
@@ -53,6 +53,11 @@
 		time.Sleep(takeUpPause)
 	}
 	running.Wait()
+	return w.judgeTakeUps(streams)
+}
+
+// judgeTakeUps returns whether of the streams that clients took up at machines in touch too few went on.
+func (w *world) judgeTakeUps(streams []*noteStream) (bool, error) {
 	sent, began, takenUp, wentOn := 0, 0, 0, 0
 	for n, s := range streams {
 		w.note("stream %d: last event %s, complete %v; at machines in touch: sent %v, began %v, taken up %v, went on %v", n, s.last, s.complete, s.sentInTouch, s.beganInTouch, s.takenUp, s.wentOn)
--- a/review/standin2/versions.go
+++ b/review/standin2/versions.go
@@ -34,6 +34,7 @@
 	beganInTouch, sentInTouch bool   // a new stream at a machine in touch
 	takenUp, wentOn           bool   // at a machine in touch; and brought events there
 	begunBy                   string // id of the attempt that brought the first event
+	path                      string // "" for that of most
 	last                      string
 	versions                  map[string]bool
 	complete                  bool
@@ -180,6 +181,9 @@
 			Method: http.MethodPost, Host: "pule25.example", Path: "/puxa400/2f", ID: fmt.Sprintf("%08x%08x", n+1, attempt+1), Deadline: deadline, Body: "note",
 			Fields: map[string]string{"Model": "m", "Token-Usage": "300,180", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:200,%x:100", n+1)},
 		}
+		if s.path != "" {
+			t.Path = s.path
+		}
 		if s.last != "" {
 			t.Fields["Last-Event-Id"], t.Fields["Resumes"] = s.last, s.begunBy
 		}
