forward, bindings: logs that tell which history decided a stream's version, and which events passed

Users saw events out of order and streams of two versions after all gateways had restarted. The lines of requests could not separate three explanations: a history younger than the stream, a binding that is wrong, and pieces of one version in wrong order. A stream's line has its first and last event and their number now, that of a stream which a client takes up the versions that were remembered, how far back, the window in which it can have begun and the number of gateways asked.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -131,6 +131,10 @@
 	// Asked is the number of gateways that were asked, and Unanswered how many of them did not
 	// answer.
 	Asked, Unanswered int
+	// Versions are those that this gateway and those that it asked remember, and Reach is how far
+	// back the longest of these memories goes. Both are zero if the binding was known.
+	Versions []string
+	Reach    time.Duration
 }
 
 // Bindings holds this gateway's bindings and finds those of others. Its fields are set before use;
@@ -270,17 +274,20 @@
 			break
 		}
 	}
+	found := Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
+	if unanswered > 0 && !await(ctx, b.hasCurrentList) {
+		found.Versions, found.Reach = seen.Versions, seen.Reach
+		return found
+	}
 	if unanswered > 0 {
-		if !await(ctx, b.hasCurrentList) {
-			return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
-		}
 		own = b.Known(q) // the list may have brought another version meanwhile
 		seen.add(own)
 	}
-	if len(own.Versions) != 1 || len(seen.Versions) != 1 {
-		return Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
+	found.Versions, found.Reach = seen.Versions, seen.Reach
+	if len(own.Versions) == 1 && len(seen.Versions) == 1 {
+		found.Version, found.Source = own.Versions[0], SourceSole
 	}
-	return Found{Service: q.Service, Version: own.Versions[0], Source: SourceSole, Asked: asked, Unanswered: unanswered}
+	return found
 }
 
 // hasCurrentList reports whether the list of targets is current. A gateway that is cut off does not know
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -337,7 +337,12 @@
 		"tokens", r.criteria.SharedTokens, "own_tokens", r.criteria.OwnTokens, "sends", r.attempts, "repeat_wait_ms", r.retryWait.Milliseconds(), "limit_wait_ms", r.limitWait.Milliseconds(), "target", r.target.ID, "software", r.target.Version, "status", r.status, "sealed", r.sealed,
 	}
 	if r.call.LastEventID != "" {
-		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID, "version_from", string(r.begun.source), "peers_unanswered", r.begun.unanswered)
+		found := r.begun.found
+		fields = append(fields, "resumes", r.call.Resumes, "after_event", r.call.LastEventID, "version_from", string(found.Source), "versions_known", strings.Join(found.Versions, ","),
+			"history_ms", found.Reach.Milliseconds(), "window_ms", r.takeUpWindow().Milliseconds(), "peers_asked", found.Asked, "peers_unanswered", found.Unanswered)
+	}
+	if r.passedOn.count > 0 {
+		fields = append(fields, "first_event", r.passedOn.firstID, "last_event", r.passedOn.lastID, "events", r.passedOn.count)
 	}
 	if r.relay != "" {
 		fields = append(fields, "relay", r.relay)
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -89,6 +89,8 @@
 	unfinishedBytes int
 	// begun is the software that began the stream.
 	begun begunAt
+	// passedOn are the events of the stream that were sent to the client.
+	passedOn passedEvents
 	// cutDetail says why an answer that was begun could not be completed.
 	cutDetail string
 	// steps are the stages in the order in which admission considers them, nil if it is not
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -36,6 +36,24 @@
 	lastEventID string          // id of the last complete event that the client has
 }
 
+// passedEvents are the events of a stream that were sent to the client within one answer.
+type passedEvents struct {
+	count           int
+	firstID, lastID string // "" without an id
+}
+
+// add returns p with the events of one target's answer behind it.
+func (p passedEvents) add(answer *eventstream.Parser) passedEvents {
+	if p.count == 0 {
+		p.firstID = answer.FirstID()
+	}
+	p.count += answer.Events()
+	if id := answer.LastID(); id != "" {
+		p.lastID = id
+	}
+	return p
+}
+
 // serveStream passes a stream on, from several targets in turn if the route allows it.
 func (r *request) serveStream(ctx context.Context) error {
 	s := &stream{r: r, lastEventID: r.call.LastEventID}
@@ -125,6 +143,7 @@
 		}
 	}()
 	passed := 0 // bytes of the stream
+	passedBefore := s.r.passedOn
 	lastRead := clock.Now()
 	for {
 		if len(buffer) == cap(buffer) {
@@ -148,6 +167,7 @@
 			if failure := s.writeEvents(buffer[:complete], parser.LastID()); failure != nil {
 				return failure
 			}
+			s.r.passedOn = passedBefore.add(&parser)
 			passed += complete
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -37,10 +37,9 @@
 
 // begunAt is the software that began a stream. Further attempts may be sent nowhere else.
 type begunAt struct {
-	isBound    bool // an event of the stream has reached the client, or may have
-	version    string
-	source     bindings.Source // of a stream that the client takes up
-	unanswered int             // gateways that were asked for it and did not answer
+	isBound bool // an event of the stream has reached the client, or may have
+	version string
+	found   bindings.Found // of a stream that the client takes up
 }
 
 // takeUp finds the software that began the stream which the client takes up, if it does. A stream
@@ -50,7 +49,7 @@
 		return nil
 	}
 	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow()})
-	r.begun = begunAt{version: found.Version, source: found.Source, unanswered: found.Unanswered}
+	r.begun = begunAt{version: found.Version, found: found}
 	if found.Source == bindings.SourceUnknown {
 		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "it is not known which version of %s began the stream: asked %d gateways, of which %d did not answer", r.service, found.Asked, found.Unanswered)
 		return failure.WithRetryAfter(unknownVersionRetryAfter)
--- a/internal/state/eventstream/eventstream.go
+++ b/internal/state/eventstream/eventstream.go
@@ -39,6 +39,7 @@
 	read      int // bytes
 	complete  int // bytes
 	events    int
+	firstID   string
 	lastID    string
 }
 
@@ -48,6 +49,9 @@
 // Events returns the number of complete events so far.
 func (p *Parser) Events() int { return p.events }
 
+// FirstID returns the id of the first complete event that has one, "" if none has.
+func (p *Parser) FirstID() string { return p.firstID }
+
 // LastID returns the id of the last complete event that has one, "" if none has.
 func (p *Parser) LastID() string { return p.lastID }
 
@@ -139,6 +143,9 @@
 	}
 	if p.hasID {
 		p.lastID = p.id
+		if p.firstID == "" {
+			p.firstID = p.id
+		}
 	}
 	p.hasFields, p.hasID = false, false
 }
--- a/internal/state/eventstream/eventstream_test.go
+++ b/internal/state/eventstream/eventstream_test.go
@@ -121,3 +121,12 @@
 		}
 	})
 }
+
+// TestFirstID guards against a log that names another event than the first one of an answer.
+func TestFirstID(t *testing.T) {
+	var p eventstream.Parser
+	p.Feed([]byte(": comment\n\ndata: no id\n\nid: 7\ndata: x\n\nid: 8\ndata: y\n\nid: 9\nda"))
+	if p.FirstID() != "7" || p.LastID() != "8" {
+		t.Errorf("events %q to %q, want 7 to 8", p.FirstID(), p.LastID())
+	}
+}
