bindings: what began a stream outlives the gateways

Callers saw: after all gateways were killed or stopped at once, streams that they took up went on at another software version (ORDER), or were refused although engines of theirs served (LOST).

Cause: which version began a stream was known to four gateways and nowhere else. A gateway that had just started asked others as young as itself, and took the only version that all of them listed for the stream's, however short their histories were. Beside two versions it refused. A planned stop handed bindings over to gateways that stopped next.

Change: the store has the base version of each service, and the streams that began at others. A stream that isn't recorded began at the base version, so a fleet of one version writes one key per service and no stream. A lookup that no gateway can answer reads the store once, and callers at the same time share the reading. The version is concluded from histories only if one of them covers the whole time in which the stream can have begun, or if no stream was ever recorded. While records can't be written, new streams begin at the base version if it has targets. The base version changes once it was not listed for a minute. After a restore of the store from an older copy nothing is concluded until all gateways have recorded their streams again.

Ruled out: refusing wherever the version isn't known (breaks LOST beside two versions and in a fleet of one), a choice of version by hash of the request's id (breaks with each change of the list), a record of every stream (writes as many as streams, and the first event waits always).

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -21,10 +21,12 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,6 +150,8 @@
 	advisories     *advisories.Advisories
 	rollouts       *rollouts.Rollouts
 	bindings       *bindings.Bindings
+	recorder       *bindings.Recorder
+	startedAt      atomic.Uint64 // the store's revision when the targets were first known, 0 before
 	paths          *paths.Paths
 	relayer        *paths.Relayer
 	forwarder      *forward.Forwarder
@@ -273,14 +277,7 @@
 		HallOf: func(handle string) string { return g.catalog.HallAt(g.adapters.StagePool.Holder(handle)) },
 	}
 	g.clients.ObserveLoads = g.runner.ObserveLoads
-	g.bindings = &bindings.Bindings{
-		Table: &binding.Table{}, History: &binding.History{}, Fleet: g.members, Meter: g.metrics, Log: g.logger(logging.Bindings),
-		Remote:  func(address string) bindings.Remote { return g.clients.Client(address) },
-		ListAge: g.catalog.TargetsAge,
-	}
-	g.catalog.OnVersions = func(service string, versions map[string]bool) {
-		g.bindings.History.Observe(service, versions, clock.Now())
-	}
+	g.buildBindings()
 	g.forwarder = &forward.Forwarder{
 		Bindings: g.bindings,
 		Placement: &placement.Client{
@@ -317,6 +314,25 @@
 	g.app = g.newApp()
 }
 
+// buildBindings constructs what keeps streams at the software version that began them.
+func (g *Gateway) buildBindings() {
+	logger := g.logger(logging.Bindings)
+	remote := func(address string) bindings.Remote { return g.clients.Client(address) }
+	table, history := &binding.Table{}, &binding.History{}
+	g.recorder = &bindings.Recorder{
+		Journal: &bindings.Journal{Store: g.storeGate, Era: g.eras.Era, Writer: g.settings.Gateway.Instance + "-" + strconv.FormatUint(rand.Uint64(), 36), History: history, Log: logger},
+		Table:   table, Fleet: g.members, Remote: remote, Log: logger,
+	}
+	g.bindings = &bindings.Bindings{
+		Table: table, History: history, Fleet: g.members, Remote: remote, ListAge: g.catalog.TargetsAge,
+		StartedAt: func() hookhall.Revision { return hookhall.Revision(g.startedAt.Load()) }, Recorder: g.recorder, Meter: g.metrics, Log: logger,
+	}
+	g.catalog.OnVersions = func(service string, versions map[string]bool) {
+		history.Observe(service, versions, clock.Now())
+		g.recorder.Observe(service, versions)
+	}
+}
+
 // memoryBudget returns a budget of the given fraction of the memory that the process
 // may use.
 func (g *Gateway) memoryBudget(share float64) *buffer.Budget {
@@ -348,7 +364,7 @@
 	operatorServer.MaxHeaderBytes = maxInternalHeadBytes
 	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0),
 		kgrpc.UnaryInterceptor(fleet.CheckUnaryReceiver(g.settings.Gateway.Instance)), kgrpc.StreamInterceptor(fleet.CheckStreamReceiver(g.settings.Gateway.Instance)))
-	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Bindings: g.bindings, Broadcaster: g.broadcaster})
+	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Bindings: g.bindings, Journal: g.recorder.Journal, Broadcaster: g.broadcaster})
 	return kratos.New(
 		kratos.Name("hookhall-gateway"), kratos.Server(clientServer, readyServer, operatorServer, peerServer),
 		kratos.Logger(logging.Bridge(g.log)), kratos.Signal(cli.NoSignal{}), kratos.StopTimeout(time.Second),
@@ -382,7 +398,7 @@
 		"metrics", g.metricsListener.Addr().String(), "store", g.settings.Store.Address)
 	loops, endLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){g.logSuspensions, g.catalog.Run, g.members.Run, g.quarantine.Run, g.rollouts.Run, g.runHandover, g.runner.RunReports, g.cleanUp, g.logReady, g.startFromSeeds, (&fleet.LostPeerNotifier{Broadcaster: g.broadcaster}).Run} {
+	for _, loop := range []func(context.Context){g.logSuspensions, g.catalog.Run, g.members.Run, g.quarantine.Run, g.rollouts.Run, g.recorder.Run, g.runHandover, g.runner.RunReports, g.cleanUp, g.logReady, g.startFromSeeds, (&fleet.LostPeerNotifier{Broadcaster: g.broadcaster}).Run} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -465,6 +481,7 @@
 			return
 		}
 	}
+	g.startedAt.Store(uint64(g.catalog.Snapshot().Revision))
 	g.log.Info("Ready.", "table", g.catalog.Table().Version(), "targets", len(g.catalog.KnownTargets()), "after", clock.Since(startedAt))
 }
 
--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -41,8 +41,11 @@
 const (
 	// Copies is the number of other gateways that hold a binding.
 	Copies = 3
-	// bindTimeout bounds how long the first event of a stream may wait for a copy of its binding.
+	// bindTimeout bounds how long the first event of a stream may wait for a copy of its binding, and
+	// for its record.
 	bindTimeout = 50 * time.Millisecond
+	// readRetryDelay is the delay before records that could not be read are read again.
+	readRetryDelay = 50 * time.Millisecond
 	// copyTimeout bounds a call that sends bindings to one gateway.
 	copyTimeout = 200 * time.Millisecond
 	// findTimeout bounds each of the two rounds of calls for a binding.
@@ -72,6 +75,8 @@
 	List(now time.Time) []hookhall.Member
 	// HasList reports whether the other gateways are known: not yet, just after the start.
 	HasList() bool
+	// Owner returns the member that owns key, leaving out the addresses in skip.
+	Owner(key string, skip map[string]bool, now time.Time) hookhall.Member
 }
 
 // Remote is a client of another gateway.
@@ -80,6 +85,8 @@
 	Bind(ctx context.Context, list []binding.Binding) error
 	// FindBinding calls Bindings.Known of the gateway.
 	FindBinding(ctx context.Context, q Query) (Known, error)
+	// RecordStreams calls Journal.Record of the gateway.
+	RecordStreams(ctx context.Context, service string, list []binding.Binding) (Base, error)
 }
 
 // Meter counts lookups.
@@ -94,6 +101,8 @@
 	Service string
 	// Window is how long ago the stream can have begun.
 	Window time.Duration
+	// IsUnnamed means that the client does not say which stream it takes up.
+	IsUnnamed bool
 }
 
 // Known is what one gateway knows about a stream.
@@ -104,6 +113,14 @@
 	// remembers.
 	Versions []string
 	Reach    time.Duration
+	// StartedAt is the store's revision when the gateway started, 0 if it is not known.
+	StartedAt hookhall.Revision
+}
+
+// hasSeen reports whether the gateway has been there for the whole window, or since before streams of the
+// service were recorded for the first time.
+func (k *Known) hasSeen(window time.Duration, created hookhall.Revision) bool {
+	return k.Reach >= window || k.StartedAt != 0 && k.StartedAt < created
 }
 
 // add adds the versions that another gateway remembers.
@@ -120,6 +137,8 @@
 	SourceOwn     Source = "own"     // this process knew it
 	SourcePeer    Source = "peer"    // another gateway knew it
 	SourceSole    Source = "sole"    // the service has had only one version
+	SourceStore   Source = "store"   // the stream is recorded in the store
+	SourceBase    Source = "base"    // it is not recorded there, so it began at the base version
 	SourceUnknown Source = "unknown" // it is not known
 )
 
@@ -147,8 +166,13 @@
 	Remote func(address string) Remote
 	// ListAge returns the age of the list of targets.
 	ListAge func(now time.Time) time.Duration
-	Meter   Meter
-	Log     *log.Logger
+	// StartedAt returns the store's revision when this process started, 0 if it is not known.
+	StartedAt func() hookhall.Revision
+	Recorder  *Recorder
+	Meter     Meter
+	Log       *log.Logger
+
+	reader storeReader
 }
 
 // Bind records the software that began a stream, before its first event is passed on. window is how
@@ -156,18 +180,44 @@
 func (b *Bindings) Bind(ctx context.Context, bound binding.Binding, window time.Duration) {
 	now := clock.Now()
 	b.Table.Put(bound, now)
+	isMixed := b.mayMix(bound.Service)
+	recorded := b.Recorder.Record(bound, isMixed || !b.Recorder.Base(bound.Service).IsKnown)
 	copied := b.copy(bound, now)
-	if !b.History.Mixed(bound.Service, window, now) {
-		return
-	}
 	timer := time.NewTimer(bindTimeout)
 	defer timer.Stop()
+	if b.History.Mixed(bound.Service, window, now) && !b.await(ctx, copied, timer.C) {
+		b.Log.Warn("no copy of a stream's version yet", "service", bound.Service, "software", bound.Version)
+		return
+	}
+	if isMixed && !b.await(ctx, recorded, timer.C) {
+		b.Log.Warn("a stream's version is not recorded yet", "service", bound.Service, "software", bound.Version)
+	}
+}
+
+// await waits until done is closed, and returns false if the timer expires before.
+func (b *Bindings) await(ctx context.Context, done <-chan struct{}, expired <-chan time.Time) bool {
 	select {
-	case <-copied:
+	case <-done:
 	case <-ctx.Done():
-	case <-timer.C:
-		b.Log.Warn("no copy of a stream's version yet", "service", bound.Service, "software", bound.Version)
+	case <-expired:
+		return false
 	}
+	return true
+}
+
+// mayMix reports whether a stream that is not recorded could be taken for one of another version at
+// which it can go on: several versions are listed, and the base version is one of them or not known.
+func (b *Bindings) mayMix(service string) bool {
+	listed, _ := b.History.Within(service, 0, clock.Now())
+	base := b.Recorder.Base(service)
+	return len(listed) > 1 && (!base.IsKnown || slices.Contains(listed, base.Version))
+}
+
+// Preferred returns the version at which new streams of a service should begin while others can't be
+// recorded: streams of the base version need no record.
+func (b *Bindings) Preferred(service string) (version string, ok bool) {
+	base := b.Recorder.Base(service)
+	return base.Version, base.IsKnown && b.Recorder.IsFailing(service)
 }
 
 // Refresh copies a binding to the gateways that should hold it now, without waiting for them.
@@ -239,6 +289,7 @@
 	var k Known
 	k.Binding, k.IsBound = b.Table.Get(q.Key, now)
 	k.Versions, k.Reach = b.History.Within(q.Service, q.Window, now)
+	k.StartedAt = b.StartedAt()
 	return k
 }
 
@@ -249,8 +300,8 @@
 	return found
 }
 
-// find looks in the own table, and asks the gateways that should hold the binding and then further
-// ones.
+// find looks in the own table, asks the gateways that should hold the binding and then further ones, and
+// then looks into the store.
 func (b *Bindings) find(ctx context.Context, q Query) Found {
 	own := b.Known(q)
 	if own.IsBound {
@@ -262,34 +313,75 @@
 	peers := b.peers(q.Key, b.Fleet.All())
 	peers = peers[:min(len(peers), maxAsked)]
 	holders := min(len(peers), Copies)
-	seen, asked, unanswered := own, 0, 0
+	seen, found := own, Found{Service: q.Service, Source: SourceUnknown}
+	var answers []Known
 	for _, round := range [][]hookhall.Member{peers[:holders], peers[holders:]} {
-		known, silent := b.ask(ctx, round, q)
-		asked, unanswered = asked+len(round), unanswered+silent
-		if known.IsBound {
-			return Found{Service: known.Binding.Service, Version: known.Binding.Version, Source: SourcePeer, Asked: asked, Unanswered: unanswered}
+		known := b.ask(ctx, round, q)
+		answers = append(answers, known...)
+		found.Asked, found.Unanswered = found.Asked+len(round), found.Unanswered+len(round)-len(known)
+		for _, k := range known {
+			if k.IsBound {
+				return Found{Service: k.Binding.Service, Version: k.Binding.Version, Source: SourcePeer, Asked: found.Asked, Unanswered: found.Unanswered}
+			}
+			seen.add(k)
 		}
-		seen.add(known)
 		if len(seen.Versions) == 1 && seen.Reach >= q.Window {
 			break
 		}
 	}
-	found := Found{Service: q.Service, Source: SourceUnknown, Asked: asked, Unanswered: unanswered}
-	if unanswered > 0 && !await(ctx, b.hasCurrentList) {
-		found.Versions, found.Reach = seen.Versions, seen.Reach
-		return found
-	}
-	if unanswered > 0 {
+	isCurrent := found.Unanswered == 0 || await(ctx, b.hasCurrentList)
+	if found.Unanswered > 0 {
 		own = b.Known(q) // the list may have brought another version meanwhile
 		seen.add(own)
 	}
 	found.Versions, found.Reach = seen.Versions, seen.Reach
-	if len(own.Versions) == 1 && len(seen.Versions) == 1 {
+	if isCurrent && len(own.Versions) == 1 && len(seen.Versions) == 1 && seen.Reach >= q.Window {
 		found.Version, found.Source = own.Versions[0], SourceSole
+		return found
+	}
+	return b.findStored(ctx, q, found, own, answers)
+}
+
+// findStored looks for a stream in the store that this gateway and those that were asked don't know. own and
+// answers are what they know instead.
+func (b *Bindings) findStored(ctx context.Context, q Query, found Found, own Known, answers []Known) Found {
+	stored, err := b.read(ctx, q.Service)
+	if err != nil {
+		b.Log.Warn("records of streams can't be read", "service", q.Service, "error", err.Error())
+		return found
+	}
+	if version, ok := stored.versions[q.Key]; ok && !q.IsUnnamed {
+		found.Version, found.Source = version, SourceStore
+		return found
+	}
+	// Where all have been there for long enough, the gateways have not lost a binding: there was none.
+	isComplete := found.Unanswered == 0 && own.hasSeen(q.Window, stored.created)
+	for _, k := range answers {
+		isComplete = isComplete && k.hasSeen(q.Window, stored.created)
+	}
+	hasOther := stored.hasOtherThan(stored.base.Version) || slices.ContainsFunc(found.Versions, func(v string) bool { return v != stored.base.Version })
+	switch {
+	case stored.hasBase && (!isComplete && !q.IsUnnamed || !hasOther):
+		found.Version, found.Source = stored.base.Version, SourceBase
+	case !stored.exists && len(own.Versions) == 1 && len(found.Versions) == 1 && found.Unanswered == 0:
+		// No stream has begun before these gateways started.
+		found.Version, found.Source = found.Versions[0], SourceSole
 	}
 	return found
 }
 
+// read reads the store's records of a service, and tries again for a while if that fails.
+func (b *Bindings) read(ctx context.Context, service string) (storedStreams, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		stored, err := b.reader.read(ctx, b.Recorder.Journal.Store, service)
+		if err == nil || !retry.Sleep(ctx, readRetryDelay) {
+			return stored, err
+		}
+	}
+}
+
 // hasCurrentList reports whether the list of targets is current. A gateway that is cut off does not know
 // which versions others have learned of since.
 func (b *Bindings) hasCurrentList() bool { return b.ListAge(clock.Now()) <= maxListAge }
@@ -306,9 +398,9 @@
 	return true
 }
 
-// ask asks gateways at the same time. It returns the answer of the first that has the binding, or
-// else what all of them remember, and how many have not answered until then.
-func (b *Bindings) ask(ctx context.Context, peers []hookhall.Member, q Query) (all Known, unanswered int) {
+// ask asks gateways at the same time. It returns the answers until one has the binding, which is the
+// last one then.
+func (b *Bindings) ask(ctx context.Context, peers []hookhall.Member, q Query) []Known {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	type answer struct {
@@ -322,18 +414,18 @@
 			answers <- answer{known, err}
 		}()
 	}
+	var list []Known
 	for range peers {
 		a := <-answers
-		switch {
-		case a.err != nil:
-			unanswered++
-		case a.IsBound:
-			return a.Known, unanswered
-		default:
-			all.add(a.Known)
+		if a.err != nil {
+			continue
+		}
+		list = append(list, a.Known)
+		if a.IsBound {
+			break
 		}
 	}
-	return all, unanswered
+	return list
 }
 
 // HandOver copies the bindings of this process, which stops, to the gateways that hold them after it,
--- a/internal/coordination/bindings/bindings_test.go
+++ b/internal/coordination/bindings/bindings_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,10 @@
 type fleet struct {
 	gateways map[string]*gateway
 	order    []string
+	store    *fakeStore
+	mu       sync.Mutex // guards gateways and order while calls are under way
+	// generation counts the restarts of all gateways.
+	generation int
 }
 
 // gateway is one of them, and its own view of the fleet.
@@ -42,6 +47,7 @@
 	fleet    *fleet
 	address  string
 	isDead   bool // it does not answer
+	isKilled atomic.Bool
 	isGone   bool // it is not listed
 	listAge  time.Duration
 	suspects map[string]bool // gateways that have not answered it lately
@@ -52,7 +58,7 @@
 
 // newFleet returns gateways that list targets of the given versions.
 func newFleet(n int, versions ...string) *fleet {
-	f := &fleet{gateways: map[string]*gateway{}}
+	f := &fleet{gateways: map[string]*gateway{}, store: newFakeStore()}
 	for i := range n {
 		f.add(fmt.Sprintf("10.0.0.%d:1", i), versions...)
 	}
@@ -62,17 +68,33 @@
 // add adds a gateway.
 func (f *fleet) add(address string, versions ...string) *gateway {
 	g := &gateway{fleet: f, address: address}
+	table, history, logger := &binding.Table{}, &binding.History{}, log.New(io.Discard)
+	toPeer := func(address string) bindings.Remote { return remote{f.gateway(address)} }
+	f.store.mu.Lock()
+	startedAt := f.store.at()
+	f.store.mu.Unlock()
+	journal := &bindings.Journal{Store: storeClient{f.store, g}, Era: f.store.Era, Writer: address, History: history, Log: logger}
 	g.Bindings = &bindings.Bindings{
-		Table: &binding.Table{}, History: &binding.History{}, Fleet: g, Meter: g, Log: log.New(io.Discard),
-		Remote:  func(address string) bindings.Remote { return remote{f.gateways[address]} },
-		ListAge: func(time.Time) time.Duration { return g.listAge },
+		Table: table, History: history, Fleet: g, Meter: g, Log: logger, Remote: toPeer,
+		ListAge:   func(time.Time) time.Duration { return g.listAge },
+		StartedAt: func() hookhall.Revision { return startedAt },
+		Recorder:  &bindings.Recorder{Journal: journal, Table: table, Fleet: g, Remote: toPeer, Log: logger},
 	}
 	g.list(versions...)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.gateways[address] = g
 	f.order = append(f.order, address)
 	return g
 }
 
+// gateway returns the gateway at an address.
+func (f *fleet) gateway(address string) *gateway {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways[address]
+}
+
 // list makes the gateway list targets of the given versions.
 func (g *gateway) list(versions ...string) {
 	set := map[string]bool{}
@@ -80,6 +102,7 @@
 		set[version] = true
 	}
 	g.History.Observe(service, set, clock.Now())
+	g.Recorder.Observe(service, set)
 }
 
 func (g *gateway) StreamTakenUp(string)  {}
@@ -95,6 +118,8 @@
 	if !g.HasList() {
 		return []hookhall.Member{g.Self()}
 	}
+	g.fleet.mu.Lock()
+	defer g.fleet.mu.Unlock()
 	var list []hookhall.Member
 	for _, address := range g.fleet.order {
 		if !g.fleet.gateways[address].isGone {
@@ -104,12 +129,22 @@
 	return list
 }
 
+// Owner returns the first gateway in the order of the key, as members.Owner does.
+func (g *gateway) Owner(key string, skip map[string]bool, _ time.Time) hookhall.Member {
+	for _, member := range binding.Rank(binding.KeyOf(key, ""), g.All()) {
+		if !skip[member.Address] && !g.suspects[member.Address] {
+			return member
+		}
+	}
+	return g.Self()
+}
+
 // remote is a client of a gateway.
 type remote struct{ *gateway }
 
 // reach returns after a round trip, with an error if the gateway does not answer.
 func (r remote) reach(ctx context.Context) error {
-	if r.isDead {
+	if r.isDead || r.isKilled.Load() {
 		<-ctx.Done()
 		return errors.New("no answer")
 	}
@@ -135,6 +170,14 @@
 	return r.Known(q), nil
 }
 
+// RecordStreams implements bindings.Remote.
+func (r remote) RecordStreams(ctx context.Context, service string, list []binding.Binding) (bindings.Base, error) {
+	if err := r.reach(ctx); err != nil {
+		return bindings.Base{}, err
+	}
+	return r.Recorder.Journal.Record(ctx, service, list)
+}
+
 // at returns the ith gateway.
 func (f *fleet) at(i int) *gateway { return f.gateways[f.order[i]] }
 
@@ -144,6 +187,11 @@
 	g.Bind(t.Context(), binding.Binding{Key: binding.KeyOf("", call), Service: service, Version: version, ExpiresAt: clock.Now().Add(ttl)}, window)
 }
 
+// bindAsync is bind without waiting for copies and records.
+func (g *gateway) bindAsync(call, version string) {
+	go g.Bind(context.Background(), binding.Binding{Key: binding.KeyOf("", call), Service: service, Version: version, ExpiresAt: clock.Now().Add(ttl)}, window)
+}
+
 // checkFound checks the version and the source that a gateway finds for the stream of a call.
 func (g *gateway) checkFound(t *testing.T, call, version string, sources ...bindings.Source) {
 	t.Helper()
@@ -167,7 +215,12 @@
 
 // run runs a test in virtual time.
 func run(t *testing.T, name string, f func(t *testing.T)) {
-	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f(t)
+			time.Sleep(2 * ttl) // until all streams have expired, and nothing is left to record
+		})
+	})
 }
 
 func TestBinding(t *testing.T) {
@@ -418,7 +471,15 @@
 		f := newFleet(60, "v1", "v2")
 		f.at(0).bind(t, "a", "v1")
 		time.Sleep(time.Second)
-		f.checkCalls(t, bindings.Copies)
+		f.checkCalls(t, bindings.Copies+1) // and one to the owner of the journal
+	})
+	run(t, "a further stream at the base version", func(t *testing.T) {
+		f := newFleet(60, "v1", "v2")
+		for _, call := range []string{"a", "b"} {
+			f.at(0).bind(t, call, "v1")
+			time.Sleep(time.Second)
+		}
+		f.checkCalls(t, 2*bindings.Copies+1)
 	})
 	run(t, "one that is taken up", func(t *testing.T) {
 		f := newFleet(60, "v1", "v2")
@@ -431,7 +492,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		f.checkCalls(t, 2*bindings.Copies)
+		f.checkCalls(t, 2*bindings.Copies+1)
 	})
 }
 
--- /dev/null
+++ b/internal/coordination/bindings/journal.go
@@ -0,0 +1,344 @@
+// Copyright 2026 The hookhall authors.
+// SPDX-License-Identifier: Apache-2.0
+
+package bindings
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/coordination/retry"
+	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/pkg/errors"
+)
+
+const (
+	// minWriteInterval is the minimum time between two writes of a service's records. What arrives
+	// meanwhile is written together.
+	minWriteInterval = 50 * time.Millisecond
+	// writeTimeout bounds the calls of the store for one batch.
+	writeTimeout = time.Second
+	// maxSegmentStreams and maxSegmentAge are when a segment is full: each write repeats it.
+	maxSegmentStreams = 512
+	maxSegmentAge     = 2 * time.Second
+	// recordTTL is the time to live of a lease, and maxLeaseAge how long segments are written under
+	// it: a segment outlives its streams.
+	recordTTL   = 2*binding.MaxWindow + 10*time.Second
+	maxLeaseAge = binding.MaxWindow
+	// restoreDelay is how long after a restore of the store from an older copy the records count as
+	// incomplete: all gateways record their streams again meanwhile.
+	restoreDelay = 3 * time.Second
+)
+
+// errNoBase is returned for a service of which no version is known.
+var errNoBase = errors.New("no version of the service is known")
+
+// Base is the version of all streams of a service that are not recorded.
+type Base struct {
+	Version string
+	IsKnown bool
+}
+
+// Journal writes the bindings of all gateways to the store for the services whose journal this process
+// owns. Two processes that both take themselves for the owner write different keys. The exported
+// fields are set before use; it is safe for concurrent use.
+type Journal struct {
+	Store hookhall.Store
+	// Era returns the latest era of the store that is known.
+	Era func() uint64
+	// Writer distinguishes this process from all others that write, and from earlier ones of the same
+	// instance.
+	Writer  string
+	History *binding.History
+	Log     *log.Logger
+
+	mu        sync.Mutex
+	byService map[string]*serviceJournal
+}
+
+// serviceJournal has the records of one service that this process has written.
+type serviceJournal struct {
+	*Journal
+	service string
+
+	next      *batch // guarded by Journal.mu
+	isWriting bool   // guarded by Journal.mu
+
+	// The fields below are used by the goroutine that writes.
+	lastWrite  time.Time
+	base       baseRecord
+	baseAt     hookhall.Revision // of the last change of the stored base version
+	hasBase    bool
+	era        uint64
+	restoredAt time.Time // when the era was seen to rise, or the base version to be of an earlier one
+	lease      hookhall.Lease
+	leasedAt   time.Time
+	segments   []*segment
+}
+
+// batch has the bindings that are written together. Its result is set before done is closed.
+type batch struct {
+	list []binding.Binding
+	done chan struct{}
+	base Base
+	err  error
+}
+
+// segment is one key with bindings.
+type segment struct {
+	number    int
+	record    segmentRecord
+	count     int
+	openedAt  time.Time
+	expiresAt time.Time // when the last of its bindings does
+	isStored  bool
+}
+
+// Record returns once the bindings are written, of which those of the base version need no record.
+func (j *Journal) Record(ctx context.Context, service string, list []binding.Binding) (Base, error) {
+	b := j.add(service, list)
+	select {
+	case <-b.done:
+		return b.base, b.err
+	case <-ctx.Done():
+		return Base{}, ctx.Err()
+	}
+}
+
+// add adds bindings to the next batch of a service.
+func (j *Journal) add(service string, list []binding.Binding) *batch {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.byService == nil {
+		j.byService = map[string]*serviceJournal{}
+	}
+	s := j.byService[service]
+	if s == nil {
+		s = &serviceJournal{Journal: j, service: service, era: j.Era()}
+		j.byService[service] = s
+	}
+	if s.next == nil {
+		s.next = &batch{done: make(chan struct{})}
+	}
+	s.next.list = append(s.next.list, list...)
+	if !s.isWriting {
+		s.isWriting = true
+		go s.run()
+	}
+	return s.next
+}
+
+// run writes batches until there is none.
+func (s *serviceJournal) run() {
+	for {
+		retry.Sleep(context.Background(), minWriteInterval-clock.Since(s.lastWrite))
+		s.mu.Lock()
+		b := s.next
+		s.next = nil
+		if b == nil {
+			s.isWriting = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		s.lastWrite = clock.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+		b.base, b.err = s.write(ctx, b.list)
+		cancel()
+		close(b.done)
+	}
+}
+
+// write writes the bindings of a batch.
+func (s *serviceJournal) write(ctx context.Context, list []binding.Binding) (Base, error) {
+	now := clock.Now()
+	s.checkEra(now)
+	if err := s.ensureBase(ctx, list, now); err != nil {
+		return Base{}, err
+	}
+	s.append(list, now)
+	if err := s.writeSegments(ctx, now); err != nil {
+		return Base{}, err
+	}
+	return Base{s.base.Version, s.hasBase}, nil
+}
+
+// checkEra forgets what a restore of the store from an older copy may have undone.
+func (s *serviceJournal) checkEra(now time.Time) {
+	era := s.Era()
+	if era == s.era {
+		return
+	}
+	if s.era != 0 {
+		s.restoredAt = now
+	}
+	s.era, s.hasBase, s.lease = era, false, hookhall.Lease{}
+	for _, segment := range s.segments {
+		segment.isStored = false
+	}
+}
+
+// ensureBase reads the stored base version, or decides on one if there is none or its streams have ended.
+func (s *serviceJournal) ensureBase(ctx context.Context, list []binding.Binding, now time.Time) error {
+	if !s.hasBase {
+		if err := s.readBase(ctx); err != nil {
+			return err
+		}
+	}
+	if s.hasBase && s.base.Era != s.era && s.restoredAt.IsZero() {
+		s.restoredAt = now
+	}
+	if now.Sub(s.restoredAt) < restoreDelay {
+		s.hasBase = false // nobody may rely on it yet
+		return nil
+	}
+	next, err := s.nextBase(list, now)
+	if err != nil || s.hasBase && next == s.base {
+		return err
+	}
+	return s.writeBase(ctx, next)
+}
+
+// readBase reads the stored base version.
+func (s *serviceJournal) readBase(ctx context.Context) error {
+	item, _, err := s.Store.Get(ctx, servicePrefix(s.service)+baseKey)
+	if err != nil {
+		return err
+	}
+	s.base, s.baseAt = baseRecord{}, item.Revision
+	if item.Revision == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(item.Value, &s.base); err != nil {
+		s.Log.Error("could not decode the base version of a service", "service", s.service, "error", err.Error())
+		return nil // it is written anew
+	}
+	s.hasBase = true
+	return nil
+}
+
+// nextBase returns the base version that is right now.
+func (s *serviceJournal) nextBase(list []binding.Binding, now time.Time) (baseRecord, error) {
+	next := baseRecord{Version: s.base.Version, Era: s.era}
+	versions, reach := s.History.Within(s.service, binding.MaxWindow, now)
+	switch {
+	case s.hasBase && (reach < binding.MaxWindow || len(versions) == 0 || slices.Contains(versions, s.base.Version)):
+		// A stream of that version may still go on.
+	case !s.hasBase && len(list) > 0:
+		next.Version = list[0].Version
+	case len(versions) > 0:
+		next.Version = versions[0]
+	default:
+		return next, errNoBase
+	}
+	return next, nil
+}
+
+// writeBase replaces the stored base version.
+func (s *serviceJournal) writeBase(ctx context.Context, next baseRecord) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "base version")
+	}
+	s.hasBase = false
+	at, err := s.Store.Swap(ctx, servicePrefix(s.service)+baseKey, value, s.baseAt)
+	if errors.Is(err, hookhall.ErrConflict) {
+		return s.readBase(ctx) // another process has written it
+	}
+	if err != nil {
+		return err
+	}
+	s.Log.Info("base version of a service's streams", "service", s.service, "version", next.Version, "before", s.base.Version, "era", next.Era)
+	s.base, s.baseAt, s.hasBase = next, at, true
+	return nil
+}
+
+// append adds bindings to the segments, without those of the base version.
+func (s *serviceJournal) append(list []binding.Binding, now time.Time) {
+	s.segments = slices.DeleteFunc(s.segments, func(g *segment) bool { return !now.Before(g.expiresAt) })
+	for _, bound := range list {
+		if s.hasBase && bound.Version == s.base.Version || !now.Before(bound.ExpiresAt) {
+			continue
+		}
+		s.openSegment(now).add(bound)
+	}
+}
+
+// openSegment returns a segment that is not full.
+func (s *serviceJournal) openSegment(now time.Time) *segment {
+	if n := len(s.segments); n > 0 {
+		if last := s.segments[n-1]; last.count < maxSegmentStreams && now.Sub(last.openedAt) < maxSegmentAge {
+			return last
+		}
+	}
+	number := 0
+	for slices.ContainsFunc(s.segments, func(g *segment) bool { return g.number == number }) {
+		number++
+	}
+	opened := &segment{number: number, record: segmentRecord{map[string][]byte{}}, openedAt: now}
+	s.segments = append(s.segments, opened)
+	return opened
+}
+
+// add adds a binding.
+func (g *segment) add(bound binding.Binding) {
+	g.record.Streams[bound.Version] = append(g.record.Streams[bound.Version], bound.Key[:]...)
+	g.count++
+	g.isStored = false
+	if bound.ExpiresAt.After(g.expiresAt) {
+		g.expiresAt = bound.ExpiresAt
+	}
+}
+
+// writeSegments writes the segments that have changed. If their lease has ended, the store has lost
+// all of them.
+func (s *serviceJournal) writeSegments(ctx context.Context, now time.Time) error {
+	isLeaseRenewed := false
+	for i := 0; i < len(s.segments); i++ {
+		segment := s.segments[i]
+		if segment.isStored {
+			continue
+		}
+		if err := s.ensureLease(ctx, now); err != nil {
+			return err
+		}
+		value, err := json.Marshal(segment.record)
+		if err != nil {
+			return errors.Wrap(err, "segment")
+		}
+		err = s.Store.Put(ctx, servicePrefix(s.service)+segmentKey+s.Writer+"/"+strconv.Itoa(segment.number), value, s.lease)
+		if errors.Is(err, hookhall.ErrLeaseGone) && !isLeaseRenewed {
+			isLeaseRenewed, s.lease = true, hookhall.Lease{}
+			for _, other := range s.segments {
+				other.isStored = false
+			}
+			i = -1
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		segment.isStored = true
+	}
+	return nil
+}
+
+// ensureLease creates a lease if there is none that is young enough.
+func (s *serviceJournal) ensureLease(ctx context.Context, now time.Time) error {
+	if s.lease.Number != 0 && now.Sub(s.leasedAt) < maxLeaseAge {
+		return nil
+	}
+	lease, err := s.Store.Grant(ctx, recordTTL)
+	if err != nil {
+		return err
+	}
+	s.lease, s.leasedAt = lease, now
+	return nil
+}
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -120,6 +120,9 @@
 	Refresh(bound binding.Binding)
 	// Find returns the software at which a stream has to go on.
 	Find(ctx context.Context, q bindings.Query) bindings.Found
+	// Preferred returns the version at which new streams of a service should begin while those of
+	// others can't be tied to their version. ok is false while they can be.
+	Preferred(service string) (version string, ok bool)
 }
 
 // Meter receives the counts of a Forwarder.
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -48,7 +48,7 @@
 	if !r.route.Resumable || r.route.Kind != hookhall.KindStreaming || r.call.LastEventID == "" {
 		return nil
 	}
-	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow()})
+	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow(), IsUnnamed: r.call.Resumes == ""})
 	r.begun = begunAt{version: found.Version, found: found}
 	if found.Source == bindings.SourceUnknown {
 		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "it is not known which version of %s began the stream: asked %d gateways, of which %d did not answer", r.service, found.Asked, found.Unanswered)
@@ -105,7 +105,22 @@
 	if r.begun.isBound {
 		return balance.Versions{Only: r.begun.version, Exact: true}
 	}
-	return r.Rollouts.Versions(r.service, r.attempts == 0)
+	versions := r.Rollouts.Versions(r.service, r.attempts == 0)
+	if versions == (balance.Versions{}) && r.route.Resumable && r.route.Kind == hookhall.KindStreaming {
+		return r.recordableVersions()
+	}
+	return versions
+}
+
+// recordableVersions returns the versions at which a new stream can be tied to its version: all, unless
+// records can't be written and the version has targets that needs none.
+func (r *request) recordableVersions() balance.Versions {
+	version, ok := r.Bindings.Preferred(r.service)
+	only := balance.Versions{Only: version, Exact: true}
+	if !ok || !slices.ContainsFunc(r.Catalog.Targets(r.service), only.Allow) {
+		return balance.Versions{}
+	}
+	return only
 }
 
 // refuseMissingVersion returns an error if a begun stream can't go on: no target of its version is
--- a/internal/coordination/forward/versions_test.go
+++ b/internal/coordination/forward/versions_test.go
@@ -29,6 +29,8 @@
 }
 func (f *fakeBindings) Refresh(b binding.Binding) { f.bound = append(f.bound, b) }
 
+func (f *fakeBindings) Preferred(string) (string, bool) { return "", false }
+
 func (f *fakeBindings) Find(context.Context, bindings.Query) bindings.Found { return f.found }
 
 // excludingRollouts lets no stream go on at a version.
--- a/internal/transport/fleet/bindings.go
+++ b/internal/transport/fleet/bindings.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/bindings"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/binding"
@@ -24,19 +25,27 @@
 	Known(q bindings.Query) bindings.Known
 }
 
+// Journal writes the software versions that began streams to the store.
+type Journal interface {
+	// Record returns once the bindings of a service are written.
+	Record(ctx context.Context, service string, list []binding.Binding) (bindings.Base, error)
+}
+
 // Bind implements pb.FleetServer. It omits bindings whose key has a wrong length.
 func (s *Server) Bind(_ context.Context, r *pb.BindRequest) (*pb.BindReply, error) {
-	now := clock.Now()
-	list := make([]binding.Binding, 0, len(r.GetBindings()))
-	for _, m := range r.GetBindings() {
-		if bound, ok := readBinding(m, now); ok {
-			list = append(list, bound)
-		}
-	}
-	s.Bindings.Merge(list)
+	s.Bindings.Merge(readBindings(r.GetBindings()))
 	return &pb.BindReply{}, nil
 }
 
+// RecordStreams implements pb.FleetServer. It omits bindings whose key has a wrong length.
+func (s *Server) RecordStreams(ctx context.Context, r *pb.RecordRequest) (*pb.RecordReply, error) {
+	base, err := s.Journal.Record(ctx, r.GetService(), readBindings(r.GetBindings()))
+	if err != nil {
+		return nil, err
+	}
+	return &pb.RecordReply{BaseVersion: base.Version, HasBase: base.IsKnown}, nil
+}
+
 // FindBinding implements pb.FleetServer.
 func (s *Server) FindBinding(_ context.Context, r *pb.BindingQuery) (*pb.BindingAnswer, error) {
 	key, ok := readKey(r.GetKey())
@@ -44,7 +53,7 @@
 		return &pb.BindingAnswer{}, nil
 	}
 	known := s.Bindings.Known(bindings.Query{Key: key, Service: r.GetService(), Window: milliseconds(r.GetWindowMs())})
-	answer := &pb.BindingAnswer{Versions: known.Versions, ReachMs: known.Reach.Milliseconds()}
+	answer := &pb.BindingAnswer{Versions: known.Versions, ReachMs: known.Reach.Milliseconds(), StartRevision: uint64(known.StartedAt)}
 	if known.IsBound {
 		answer.Binding = wireBinding(known.Binding, clock.Now())
 	}
@@ -56,16 +65,21 @@
 	if c.err != nil {
 		return c.err
 	}
-	now := clock.Now()
-	request := &pb.BindRequest{}
-	for _, bound := range list {
-		request.Bindings = append(request.Bindings, wireBinding(bound, now))
-	}
-	_, err := c.rpc().Bind(ctx, request)
+	_, err := c.rpc().Bind(ctx, &pb.BindRequest{Bindings: wireBindings(list)})
 	c.checkAfterTimeout(err)
 	return err
 }
 
+// RecordStreams implements bindings.Remote.
+func (c *Client) RecordStreams(ctx context.Context, service string, list []binding.Binding) (bindings.Base, error) {
+	if c.err != nil {
+		return bindings.Base{}, c.err
+	}
+	reply, err := c.rpc().RecordStreams(ctx, &pb.RecordRequest{Service: service, Bindings: wireBindings(list)})
+	c.checkAfterTimeout(err)
+	return bindings.Base{Version: reply.GetBaseVersion(), IsKnown: reply.GetHasBase()}, err
+}
+
 // FindBinding implements bindings.Remote.
 func (c *Client) FindBinding(ctx context.Context, q bindings.Query) (bindings.Known, error) {
 	if c.err != nil {
@@ -76,13 +90,36 @@
 	if err != nil {
 		return bindings.Known{}, err
 	}
-	known := bindings.Known{Versions: answer.GetVersions(), Reach: milliseconds(answer.GetReachMs())}
+	known := bindings.Known{Versions: answer.GetVersions(), Reach: milliseconds(answer.GetReachMs()), StartedAt: hookhall.Revision(answer.GetStartRevision())}
 	if answer.GetBinding() != nil {
 		known.Binding, known.IsBound = readBinding(answer.GetBinding(), clock.Now())
 	}
 	return known, nil
 }
 
+// wireBindings converts bindings for a message that is sent now.
+func wireBindings(list []binding.Binding) []*pb.StreamBinding {
+	now := clock.Now()
+	messages := make([]*pb.StreamBinding, 0, len(list))
+	for _, bound := range list {
+		messages = append(messages, wireBinding(bound, now))
+	}
+	return messages
+}
+
+// readBindings converts the bindings of a message that is received now, without those whose key has a
+// wrong length.
+func readBindings(messages []*pb.StreamBinding) []binding.Binding {
+	now := clock.Now()
+	list := make([]binding.Binding, 0, len(messages))
+	for _, m := range messages {
+		if bound, ok := readBinding(m, now); ok {
+			list = append(list, bound)
+		}
+	}
+	return list
+}
+
 // wireBinding converts a binding for a message that is sent at now.
 func wireBinding(bound binding.Binding, now time.Time) *pb.StreamBinding {
 	return &pb.StreamBinding{Key: bound.Key[:], Service: bound.Service, Version: bound.Version, RemainingMs: bound.ExpiresAt.Sub(now).Milliseconds()}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -65,6 +65,8 @@
 	Relayer Relayer
 	// Bindings has the software versions that began streams.
 	Bindings Bindings
+	// Journal writes the software versions that began streams to the store.
+	Journal Journal
 	// Broadcaster has the catalog and the other state that peers read and update.
 	Broadcaster *Broadcaster
 
--- a/store.go
+++ b/store.go
@@ -17,6 +17,8 @@
 	// Revision is the store's revision at the last change of this key; 0 when the key
 	// does not exist.
 	Revision Revision
+	// Created is the store's revision at the creation of the key, 0 if the store does not state it.
+	Created Revision
 	// Deleted is set in events that report the removal of the key.
 	Deleted bool
 }
