--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -22,7 +22,7 @@
 const (
 	// minWriteInterval is the minimum time between two writes of a service's records. What arrives
 	// meanwhile is written together.
-	minWriteInterval = 50 * time.Millisecond
+	minWriteInterval = 25 * time.Millisecond
 	// writeTimeout bounds the calls of the store for one batch.
 	writeTimeout = time.Second
 	// maxSegmentStreams and maxSegmentAge are when a segment is full: each write repeats it.
@@ -135,6 +135,13 @@
 	return s.next
 }
 
+// isActive reports whether this process has written records of a service.
+func (j *Journal) isActive(service string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.byService[service] != nil
+}
+
 // run writes batches until there is none.
 func (s *serviceJournal) run() {
 	for {
@@ -163,6 +170,11 @@
 	if err := s.ensureBase(ctx, list, now); err != nil {
 		return Base{}, err
 	}
+	if versions, _ := s.History.Within(s.service, 0, now); len(versions) > 1 {
+		if err := s.ensureLease(ctx, now); err != nil {
+			return Base{}, err
+		}
+	}
 	s.append(list, now)
 	if err := s.writeSegments(ctx, now); err != nil {
 		return Base{}, err
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -120,6 +120,22 @@
 	if o := r.byService[service]; o != nil {
 		o.isCurrent = o.isCurrent && versions[o.base.Version]
 	}
+	if len(versions) > 1 && r.Journal.isActive(service) {
+		go r.prepare(service)
+	}
+}
+
+// prepare has the journal of a service ready for records, if this process owns it: the first one would need
+// two calls of the store more than all others.
+func (r *Recorder) prepare(service string) {
+	if r.Fleet.Owner(ownerKeyPrefix+service, nil, clock.Now()).Address != r.Fleet.Self().Address {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if _, err := r.Journal.Record(ctx, service, nil); err != nil {
+		r.Log.Warn("the journal of a service is not prepared", "service", service, "error", err.Error())
+	}
 }
 
 // Base returns the base version of a service that its journal's owner has stated last.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -345,7 +345,7 @@
 			"history_ms", found.Reach.Milliseconds(), "window_ms", r.takeUpWindow().Milliseconds(), "peers_asked", found.Asked, "peers_unanswered", found.Unanswered)
 	}
 	if r.passedOn.count > 0 {
-		fields = append(fields, "first_event", r.passedOn.firstID, "last_event", r.passedOn.lastID, "events", r.passedOn.count)
+		fields = append(fields, "bind_ms", r.bindElapsed.Milliseconds(), "first_event", r.passedOn.firstID, "last_event", r.passedOn.lastID, "events", r.passedOn.count)
 	}
 	if r.relay != "" {
 		fields = append(fields, "relay", r.relay)
--- a/internal/coordination/forward/request.go
+++ b/internal/coordination/forward/request.go
@@ -89,6 +89,8 @@
 	unfinishedBytes int
 	// begun is the software that began the stream.
 	begun begunAt
+	// bindElapsed is how long the first event waited until the stream was tied to its software.
+	bindElapsed time.Duration
 	// passedOn are the events of the stream that were sent to the client.
 	passedOn passedEvents
 	// cutDetail says why an answer that was begun could not be completed.
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -73,7 +73,9 @@
 	}
 	r.begun.isBound, r.begun.version = true, r.target.Version
 	if r.call.ID != "" { // else no client can name the stream
+		began := clock.Now()
 		r.Bindings.Bind(ctx, r.binding(), r.takeUpWindow())
+		r.bindElapsed = clock.Since(began)
 	}
 }
 
