bindings: a stream on a route of several services is not taken for one of the service drawn anew

A stream without a record counts as begun at the base version of the service that the take-up happened to draw, also if its route leads to several services and another one began it. Streams on such routes are recorded at any version now, with their service, and one without a record is refused. Found by reading; the case of TestStreamsAfterAllGatewaysDied failed before (the other service's version).

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -103,6 +103,8 @@
 	Window time.Duration
 	// IsUnnamed means that the client does not say which stream it takes up.
 	IsUnnamed bool
+	// Others are the other services to which the route leads.
+	Others []string
 }
 
 // Known is what one gateway knows about a stream.
@@ -345,14 +347,20 @@
 // findStored looks for a stream in the store that this gateway and those that were asked don't know. own and
 // answers are what they know instead.
 func (b *Bindings) findStored(ctx context.Context, q Query, found Found, own Known, answers []Known) Found {
-	stored, err := b.read(ctx, q.Service)
-	if err != nil {
-		b.Log.Warn("records of streams can't be read", "service", q.Service, "error", err.Error())
-		return found
+	var stored storedStreams
+	for _, service := range append(slices.Clone(q.Others), q.Service) {
+		var err error
+		if stored, err = b.read(ctx, service); err != nil {
+			b.Log.Warn("records of streams can't be read", "service", service, "error", err.Error())
+			return found
+		}
+		if version, ok := stored.versions[q.Key]; ok && !q.IsUnnamed {
+			found.Service, found.Version, found.Source = service, version, SourceStore
+			return found
+		}
 	}
-	if version, ok := stored.versions[q.Key]; ok && !q.IsUnnamed {
-		found.Version, found.Source = version, SourceStore
-		return found
+	if len(q.Others) > 0 && !q.IsUnnamed {
+		return found // its record would say which service began it
 	}
 	// Where all have been there for long enough, the gateways have not lost a binding: there was none.
 	isComplete := found.Unanswered == 0 && own.hasSeen(q.Window, stored.created)
--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -101,7 +101,8 @@
 	isStored  bool
 }
 
-// Record returns once the bindings are written, of which those of the base version need no record.
+// Record returns once the bindings are written. Those of the base version need no record, unless they are
+// explicit.
 func (j *Journal) Record(ctx context.Context, service string, list []binding.Binding) (Base, error) {
 	b := j.add(service, list)
 	select {
@@ -272,14 +273,14 @@
 	return nil
 }
 
-// append adds bindings to the segments, without those of the base version.
+// append adds bindings to the segments, without those that need no record.
 func (s *serviceJournal) append(list []binding.Binding, now time.Time) {
 	s.segments = slices.DeleteFunc(s.segments, func(g *segment) bool { return !now.Before(g.expiresAt) })
 	for _, bound := range list {
-		if s.hasBase && bound.Version == s.base.Version || !now.Before(bound.ExpiresAt) {
-			continue
+		isBase := s.hasBase && bound.Version == s.base.Version && !bound.IsExplicit
+		if !isBase && now.Before(bound.ExpiresAt) {
+			s.openSegment(now).add(bound)
 		}
-		s.openSegment(now).add(bound)
 	}
 }
 
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -31,6 +31,8 @@
 	failingAfter = 250 * time.Millisecond
 	// restoreCheckInterval is the interval at which a restore of the store is looked for.
 	restoreCheckInterval = 500 * time.Millisecond
+	// maxFailedOwners is the number of owners that may fail before this process writes by itself.
+	maxFailedOwners = 2
 	// maxQueued limits the bindings that wait for their record; the oldest are dropped.
 	maxQueued = 1 << 14
 )
@@ -73,7 +75,7 @@
 	defer r.mu.Unlock()
 	q := &queued{bound, clock.Now(), make(chan struct{})}
 	o := r.outbox(bound.Service)
-	if o.isCurrent && o.base.Version == bound.Version {
+	if o.isCurrent && o.base.Version == bound.Version && !bound.IsExplicit {
 		close(q.done)
 		return q.done
 	}
@@ -167,10 +169,17 @@
 			return
 		}
 		owner := r.Fleet.Owner(ownerKeyPrefix+service, failed, clock.Now())
+		if len(failed) >= maxFailedOwners {
+			owner = r.Fleet.Self()
+		}
 		base, err := r.call(owner, service, list)
 		if err != nil {
 			r.Log.Warn("versions of streams are not recorded", "service", service, "streams", len(list), "owner", owner.Instance, "error", err.Error())
-			failed = map[string]bool{owner.Address: true}
+			if owner.Address == r.Fleet.Self().Address {
+				clear(failed)
+			} else {
+				failed[owner.Address] = true
+			}
 			backoff.Wait(context.Background())
 			continue
 		}
--- a/internal/coordination/bindings/records_test.go
+++ b/internal/coordination/bindings/records_test.go
@@ -15,6 +15,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/bindings"
 	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
 // recordDelay is longer than a binding takes to reach the store.
@@ -185,6 +186,21 @@
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 		f.checkAll(t, "c", "v2", bindings.SourceStore)
 	})
+	run(t, "the route leads to several services", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		f.bindAt(t, "v1", "base")
+		time.Sleep(recordDelay)
+		bound := binding.Binding{Key: binding.KeyOf("", "a"), Service: service, Version: "v1", ExpiresAt: clock.Now().Add(ttl), IsExplicit: true}
+		f.at(0).Bind(t.Context(), bound, window)
+		time.Sleep(recordDelay)
+		f.restartAll("v1")
+		for call, want := range map[string]bindings.Found{"a": {Service: service, Version: "v1", Source: bindings.SourceStore}, "b": {Service: "other", Source: bindings.SourceUnknown}} {
+			found := f.at(0).Find(t.Context(), bindings.Query{Key: binding.KeyOf("", call), Service: "other", Others: []string{service}, Window: window})
+			if found.Service != want.Service || found.Version != want.Version || found.Source != want.Source {
+				t.Errorf("%s: %+v, want %+v", call, found, want)
+			}
+		}
+	})
 	run(t, "a lease has ended before its time", func(t *testing.T) {
 		f := newFleet(5, "v1", "v2")
 		f.bindAt(t, "v1", "a")
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -48,7 +48,7 @@
 	if !r.route.Resumable || r.route.Kind != hookhall.KindStreaming || r.call.LastEventID == "" {
 		return nil
 	}
-	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow(), IsUnnamed: r.call.Resumes == ""})
+	found := r.Bindings.Find(ctx, bindings.Query{Key: r.streamKey(), Service: r.service, Window: r.takeUpWindow(), IsUnnamed: r.call.Resumes == "", Others: r.otherServices()})
 	r.begun = begunAt{version: found.Version, found: found}
 	if found.Source == bindings.SourceUnknown {
 		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "it is not known which version of %s began the stream: asked %d gateways, of which %d did not answer", r.service, found.Asked, found.Unanswered)
@@ -85,7 +85,21 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	return binding.Binding{Key: r.streamKey(), Service: r.service, Version: r.begun.version, ExpiresAt: r.arrived.Add(min(timeout, maxTakeUpWindow) + bindingMargin)}
+	return binding.Binding{
+		Key: r.streamKey(), Service: r.service, Version: r.begun.version, ExpiresAt: r.arrived.Add(min(timeout, maxTakeUpWindow) + bindingMargin),
+		IsExplicit: len(r.otherServices()) > 0,
+	}
+}
+
+// otherServices returns the services to which the route leads beside the one that was drawn.
+func (r *request) otherServices() []string {
+	var others []string
+	for _, b := range r.route.Backends {
+		if b.Service != r.service {
+			others = append(others, b.Service)
+		}
+	}
+	return others
 }
 
 // streamKey identifies the stream over the client's tries, by the call that brought its first event.
--- a/internal/state/binding/binding.go
+++ b/internal/state/binding/binding.go
@@ -34,6 +34,9 @@
 	Service   string
 	Version   string    // of the target's software, "" if the target states none
 	ExpiresAt time.Time // when the client can't take the stream up any more
+	// IsExplicit is set if nothing about the stream can be concluded from the lack of a record: its
+	// route leads to several services.
+	IsExplicit bool
 }
 
 // Rank returns the members in the order in which they hold the copies of a binding, by rendezvous
