bindings: in a large fleet twelve gateways that don't know a stream don't show that there was none

A lookup asks twelve gateways at most. If all of them were old enough and the store had no record, the stream was refused as unknown, although its holders may have been among the others, which were restarted. Only answers of all gateways show that nobody has lost the binding. Found by reading. The function find is split into its steps.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -310,43 +310,69 @@
 		return Found{Service: own.Binding.Service, Version: own.Binding.Version, Source: SourceOwn}
 	}
 	await(ctx, b.Fleet.HasList)
+	i := b.inquire(ctx, q, own)
+	if i.found.Source == SourcePeer || b.concludeSole(ctx, q, i) {
+		return i.found
+	}
+	return b.findStored(ctx, q, i)
+}
+
+// inquiry is what gateways answered to the query for a stream.
+type inquiry struct {
+	found Found
+	// memories is what this gateway, the first, and those that answered know instead of the binding, and
+	// seen is all of that together.
+	memories []Known
+	seen     Known
+	// isComplete is set if all gateways were asked and have answered.
+	isComplete bool
+}
+
+// inquire asks the gateways that should hold the binding, and then further ones. own is what this one knows.
+func (b *Bindings) inquire(ctx context.Context, q Query, own Known) *inquiry {
 	// Those that failed to answer lately are asked, too: what they know may be needed, and if they
 	// are not there this gateway may be cut off.
-	peers := b.peers(q.Key, b.Fleet.All())
-	peers = peers[:min(len(peers), maxAsked)]
+	all := b.peers(q.Key, b.Fleet.All())
+	peers := all[:min(len(all), maxAsked)]
 	holders := min(len(peers), Copies)
-	seen, found := own, Found{Service: q.Service, Source: SourceUnknown}
-	var answers []Known
+	i := &inquiry{found: Found{Service: q.Service, Source: SourceUnknown}, memories: []Known{own}, seen: own}
 	for _, round := range [][]hookhall.Member{peers[:holders], peers[holders:]} {
-		known := b.ask(ctx, round, q)
-		answers = append(answers, known...)
-		found.Asked, found.Unanswered = found.Asked+len(round), found.Unanswered+len(round)-len(known)
-		for _, k := range known {
+		answers := b.ask(ctx, round, q)
+		i.found.Asked, i.found.Unanswered = i.found.Asked+len(round), i.found.Unanswered+len(round)-len(answers)
+		for _, k := range answers {
 			if k.IsBound {
-				return Found{Service: k.Binding.Service, Version: k.Binding.Version, Source: SourcePeer, Asked: found.Asked, Unanswered: found.Unanswered}
+				i.found.Service, i.found.Version, i.found.Source = k.Binding.Service, k.Binding.Version, SourcePeer
+				return i
 			}
-			seen.add(k)
+			i.memories = append(i.memories, k)
+			i.seen.add(k)
 		}
-		if len(seen.Versions) == 1 && seen.Reach >= q.Window {
+		if len(i.seen.Versions) == 1 && i.seen.Reach >= q.Window {
 			break
 		}
 	}
-	isCurrent := found.Unanswered == 0 || await(ctx, b.hasCurrentList)
-	if found.Unanswered > 0 {
-		own = b.Known(q) // the list may have brought another version meanwhile
-		seen.add(own)
+	i.isComplete = i.found.Asked == len(all) && i.found.Unanswered == 0
+	return i
+}
+
+// concludeSole reports whether the service has had only one version for as long as the stream can be old.
+func (b *Bindings) concludeSole(ctx context.Context, q Query, i *inquiry) bool {
+	isCurrent := i.found.Unanswered == 0 || await(ctx, b.hasCurrentList)
+	if i.found.Unanswered > 0 {
+		i.memories[0] = b.Known(q) // the list may have brought another version meanwhile
+		i.seen.add(i.memories[0])
 	}
-	found.Versions, found.Reach = seen.Versions, seen.Reach
-	if isCurrent && len(own.Versions) == 1 && len(seen.Versions) == 1 && seen.Reach >= q.Window {
-		found.Version, found.Source = own.Versions[0], SourceSole
-		return found
+	i.found.Versions, i.found.Reach = i.seen.Versions, i.seen.Reach
+	if !isCurrent || len(i.memories[0].Versions) != 1 || len(i.seen.Versions) != 1 || i.seen.Reach < q.Window {
+		return false
 	}
-	return b.findStored(ctx, q, found, own, answers)
+	i.found.Version, i.found.Source = i.seen.Versions[0], SourceSole
+	return true
 }
 
-// findStored looks for a stream in the store that this gateway and those that were asked don't know. own and
-// answers are what they know instead.
-func (b *Bindings) findStored(ctx context.Context, q Query, found Found, own Known, answers []Known) Found {
+// findStored looks for a stream in the store that the gateways which were asked don't know.
+func (b *Bindings) findStored(ctx context.Context, q Query, i *inquiry) Found {
+	found := i.found
 	var stored storedStreams
 	for _, service := range append(slices.Clone(q.Others), q.Service) {
 		var err error
@@ -362,22 +388,25 @@
 	if len(q.Others) > 0 && !q.IsUnnamed {
 		return found // its record would say which service began it
 	}
-	// Where all have been there for long enough, the gateways have not lost a binding: there was none.
-	isComplete := found.Unanswered == 0 && own.hasSeen(q.Window, stored.created)
-	for _, k := range answers {
-		isComplete = isComplete && k.hasSeen(q.Window, stored.created)
-	}
-	hasOther := stored.hasOtherThan(stored.base.Version) || slices.ContainsFunc(found.Versions, func(v string) bool { return v != stored.base.Version })
+	isOther := func(version string) bool { return version != stored.base.Version }
+	hasOther := stored.hasOtherThan(stored.base.Version) || slices.ContainsFunc(found.Versions, isOther)
 	switch {
-	case stored.hasBase && (!isComplete && !q.IsUnnamed || !hasOther):
+	case stored.hasBase && (!hasOther || !q.IsUnnamed && i.mayHaveLost(q.Window, stored.created)):
 		found.Version, found.Source = stored.base.Version, SourceBase
-	case !stored.exists && len(own.Versions) == 1 && len(found.Versions) == 1 && found.Unanswered == 0:
+	case !stored.exists && i.isComplete && len(i.memories[0].Versions) == 1 && len(found.Versions) == 1:
 		// No stream has begun before these gateways started.
 		found.Version, found.Source = found.Versions[0], SourceSole
 	}
 	return found
 }
 
+// mayHaveLost reports whether gateways may have ended that knew the stream. If all have been there for long
+// enough, there was none. created is the store's revision when a base version was first stored.
+func (i *inquiry) mayHaveLost(window time.Duration, created hookhall.Revision) bool {
+	isYoung := func(k Known) bool { return !k.hasSeen(window, created) }
+	return !i.isComplete || slices.ContainsFunc(i.memories, isYoung)
+}
+
 // read reads the store's records of a service, and tries again for a while if that fails.
 func (b *Bindings) read(ctx context.Context, service string) (storedStreams, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
