--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -101,6 +101,9 @@
 	// cutOffHold is how long after the return of its links this process still declines
 	// ownership: a change of owners costs more than a few seconds without roles.
 	cutOffHold = 5 * time.Second
+	// maxWriterName bounds how many bytes of the instance's name are in the keys of this process's records: the
+	// store takes keys of 200 bytes.
+	maxWriterName = 40
 	// logFlushTimeout bounds how long a stop waits for log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 
@@ -319,8 +322,10 @@
 	logger := g.logger(logging.Bindings)
 	remote := func(address string) bindings.Remote { return g.clients.Client(address) }
 	table, history := &binding.Table{}, &binding.History{}
+	writer := g.settings.Gateway.Instance
+	writer = writer[:min(len(writer), maxWriterName)] + "-" + strconv.FormatUint(rand.Uint64(), 36)
 	g.recorder = &bindings.Recorder{
-		Journal: &bindings.Journal{Store: g.storeGate, Era: g.eras.Era, Writer: g.settings.Gateway.Instance + "-" + strconv.FormatUint(rand.Uint64(), 36), History: history, Log: logger},
+		Journal: &bindings.Journal{Store: g.storeGate, Era: g.eras.Era, Writer: writer, History: history, Log: logger},
 		Table:   table, Fleet: g.members, Remote: remote, Log: logger,
 	}
 	g.bindings = &bindings.Bindings{
