bindings: a stream's record does not wait behind owners that have ended

The gateways that had just started still listed the killed ones, and asked them for the record of a stream's version: refused at once. Before the next owner was asked, the sender waited 25 to 50 ms and then gathered for another 250 ms, twice, before it wrote by itself. Once all were killed again before the record was written, the stream was taken for one of the base version.

The next owner is asked at once now, and then this process writes; waits and gathering begin only once its own write has failed.

--- a/internal/coordination/bindings/bindings_test.go
+++ b/internal/coordination/bindings/bindings_test.go
@@ -48,7 +48,8 @@
 	address  string
 	isDead   bool // it does not answer
 	isKilled atomic.Bool
-	isGone   bool // it is not listed
+	refuses  atomic.Bool // it has ended, and is listed
+	isGone   bool        // it is not listed
 	listAge  time.Duration
 	suspects map[string]bool // gateways that have not answered it lately
 	// knowsPeersAt is when the gateway learns of the others.
@@ -144,6 +145,9 @@
 
 // reach returns after a round trip, with an error if the gateway does not answer.
 func (r remote) reach(ctx context.Context) error {
+	if r.refuses.Load() {
+		return errors.New("connection refused")
+	}
 	if r.isDead || r.isKilled.Load() {
 		<-ctx.Done()
 		return errors.New("no answer")
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -162,8 +162,13 @@
 func (r *Recorder) run(service string, o *outbox) {
 	backoff := retry.NewWithDelays(minRecordDelay, maxRecordDelay)
 	failed := map[string]bool{}
+	// isSelfFailing is set while this process can't write by itself either. The first owners that fail, as many
+	// do after a restart of all gateways, delay a binding no further: its first event waits only for bindTimeout.
+	isSelfFailing := false
 	for {
-		o.gather()
+		if len(failed) == 0 || isSelfFailing {
+			o.gather()
+		}
 		list, ok := r.take(o)
 		if !ok {
 			return
@@ -177,13 +182,17 @@
 			r.Log.Warn("versions of streams are not recorded", "service", service, "streams", len(list), "owner", owner.Instance, "error", err.Error())
 			if owner.Address == r.Fleet.Self().Address {
 				clear(failed)
+				isSelfFailing = true
 			} else {
 				failed[owner.Address] = true
 			}
-			backoff.Wait(context.Background())
+			if isSelfFailing {
+				backoff.Wait(context.Background())
+			}
 			continue
 		}
 		clear(failed)
+		isSelfFailing = false
 		backoff.Reset()
 		r.settle(o, base, list)
 	}
--- a/internal/coordination/bindings/records_test.go
+++ b/internal/coordination/bindings/records_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -113,6 +114,21 @@
 		f.checkAll(t, "a", "v1", bindings.SourceBase)
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 	})
+	run(t, "the owners of the journal have ended and are listed", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		ended := map[string]bool{}
+		for range 2 {
+			owner := f.at(0).Owner("streams/"+service, ended, clock.Now())
+			ended[owner.Address] = true
+			f.gateway(owner.Address).refuses.Store(true)
+		}
+		began := f.at(slices.IndexFunc(f.order, func(address string) bool { return !ended[address] }))
+		began.bind(t, "b", "v2")
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "b", "v2", bindings.SourceStore)
+	})
 	run(t, "one version only", func(t *testing.T) {
 		f := newFleet(5, "v1")
 		f.bindAt(t, "v1", "a")
