forward: a resumed stream whose numbers go back is broken off

A second copy of an answer under a reused id looks the same to a gateway.

Nothing compared the first event of a resumed answer with the one that was asked for. An answer that begins with the same id, or with a smaller one if both are numbers, counts as broken off now, before any of it is passed on: the stream goes on elsewhere or is cut. Events that are left out can't be told, since ids need not be counted.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -142,6 +143,7 @@
 			s.r.Buffers.Return(reserved)
 		}
 	}()
+	resumedAfter, isChecked := s.lastEventID, false
 	passed := 0 // bytes of the stream
 	passedBefore := s.r.passedOn
 	lastRead := clock.Now()
@@ -161,6 +163,12 @@
 		parser.Feed(buffer[len(buffer) : len(buffer)+n])
 		buffer = buffer[:len(buffer)+n]
 		if complete := parser.Complete() - passed; complete > 0 {
+			if first := parser.FirstID(); first != "" && !isChecked {
+				isChecked = true
+				if s.r.route.Resumable && !mayFollow(first, resumedAfter) {
+					return s.broken(ctx, a, "the target did not go on after the last event", errors.Errorf("event %.64q came after %.64q", first, resumedAfter))
+				}
+			}
 			if parser.Events() > 0 {
 				s.r.bind(ctx)
 			}
@@ -182,6 +190,17 @@
 	}
 }
 
+// mayFollow reports whether the event with an id may follow the one with id last, "" for none. Ids need no
+// order, unless both are numbers.
+func mayFollow(id, last string) bool {
+	if id == last {
+		return false
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || number > lastNumber
+}
+
 // endStream ends a stream whose target has ended it in order. left is what follows the last complete
 // event. The framing alone does not prove that the target has sent the whole stream: a target that
 // fails may end its answer in order, too.
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -236,3 +236,39 @@
 		})
 	}
 }
+
+// TestEventsDontGoBack guards against events that a client gets twice because the target of a resumed stream
+// does not go on behind the event that was named.
+func TestEventsDontGoBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		last, first string
+		resumable   bool
+		passed      bool
+	}{
+		"the next one":                 {"9", "10", true, true},
+		"one that came before":         {"10", "9", true, false},
+		"the same":                     {"9", "9", true, false},
+		"the same, not a number":       {"b", "b", true, false},
+		"another one, not a number":    {"b", "a", true, true},
+		"a new stream":                 {"", "1", true, true},
+		"a route without resumption":   {"10", "1", false, true},
+		"a number behind another text": {"b", "1", true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, tracker, target := &recordingClient{}, balance.NewTracker(), hookhall.Target{ID: "t"}
+			body := ": comment\n\nid: " + c.first + "\ndata: a\n\n"
+			a := &attempt{
+				activeCall: tracker.Begin(target, balance.Criteria{}, clock.Now()), began: clock.Now(),
+				reply: &hookhall.Reply{Framing: hookhall.FramedByChunks, Body: io.NopCloser(strings.NewReader(body))},
+			}
+			r := &request{Forwarder: withBuffers(64 << 20), route: &hookhall.Route{Resumable: c.resumable}, answer: client, call: &hookhall.Call{}}
+			failure := (&stream{r: r, head: a.reply, lastEventID: c.last}).passEvents(t.Context(), a)
+			if (failure == nil) != c.passed || strings.Contains(strings.Join(client.chunks, ""), "data") != c.passed {
+				t.Errorf("ended with %v, passed on %q", failure, client.chunks)
+			}
+			if failure != nil && (failure.Verdict != hookhall.MayHaveRun || failure.Cause != hookhall.CauseTruncated) {
+				t.Errorf("%+v", failure)
+			}
+		})
+	}
+}
