bindings: the record of a stream lives as long as its client takes it up

A stream that clients take up more than once could go on at the base version although it began at another one, if all gateways ended meanwhile. Not seen with processes; a test shows it in all five gateways that are asked.

A take-up records the binding again now, without waiting for it: the record before still holds then.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -222,11 +222,13 @@
 	return base.Version, base.IsKnown && b.Recorder.IsFailing(service)
 }
 
-// Refresh copies a binding to the gateways that should hold it now, without waiting for them.
+// Refresh copies a binding to the gateways that should hold it now, without waiting for them, and records it
+// again: its record expires when the client's try before was to end.
 func (b *Bindings) Refresh(bound binding.Binding) {
 	now := clock.Now()
 	b.Table.Put(bound, now)
 	b.copy(bound, now)
+	b.Recorder.Record(bound, false)
 }
 
 // copy sends a binding to Copies gateways. The channel is closed once one of them has it, or none
--- a/internal/coordination/bindings/records_test.go
+++ b/internal/coordination/bindings/records_test.go
@@ -129,6 +129,20 @@
 		f.restartAll("v1", "v2")
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 	})
+	run(t, "a stream was taken up shortly before its record expired", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		f.at(0).bind(t, "b", "v2")
+		time.Sleep(ttl - recordDelay)
+		f.at(0).Refresh(binding.Binding{Key: binding.KeyOf("", "b"), Service: service, Version: "v2", ExpiresAt: clock.Now().Add(ttl)})
+		for i := range 8 {
+			f.at(i%len(f.order)).bind(t, "other-"+strconv.Itoa(i), "v2")
+			time.Sleep(recordDelay)
+		}
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "b", "v2", bindings.SourceStore)
+	})
 	run(t, "one version only", func(t *testing.T) {
 		f := newFleet(5, "v1")
 		f.bindAt(t, "v1", "a")
