stages: no stages wait for each other in a ring

Cause: a stage that reads nothing starts after the stages one level before its own that don't depend on it. Levels didn't count through a stage that is left out, while dependencies and waits did. Stages of different branches then each took the other for one to wait for: 0 for 3, 3 for 2, and 2, through 1, for 0.

Change: levels and expected times count through stages that are left out, as the waits do. A level then never falls from a stage to one that it waits for, and rises to those that it starts after, so no ring is possible. The test of dependency is not needed any more: a stage that depends on another one is never one level above it. It also took time that doubles with each stage where a route has many paths: a route of 40 stages had no order after 5 s.

--- a/internal/coordination/stages/execution.go
+++ b/internal/coordination/stages/execution.go
@@ -71,21 +71,33 @@
 }
 
 // computeTimes computes timeToAnswer, minTimeAfterStage and startAfter of all stages. A stage
-// that reads nothing starts after the stages one level before its own that do not depend on
-// it, so that its results do not occupy memory meanwhile.
+// that reads nothing starts after the stages one level before its own, so that its results do
+// not occupy memory meanwhile.
+//
+// Levels and times count through stages that are left out, since a stage that reads one of
+// these still waits for what that one reads. The level then never falls from a stage to one
+// that it waits for, and rises to those in startAfter, so that stages can't wait for each other
+// in a ring.
 func (e *execution) computeTimes() {
 	stages := e.graph.Route.Stages
-	depth := make([]int, len(stages)) // number of stages from each one to the answer
+	depth := make([]int, len(stages)) // number of stages with pieces from each one to the answer
 	for i := len(stages) - 1; i >= 0; i-- {
-		after, deepest := e.graph.TimeToFirstByte, 0
+		after := e.graph.TimeToFirstByte
 		for j := i + 1; j < len(stages); j++ {
-			if e.pieceCount(j) > 0 && slices.Contains(stages[j].InputStages, i) {
-				after, deepest = max(after, e.timeToAnswer[j]), max(deepest, depth[j])
-				e.minTimeAfterStage[i] = max(e.minTimeAfterStage[i], e.minTimeAfterStage[j]+e.callTime(j))
+			if !slices.Contains(stages[j].InputStages, i) {
+				continue
 			}
+			after, depth[i] = max(after, e.timeToAnswer[j]), max(depth[i], depth[j])
+			minTime := e.minTimeAfterStage[j]
+			if e.pieceCount(j) > 0 {
+				minTime += e.callTime(j)
+			}
+			e.minTimeAfterStage[i] = max(e.minTimeAfterStage[i], minTime)
 		}
 		e.timeToAnswer[i] = after + e.expectedTime(i)
-		depth[i] = deepest + 1
+		if e.pieceCount(i) > 0 {
+			depth[i]++
+		}
 	}
 	e.startAfter = make([][]int, len(stages))
 	for i := range stages {
@@ -93,26 +105,13 @@
 			continue
 		}
 		for j := range stages {
-			if e.pieceCount(j) > 0 && depth[j] == depth[i]+1 && e.isIndependent(j, i) {
+			if e.pieceCount(j) > 0 && depth[j] == depth[i]+1 {
 				e.startAfter[i] = append(e.startAfter[i], j)
 			}
 		}
 	}
 }
 
-// isIndependent reports whether stage j does not depend on stage i, so that i may wait for it.
-func (e *execution) isIndependent(j, i int) bool {
-	if j == i {
-		return false
-	}
-	for _, k := range e.graph.Route.Stages[j].InputStages {
-		if k == i || !e.isIndependent(k, i) {
-			return false
-		}
-	}
-	return true
-}
-
 // expectedTime returns how long a stage is expected to take from when it may begin, with its
 // wait for a call. It assumes a call with at least half a batch.
 func (e *execution) expectedTime(stage int) time.Duration {
