forward, stages: refuse requests whose stages have no order

Callers saw: nothing of the error. admit took a graph without an order for one that the stages would refuse. With admission off nobody asked for the order. The stages did not refuse a ring of waits, and began.

Change: an execution has its order before its first stage, and can't be made without one. admit asks for it in every mode and refuses a request at once as not run (503) if there is none. No ring of waits is known that a configuration can cause; the check also covers stages that read themselves, later ones, or ones that don't exist.

Evidence: TestUnorderedStages, written first, failed in all 15 cases: the graph was submitted. TestRingIsRefused puts a ring into an execution by hand.

--- a/internal/coordination/forward/admission.go
+++ b/internal/coordination/forward/admission.go
@@ -175,15 +175,18 @@
 }
 
 // admit decides about the request before its first stage. It returns the error of a refusal, and
-// sets r.steps and r.isLate.
+// sets r.steps and r.isLate. Whatever the mode, it refuses a request whose stages have no order.
 func (r *request) admit() *hookhall.Error {
-	if !r.Admission.isActive() || len(r.route.Stages) == 0 {
+	if len(r.route.Stages) == 0 {
 		return nil
 	}
 	graph := stages.Graph{Call: r.call, Route: r.route, Table: r.table, TimeToFirstByte: r.expectedAnswerTime()}
 	steps, err := graph.Sequence()
-	if err != nil || !slices.ContainsFunc(steps, func(s stages.Step) bool { return s.PieceCount > 0 }) {
-		return nil // an invalid graph is reported by the stages
+	if err != nil {
+		return hookhall.AsError(err)
+	}
+	if !r.Admission.isActive() || !slices.ContainsFunc(steps, func(s stages.Step) bool { return s.PieceCount > 0 }) {
+		return nil
 	}
 	r.steps = steps
 	d, pool := r.decide(steps, nil)
--- a/internal/coordination/forward/admission_test.go
+++ b/internal/coordination/forward/admission_test.go
@@ -212,6 +212,32 @@
 	}
 }
 
+// TestUnorderedStages guards against requests that go to their stages, again and again, although the stages of their
+// route have no order in which they can run.
+func TestUnorderedStages(t *testing.T) {
+	for name, list := range map[string][]hookhall.StageSpec{
+		"each reads the other":   {{Service: "first", InputStages: []int{1}}, {Service: "second", InputStages: []int{0}}},
+		"one reads itself":       {{Service: "first", InputStages: []int{0}}, {Service: "second"}},
+		"one reads a later one":  {{Service: "first", InputStages: []int{1}}, {Service: "second"}},
+		"one reads no stage":     {{Service: "first", InputStages: []int{-1}}, {Service: "second"}},
+		"one reads one too many": {{Service: "first"}, {Service: "second", InputStages: []int{2}}},
+	} {
+		for _, mode := range []AdmissionMode{AdmissionOff, AdmissionLog, AdmissionOn} {
+			t.Run(fmt.Sprintf("%s, admission %s", name, mode), func(t *testing.T) {
+				f := newAdmissionFixture(mode, 0)
+				f.Catalog.Table().Route("h", "/x").Stages = list
+				e := f.call(t)
+				if e == nil || e.Verdict != hookhall.NotRun || e.Cause != hookhall.CauseStage || e.RetryAfter <= 0 {
+					t.Errorf("%v", e)
+				}
+				if len(f.stages.graphs) > 0 || len(f.meter.counts) > 0 {
+					t.Errorf("%d graphs were submitted; decisions %v", len(f.stages.graphs), f.meter.counts)
+				}
+			})
+		}
+	}
+}
+
 // TestOwnAdmissions guards against a burst that is admitted on one report, against counting it
 // again when the report includes it, and against losing stages that follow.
 func TestOwnAdmissions(t *testing.T) {
--- a/internal/coordination/stages/execution.go
+++ b/internal/coordination/stages/execution.go
@@ -23,6 +23,8 @@
 	done []chan struct{}
 	// startAfter lists, for each stage, the stages that it waits for besides those it reads.
 	startAfter [][]int
+	// sequence has the stages in an order in which each one follows those that it waits for.
+	sequence []int
 	// timeToAnswer is the expected time from the start of each stage to the start of the answer.
 	timeToAnswer []time.Duration
 	// minTimeAfterStage is the shortest time from the end of each stage to the start of the
@@ -38,7 +40,7 @@
 }
 
 // newExecution returns an execution that has not begun. It fails if a stage reads itself or
-// a later one.
+// a later one, or if stages wait for each other.
 func newExecution(r *Runner, g Graph) (*execution, error) {
 	stageCount := len(g.Route.Stages)
 	e := &execution{
@@ -57,6 +59,10 @@
 		}
 	}
 	e.computeTimes()
+	var err error
+	if e.sequence, err = e.order(); err != nil {
+		return nil, err
+	}
 	e.progress = e.newProgress()
 	return e, nil
 }
--- a/internal/coordination/stages/order_test.go
+++ b/internal/coordination/stages/order_test.go
@@ -193,3 +193,17 @@
 		t.Errorf("a route of %d stages has no order after 5 s", n)
 	}
 }
+
+// TestRingIsRefused guards against a ring of waits that is not noticed before the stages begin.
+func TestRingIsRefused(t *testing.T) {
+	f := newFixture(1, 1, 1, 1)
+	e, err := newExecution(f.runner, f.graph)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.startAfter[0], e.startAfter[1] = []int{1}, []int{0}
+	_, err = e.order()
+	if refusal := hookhall.AsError(err); refusal == nil || refusal.Verdict != hookhall.NotRun || refusal.Cause != hookhall.CauseStage {
+		t.Errorf("%v", refusal)
+	}
+}
--- a/internal/coordination/stages/sequence.go
+++ b/internal/coordination/stages/sequence.go
@@ -21,42 +21,55 @@
 }
 
 // Sequence returns the stages of g in an order in which each one follows those that it reads or
-// starts after. It fails if a stage reads itself or a later one.
+// starts after. It fails if there is no such order.
 func (g *Graph) Sequence() ([]Step, error) {
 	e, err := newExecution(nil, *g)
 	if err != nil {
 		return nil, err
 	}
-	positions := make([]int, len(g.Route.Stages))
-	for i := range positions {
-		positions[i] = -1
-	}
-	steps := make([]Step, 0, len(positions))
-	for len(steps) < len(positions) {
-		placed := len(steps)
-		for i, stage := range g.Route.Stages {
-			waitsFor := slices.Concat(stage.InputStages, e.startAfter[i])
-			if positions[i] >= 0 || slices.ContainsFunc(waitsFor, func(j int) bool { return positions[j] < 0 }) {
-				continue
-			}
-			step := Step{Stage: i, PieceCount: e.pieceCount(i), Reporter: -1}
-			for _, j := range waitsFor {
-				step.After = append(step.After, positions[j])
+	positions := make([]int, len(e.sequence))
+	steps := make([]Step, 0, len(e.sequence))
+	for _, i := range e.sequence {
+		step := Step{Stage: i, PieceCount: e.pieceCount(i), Reporter: -1}
+		for _, j := range e.waitsFor(i) {
+			step.After = append(step.After, positions[j])
+		}
+		for j, isPredecessor := range e.progress.predecessors[i] {
+			if isPredecessor && e.pieceCount(j) > 0 {
+				step.Reporter = positions[j]
+				break
 			}
-			for j, isPredecessor := range e.progress.predecessors[i] {
-				if isPredecessor && e.pieceCount(j) > 0 {
-					step.Reporter = positions[j]
-					break
-				}
+		}
+		positions[i] = len(steps)
+		steps = append(steps, step)
+	}
+	return steps, nil
+}
+
+// waitsFor returns the stages that stage i reads or starts after.
+func (e *execution) waitsFor(i int) []int {
+	return slices.Concat(e.graph.Route.Stages[i].InputStages, e.startAfter[i])
+}
+
+// order returns the stages in an order in which each one follows those that it waits for. It
+// fails if stages wait for each other.
+func (e *execution) order() ([]int, error) {
+	count := len(e.graph.Route.Stages)
+	isPlaced := make([]bool, count)
+	sequence := make([]int, 0, count)
+	for len(sequence) < count {
+		placed := len(sequence)
+		for i := range count {
+			if !isPlaced[i] && !slices.ContainsFunc(e.waitsFor(i), func(j int) bool { return !isPlaced[j] }) {
+				isPlaced[i] = true
+				sequence = append(sequence, i)
 			}
-			positions[i] = len(steps)
-			steps = append(steps, step)
 		}
-		if len(steps) == placed {
-			return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "the stages of route %s wait for each other", g.Route.Name)
+		if len(sequence) == placed {
+			return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "the stages of route %s wait for each other", e.graph.Route.Name)
 		}
 	}
-	return steps, nil
+	return sequence, nil
 }
 
 // checkRest asks the graph's BeforeStage whether the rest of the request can still be served,
--- a/internal/coordination/stages/upcoming.go
+++ b/internal/coordination/stages/upcoming.go
@@ -4,7 +4,6 @@
 package stages
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hookhall/hookhall"
@@ -37,7 +36,7 @@
 
 // markPredecessors sets marked for all stages that stage i waits for.
 func (e *execution) markPredecessors(i int, marked []bool) {
-	for _, j := range slices.Concat(e.graph.Route.Stages[i].InputStages, e.startAfter[i]) {
+	for _, j := range e.waitsFor(i) {
 		if !marked[j] {
 			marked[j] = true
 			e.markPredecessors(j, marked)
