stages: a stage's wait for others ends with its request

Callers saw: requests whose stages waited for each other stayed in the process for good, past their deadline and after their client had left.

Cause: a stage waited for the ones before it without regard to the end of the request. It relied on each of these to end by itself.

Change: the wait ends with the request; the stage then fails as not begun, as it did when the request ended between two stages. Evidence: TestWaitForStagesEndsWithRequest, written first, deadlocked.

--- a/internal/coordination/stages/execution.go
+++ b/internal/coordination/stages/execution.go
@@ -203,16 +203,22 @@
 	return service.Pool.CallTime
 }
 
+// awaitStages returns once all stages that stage i reads and waits for have ended, or ctx has.
+func (e *execution) awaitStages(ctx context.Context, i int) {
+	for _, j := range e.waitsFor(i) {
+		select {
+		case <-e.done[j]:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // runStage runs stage i once all stages that it reads and waits for have ended.
 func (e *execution) runStage(ctx context.Context, i int) {
-	for _, j := range e.startAfter[i] {
-		<-e.done[j]
-	}
+	e.awaitStages(ctx, i)
 	spec := e.graph.Route.Stages[i]
 	var inputs []string
-	for _, j := range spec.InputStages {
-		<-e.done[j]
-	}
 	pieces := e.pieceCount(i)
 	if pieces == 0 || e.failed() {
 		return
--- a/internal/coordination/stages/order_test.go
+++ b/internal/coordination/stages/order_test.go
@@ -4,6 +4,7 @@
 package stages
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -207,3 +208,25 @@
 		t.Errorf("%v", refusal)
 	}
 }
+
+// TestWaitForStagesEndsWithRequest guards against a stage that waits for another one after its request has ended.
+func TestWaitForStagesEndsWithRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, 1, 1, 1)
+		e, err := newExecution(f.runner, f.graph)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		e.cancel = cancel
+		began := time.Now()
+		e.runStage(ctx, 3) // the stage that it reads never begins
+		if took := time.Since(began); took != time.Second {
+			t.Errorf("waited %v, want a second", took)
+		}
+		if refusal := hookhall.AsError(e.err); refusal == nil || refusal.Verdict != hookhall.NotRun || refusal.Cause != hookhall.CauseCanceled {
+			t.Errorf("%v", e.err)
+		}
+	})
+}
