front: no wait for a client outlasts its request

Callers saw: clients of a busy gateway got 503 for lack of memory, or were cut off at a stop, while requests past their end held it.

Cause: four waits for a client had no end, or a later one than its request: - a body was awaited until the deadline that its client states, without regard to its route's time, and through a stop; - an answer was written for up to 10 s per 8 KB to a client that reads little or nothing, 85 minutes for 4 MB; - a refusal was written without a bound, so that a client that reads none kept its connection for good; - net/http reads the rest of a body before it writes a refusal, without a bound where none was set for the body.

Change: the time limit of a request is known once its head is read: that of the client, and no longer than its route's. It counts from then, which bounds body, stages and attempts together (the body had a time of its own before), and an answer is written for half a second longer. A stop ends the wait for a body with 503. A refusal has a second, the rest of a body half of that.

The state has the number of goroutines. Checks of whether a target has crashed go on for up to 2.25 s after a request that it did not answer; they hold nothing of it.

--- a/forward.go
+++ b/forward.go
@@ -19,6 +19,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// HeadReadAt is when the head of the call was read, zero if that is not known. The time limits of the
+	// call count from then.
+	HeadReadAt time.Time
 	CallInfo
 }
 
--- a/internal/app/gateway/state.go
+++ b/internal/app/gateway/state.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"runtime"
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/coordination/catalog"
@@ -67,6 +68,7 @@
 	BufferedBytes   int64                          `json:"buffered_bytes"`
 	BodyBytes       int64                          `json:"body_bytes"`
 	DroppedLogLines int64                          `json:"log_lines_dropped"`
+	Goroutines      int                            `json:"goroutines"`
 }
 
 // State returns the current state of the gateway.
@@ -87,6 +89,7 @@
 		Retries:       g.forwarder.Budget.Status(now),
 		BufferedBytes: g.forwarder.Buffers.Held(),
 		BodyBytes:     g.bodyBudget.Held(),
+		Goroutines:    runtime.NumGoroutine(),
 		EnginePaces:   map[string]balance.EnginePace{},
 		PoolPaces:     g.placementOwner.PoolPaces(),
 		PausesAvoided: g.placementOwner.AvoidedPauses(),
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -239,18 +239,46 @@
 	}
 	r.service = pickService(r.route.Backends)
 	r.halls = f.allowedHalls(r)
-	timeout := call.ClientTimeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	began := now
+	if !call.HeadReadAt.IsZero() {
+		began = call.HeadReadAt
 	}
-	if r.route.Timeout > 0 {
-		timeout = min(timeout, r.route.Timeout)
+	r.deadline = began.Add(timeLimit(r.route, call.ClientTimeout) - deadlineMargin)
+	if earliest := now.Add(time.Millisecond); r.deadline.Before(earliest) {
+		r.deadline = earliest
 	}
-	r.deadline = now.Add(max(timeout-deadlineMargin, time.Millisecond))
 	r.firstByteDue = now.Add(r.route.LatencyObjective)
 	return r, nil
 }
 
+// TimeLimit returns how long a request may take whose client states a timeout, 0 for none. A request
+// without a route gets no longer than one whose client states none.
+func (f *Forwarder) TimeLimit(host, uri string, clientTimeout time.Duration) time.Duration {
+	var route *hookhall.Route
+	if t := f.Catalog.Table(); t != nil {
+		path, _, _ := strings.Cut(uri, "?")
+		route = t.Route(host, path)
+	}
+	limit := timeLimit(route, clientTimeout)
+	if route == nil {
+		limit = min(limit, defaultTimeout)
+	}
+	return limit
+}
+
+// timeLimit returns the client's timeout, or defaultTimeout if it states none, but no more than that of
+// the route, which may be nil.
+func timeLimit(route *hookhall.Route, clientTimeout time.Duration) time.Duration {
+	limit := clientTimeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if route != nil && route.Timeout > 0 {
+		limit = min(limit, route.Timeout)
+	}
+	return limit
+}
+
 // refuseByTable returns the refusal of a request that the table does not allow. If the table may be
 // outdated, a newer one may allow it, so the answer is 503 with a Retry-After.
 func (r *request) refuseByTable(cause hookhall.Cause, detail string) *hookhall.Error {
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -42,7 +42,8 @@
 func (f serviceFunc) Serve(ctx context.Context, c *hookhall.Call, a hookhall.AnswerWriter) error {
 	return f(ctx, c, a)
 }
-func (serviceFunc) MaxBody() int { return 100 }
+func (serviceFunc) MaxBody() int                                          { return 100 }
+func (serviceFunc) TimeLimit(string, string, time.Duration) time.Duration { return time.Minute }
 
 // eventListener calls event after the bytes of the second request on a connection were
 // read and before the server receives them.
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -31,6 +31,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/state/buffer"
+	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/pkg/errors"
 )
 
@@ -42,13 +43,14 @@
 	// MaxBody returns the maximum size of a request's body in bytes, or 0 for the
 	// default of this package.
 	MaxBody() int
+	// TimeLimit returns how long a request may take, from its head to the end of its answer. clientTimeout
+	// is the timeout that its client states, 0 for none.
+	TimeLimit(host, uri string, clientTimeout time.Duration) time.Duration
 }
 
 const (
 	// defaultMaxBodyBytes bounds a request's body if the service has no bound.
 	defaultMaxBodyBytes = 64 << 20
-	// defaultBodyTimeout bounds the time for a body if the client states no deadline.
-	defaultBodyTimeout = 30 * time.Second
 	// bodyRetryDelay is the delay after which a client should retry whose body did not
 	// fit into the shared budget.
 	bodyRetryDelay = time.Second
@@ -89,13 +91,26 @@
 	limit := h.maxBody()
 	body := h.bodyBudget.New(limit + 1)
 	defer body.Release()
-	call, failure := h.read(w, r, body, limit)
-	if failure != nil {
+	info, invalid := h.dialect.Read(r.Header)
+	timeLimit := h.service.TimeLimit(r.Host, r.RequestURI, info.ClientTimeout)
+	lastWrite := connDeadline(timeLimit + answerMargin)
+	headReadAt := clock.Now()
+	if failure := h.readBody(w, r, body, limit, timeLimit); failure != nil {
 		h.logRejected(r, failure)
 		h.Refuse(w, failure)
 		return
 	}
-	err := h.service.Serve(r.Context(), call, &answerWriter{w, h})
+	if invalid != nil {
+		failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", invalid)
+		h.logRejected(r, failure)
+		h.Refuse(w, failure)
+		return
+	}
+	call := &hookhall.Call{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body.Bytes(),
+		HeadReadAt: headReadAt, CallInfo: info,
+	}
+	err := h.service.Serve(r.Context(), call, &answerWriter{w, h, lastWrite})
 	if err == nil {
 		return
 	}
@@ -137,43 +152,37 @@
 	return defaultMaxBodyBytes
 }
 
-// read reads a complete request, whose body has at most limit bytes. The body is held in the given buffer and is valid until
-// the buffer is released.
-func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int) (*hookhall.Call, *hookhall.Error) {
-	info, invalid := h.dialect.Read(r.Header)
-	bufferFull, err := h.fill(w, r, body, limit, info.ClientTimeout)
+// readBody reads the body of a request, of at most limit bytes and within timeLimit. It is held in the given buffer and is
+// valid until the buffer is released.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) *hookhall.Error {
+	bufferFull, err := h.fill(w, r, body, limit, timeLimit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(r.Context()), hookhall.ErrStopping):
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops before the body came whole").WithRetryAfter(stopRetryDelay)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
 	case errors.As(err, &tooLarge):
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", tooLarge.Limit)
 	case err != nil:
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "the body did not come whole: %v", err)
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "the body did not come whole: %v", err)
 	case bufferFull:
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
-	}
-	if invalid != nil {
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", invalid)
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	}
-	return &hookhall.Call{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEnd(r.Header, h.dialect.EndToEnd), Body: body.Bytes(), CallInfo: info,
-	}, nil
+	return nil
 }
 
-// fill reads a body of at most limit bytes. Without a whole body within the time that the client waits, 0 for
-// defaultBodyTimeout, it fails with os.ErrDeadlineExceeded.
-func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, clientTimeout time.Duration) (bufferFull bool, err error) {
+// fill reads a body of at most limit bytes. Without a whole body within timeLimit, or before the end of
+// the request's context, it fails with os.ErrDeadlineExceeded.
+func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) (bufferFull bool, err error) {
 	h.reading.Add(1)
 	defer h.reading.Add(-1)
 	if r.ContentLength != 0 {
-		if clientTimeout <= 0 {
-			clientTimeout = defaultBodyTimeout
-		}
 		controller := http.NewResponseController(w)
-		_ = controller.SetReadDeadline(connDeadline(clientTimeout)) // the recorders of tests have no deadlines
+		_ = controller.SetReadDeadline(connDeadline(timeLimit)) // the recorders of tests have no deadlines
+		stop := context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 		defer func() {
-			if err == nil {
+			if stop() && err == nil {
 				_ = controller.SetReadDeadline(time.Time{})
 			}
 		}()
@@ -205,6 +214,10 @@
 		h.dialect.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
 	h.closeIfCrowded(w)
+	// The server reads what is left of a short body before it writes. The recorders of tests have no deadlines.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(connDeadline(refusedBodyWait))
+	_ = controller.SetWriteDeadline(connDeadline(refusalTimeout))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(Status(e))
 	_, _ = io.WriteString(w, string(e.Cause)+": "+e.Detail+"\n") // fails if the client has disconnected
@@ -260,8 +273,9 @@
 
 // answerWriter is a hookhall.AnswerWriter that writes to a client over HTTP.
 type answerWriter struct {
-	w       http.ResponseWriter
-	handler *Handler
+	w         http.ResponseWriter
+	handler   *Handler
+	lastWrite time.Time // end of the last write, by time.Now
 }
 
 // Begin implements hookhall.AnswerWriter. Hop-by-hop fields of h are dropped.
@@ -274,6 +288,8 @@
 		header["Content-Type"] = nil // keeps net/http from setting a detected type
 	}
 	a.handler.closeIfCrowded(a.w)
+	// Bounds the write of an answer without a body. The recorders of tests have no deadlines.
+	_ = http.NewResponseController(a.w).SetWriteDeadline(a.deadline())
 	a.w.WriteHeader(status)
 }
 
@@ -284,18 +300,34 @@
 	// maxWriteBytes is how many bytes are written at a time. A client that reads one
 	// kilobyte per second reads them within writeTimeout.
 	maxWriteBytes = 8 << 10
+	// answerMargin is the time after the time limit of a request in which its answer can still be written: what takes
+	// longer is of no use to the client.
+	answerMargin = 500 * time.Millisecond
+	// refusalTimeout bounds the time for a refusal, and refusedBodyWait the part of it in which what is left of the
+	// request's body is read, so that the answer is not lost to a reset.
+	refusalTimeout  = time.Second
+	refusedBodyWait = 500 * time.Millisecond
 )
 
 // connDeadline returns the deadline of a connection after a time. Such deadlines are compared with time.Now, not with
 // package clock.
 func connDeadline(after time.Duration) time.Time { return time.Now().Add(after) }
 
+// deadline returns the deadline of a write that begins now.
+func (a *answerWriter) deadline() time.Time {
+	deadline := connDeadline(writeTimeout)
+	if a.lastWrite.Before(deadline) {
+		return a.lastWrite
+	}
+	return deadline
+}
+
 // Chunk implements hookhall.AnswerWriter. Each part of maxWriteBytes must be written
-// within writeTimeout.
+// within writeTimeout, and all of them before lastWrite.
 func (a *answerWriter) Chunk(b []byte) error {
 	controller := http.NewResponseController(a.w)
 	for len(b) > 0 {
-		_ = controller.SetWriteDeadline(connDeadline(writeTimeout)) // the recorders of tests have no deadlines
+		_ = controller.SetWriteDeadline(a.deadline()) // the recorders of tests have no deadlines
 		n, err := a.w.Write(b[:min(len(b), maxWriteBytes)])
 		if err != nil {
 			return errors.Wrap(err, "client")
