forward, platform, fleet: bounds for the numbers that others state

Callers saw: a client with a key ended a gateway, and all that it had in progress, by 'Pieces:' (makeslice: len out of range) or 'Pieces: 5000000' (memory).

Cause: the number sized the job's lists before anything looked at it.

A peer's stage call is refused by the same bound. A route with more than 256 stages is refused as one without an order is.

--- a/forward.go
+++ b/forward.go
@@ -25,6 +25,10 @@
 	CallInfo
 }
 
+// MaxPieces is how many pieces of all stages together a request may have. The target of the request gets the handles of
+// results in a head of at most some 64 KB, which is room for 2,500 of 26 bytes.
+const MaxPieces = 4096
+
 // CallInfo is what a gateway needs to know about a call. A Dialect reads it from the header.
 type CallInfo struct {
 	// ID identifies the call; targets echo it.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -248,7 +248,20 @@
 		r.deadline = earliest
 	}
 	r.firstByteDue = now.Add(r.route.LatencyObjective)
-	return r, nil
+	return r, r.refusePieces()
+}
+
+// refusePieces returns the refusal of a request with more than hookhall.MaxPieces pieces, before they size anything. Nothing
+// states that no request can have as many, so it is not one of a malformed request.
+func (r *request) refusePieces() error {
+	left := hookhall.MaxPieces
+	for i, n := range r.call.PieceCounts[:min(len(r.call.PieceCounts), len(r.route.Stages))] {
+		if n > left {
+			return hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "stage %d brings the request to more than %d pieces", i, hookhall.MaxPieces).WithRetryAfter(defaultRetryAfter)
+		}
+		left -= n
+	}
+	return nil
 }
 
 // TimeLimit returns how long a request may take whose client states a timeout, 0 for none. A request
--- a/internal/coordination/stages/execution.go
+++ b/internal/coordination/stages/execution.go
@@ -39,10 +39,16 @@
 	progress       progress
 }
 
-// newExecution returns an execution that has not begun. It fails if a stage reads itself or
-// a later one, or if stages wait for each other.
+// maxStages bounds the stages of a route: an execution has room for each pair of them.
+const maxStages = 256
+
+// newExecution returns an execution that has not begun. It fails if there are more than maxStages, if a stage
+// reads itself or a later one, or if stages wait for each other.
 func newExecution(r *Runner, g Graph) (*execution, error) {
 	stageCount := len(g.Route.Stages)
+	if stageCount > maxStages {
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "route %s has %d stages, more than %d", g.Route.Name, stageCount, maxStages)
+	}
 	e := &execution{
 		runner: r, graph: g, done: make([]chan struct{}, stageCount), handlesByStage: make([][]string, stageCount),
 		timeToAnswer: make([]time.Duration, stageCount), minTimeAfterStage: make([]time.Duration, stageCount), pendingReaders: make([]int, stageCount),
--- a/internal/coordination/stages/order_test.go
+++ b/internal/coordination/stages/order_test.go
@@ -230,3 +230,15 @@
 		}
 	})
 }
+
+// TestManyStagesAreRefused guards against requests on a route with so many stages that there is no memory for one.
+func TestManyStagesAreRefused(t *testing.T) {
+	for n, refused := range map[int]bool{maxStages: false, maxStages + 1: true} {
+		f := newFixture()
+		f.graph.Route = &hookhall.Route{Name: "r", Stages: make([]hookhall.StageSpec, n)}
+		_, err := f.graph.Sequence()
+		if failure := hookhall.AsError(err); (failure != nil) != refused || refused && failure.Verdict != hookhall.NotRun {
+			t.Errorf("%d stages: %v", n, err)
+		}
+	}
+}
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,6 +104,9 @@
 // runStage runs the stage and returns the last reply, nil if the pool was handed over. It calls
 // inputsRead in another goroutine once all inputs were read.
 func (s *Server) runStage(ctx context.Context, r *pb.StageRequest, inputsRead func()) *pb.StageReply {
+	if pieces := r.GetPieces(); pieces < 1 || pieces > hookhall.MaxPieces {
+		return &pb.StageReply{Reason: fmt.Sprintf("%d pieces, want 1 to %d", pieces, hookhall.MaxPieces)}
+	}
 	now := clock.Now()
 	handles, err := s.Broker.RunForPeer(ctx, stages.Work{
 		Service: r.GetService(), RequestID: r.GetRequest(), Stage: int(r.GetStage()), PieceCount: int(r.GetPieces()),
@@ -203,9 +207,18 @@
 	return &pb.Table{Packed: packed, Revision: uint64(revision), AgeMs: ageMS(age)}
 }
 
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxDuration bounds the times that peers state, so that none overflows.
+const maxDuration = 365 * 24 * time.Hour
+
+func milliseconds(n int64) time.Duration { return multiple(n, time.Millisecond) }
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+func microseconds(n int64) time.Duration { return multiple(n, time.Microsecond) }
+
+// multiple returns n units, but no more than maxDuration before or after 0.
+func multiple(n int64, unit time.Duration) time.Duration {
+	limit := int64(maxDuration / unit)
+	return time.Duration(min(max(n, -limit), limit)) * unit
+}
 
 // Run implements stages.Remote.
 func (c *Client) Run(ctx context.Context, w stages.Work) ([]string, error) {
--- a/internal/transport/fleet/loads.go
+++ b/internal/transport/fleet/loads.go
@@ -37,11 +37,11 @@
 	return list
 }
 
-// readUpcomingStages is the inverse of wireUpcomingStages.
+// readUpcomingStages is the inverse of wireUpcomingStages. Negative numbers are taken for 0.
 func readUpcomingStages(stages []*pb.UpcomingStage) []hookhall.UpcomingStage {
 	var list []hookhall.UpcomingStage
 	for _, s := range stages {
-		list = append(list, hookhall.UpcomingStage{Service: s.GetService(), Pieces: int(s.GetPieces())})
+		list = append(list, hookhall.UpcomingStage{Service: s.GetService(), Pieces: int(max(s.GetPieces(), 0))})
 	}
 	return list
 }
@@ -102,11 +102,11 @@
 	return l
 }
 
-// readPieces is the inverse of wirePieces.
+// readPieces is the inverse of wirePieces. Negative numbers are taken for 0.
 func readPieces(list []int32) [hookhall.UrgencyLevels]int {
 	var pieces [hookhall.UrgencyLevels]int
 	for i, n := range list {
-		pieces[hookhall.UrgencyLevel(i)] += int(n)
+		pieces[hookhall.UrgencyLevel(i)] += int(max(n, 0))
 	}
 	return pieces
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -152,6 +152,9 @@
 	return err == nil && empty
 }
 
+// maxIdleSeconds bounds the timeout that a target states: a day.
+const maxIdleSeconds = 24 * 60 * 60
+
 // readIdleTimeout returns how long a connection may be reused while idle: the timeout of
 // the header field Keep-Alive less idleTimeoutMargin, or defaultIdleTimeout.
 func readIdleTimeout(h http.Header) time.Duration {
@@ -161,7 +164,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return max(time.Duration(seconds)*time.Second-idleTimeoutMargin, 0)
+			return max(time.Duration(min(seconds, maxIdleSeconds))*time.Second-idleTimeoutMargin, 0)
 		}
 	}
 	return defaultIdleTimeout
