gateway: readiness checks and operators have 5 s for a request and its answer

A client at the addresses for readiness or operators that reads no answer, or doesn't send the body that it announces, kept its connection, a goroutine and its buffers for good.

Cause: these servers had a bound for the head of a request only.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -80,6 +80,8 @@
 	// refused, and those answers need some milliseconds to reach their clients.
 	killMargin          = 350 * time.Millisecond
 	finalAnswersTimeout = 150 * time.Millisecond
+	// internalTimeout bounds how long a readiness check or an operator may take to send a request, and to read its answer.
+	internalTimeout = 5 * time.Second
 	// idleTimeout bounds how long a client's connection may be idle before it is closed.
 	idleTimeout = 75 * time.Second
 	// readHeaderTimeout bounds how long a client may take to send a request's header; the
@@ -355,6 +357,7 @@
 	}
 	readyServer := newServer(g.readyListener, http.HandlerFunc(g.serveReady))
 	readyServer.MaxHeaderBytes = maxInternalHeadBytes
+	readyServer.ReadTimeout, readyServer.WriteTimeout = internalTimeout, internalTimeout
 	mux := http.NewServeMux()
 	mux.Handle(pathMetrics, g.metrics.Handler())
 	mux.HandleFunc(pathState, g.serveState)
@@ -362,6 +365,7 @@
 	mux.HandleFunc("DELETE "+pathCrashes+"/{content}", g.serveRelease)
 	operatorServer := newServer(g.metricsListener, mux)
 	operatorServer.MaxHeaderBytes = maxInternalHeadBytes
+	operatorServer.ReadTimeout, operatorServer.WriteTimeout = internalTimeout, internalTimeout
 	peerServer := kgrpc.NewServer(kgrpc.Listener(g.peersListener), kgrpc.Address(g.peersListener.Addr().String()), kgrpc.Timeout(0),
 		kgrpc.UnaryInterceptor(fleet.CheckUnaryReceiver(g.settings.Gateway.Instance)), kgrpc.StreamInterceptor(fleet.CheckStreamReceiver(g.settings.Gateway.Instance)))
 	pb.RegisterFleetServer(peerServer, &fleet.Server{Broker: g.broker, PlacementOwner: g.placementOwner, Relayer: g.relayer, Bindings: g.bindings, Journal: g.recorder.Journal, Broadcaster: g.broadcaster})
