front: a refusal bounds the wait for a body only where one is left

The time for the rest of a body was set for all refusals. Where the body was read, net/http reads ahead on the connection meanwhile, and takes the end of that time for the end of the connection: the next requests on it would be canceled. Read in the code, not seen in a run; a refusal would have to take half a second. The time is set where a body was not read whole, and while a stop refuses requests unread.

--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -59,6 +59,7 @@
 	// The request is counted before refusing is read: if refusing is set and no
 	// request is in flight, no further request can be passed on.
 	if d.refusing.Load() {
+		boundBodyRest(w)
 		d.refuse(w, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops").WithRetryAfter(stopRetryDelay))
 		return
 	}
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -97,6 +97,7 @@
 	headReadAt := clock.Now()
 	if failure := h.readBody(w, r, body, limit, timeLimit); failure != nil {
 		h.logRejected(r, failure)
+		boundBodyRest(w)
 		h.Refuse(w, failure)
 		return
 	}
@@ -204,6 +205,12 @@
 	}
 }
 
+// boundBodyRest bounds the wait for the rest of a body that is not read: net/http reads that of a short one before it
+// writes a refusal. It is not for requests whose body was read, since net/http then takes the end of the time for that of the connection.
+func boundBodyRest(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(connDeadline(refusedBodyWait)) // the recorders of tests have no deadlines
+}
+
 // Refuse writes the answer to a request that is not passed on or got no answer from a
 // target.
 func (h *Handler) Refuse(w http.ResponseWriter, e *hookhall.Error) {
@@ -214,10 +221,7 @@
 		h.dialect.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
 	h.closeIfCrowded(w)
-	// The server reads what is left of a short body before it writes. The recorders of tests have no deadlines.
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(connDeadline(refusedBodyWait))
-	_ = controller.SetWriteDeadline(connDeadline(refusalTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(connDeadline(refusalTimeout)) // the recorders of tests have no deadlines
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(Status(e))
 	_, _ = io.WriteString(w, string(e.Cause)+": "+e.Detail+"\n") // fails if the client has disconnected
