--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -239,16 +239,57 @@
 	}
 	r.service = pickService(r.route.Backends)
 	r.halls = f.allowedHalls(r)
-	timeout := call.ClientTimeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	began := now
+	if !call.HeadReadAt.IsZero() {
+		began = call.HeadReadAt
 	}
-	if r.route.Timeout > 0 {
-		timeout = min(timeout, r.route.Timeout)
+	r.deadline = began.Add(timeLimit(r.route, call.ClientTimeout) - deadlineMargin)
+	if earliest := now.Add(time.Millisecond); r.deadline.Before(earliest) {
+		r.deadline = earliest
 	}
-	r.deadline = now.Add(max(timeout-deadlineMargin, time.Millisecond))
 	r.firstByteDue = now.Add(r.route.LatencyObjective)
-	return r, nil
+	return r, r.refusePieces()
+}
+
+// refusePieces returns the refusal of a request with more than hookhall.MaxPieces pieces, before they size anything. Nothing
+// states that no request can have as many, so it is not one of a malformed request.
+func (r *request) refusePieces() error {
+	left := hookhall.MaxPieces
+	for i, n := range r.call.PieceCounts[:min(len(r.call.PieceCounts), len(r.route.Stages))] {
+		if n > left {
+			return hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "stage %d brings the request to more than %d pieces", i, hookhall.MaxPieces).WithRetryAfter(defaultRetryAfter)
+		}
+		left -= n
+	}
+	return nil
+}
+
+// TimeLimit returns how long a request may take whose client states a timeout, 0 for none. A request
+// without a route gets no longer than one whose client states none.
+func (f *Forwarder) TimeLimit(host, uri string, clientTimeout time.Duration) time.Duration {
+	var route *hookhall.Route
+	if t := f.Catalog.Table(); t != nil {
+		path, _, _ := strings.Cut(uri, "?")
+		route = t.Route(host, path)
+	}
+	limit := timeLimit(route, clientTimeout)
+	if route == nil {
+		limit = min(limit, defaultTimeout)
+	}
+	return limit
+}
+
+// timeLimit returns the client's timeout, or defaultTimeout if it states none, but no more than that of
+// the route, which may be nil.
+func timeLimit(route *hookhall.Route, clientTimeout time.Duration) time.Duration {
+	limit := clientTimeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if route != nil && route.Timeout > 0 {
+		limit = min(limit, route.Timeout)
+	}
+	return limit
 }
 
 // refuseByTable returns the refusal of a request that the table does not allow. If the table may be
--- a/internal/coordination/stages/execution.go
+++ b/internal/coordination/stages/execution.go
@@ -23,6 +23,8 @@
 	done []chan struct{}
 	// startAfter lists, for each stage, the stages that it waits for besides those it reads.
 	startAfter [][]int
+	// sequence has the stages in an order in which each one follows those that it waits for.
+	sequence []int
 	// timeToAnswer is the expected time from the start of each stage to the start of the answer.
 	timeToAnswer []time.Duration
 	// minTimeAfterStage is the shortest time from the end of each stage to the start of the
@@ -37,10 +39,16 @@
 	progress       progress
 }
 
-// newExecution returns an execution that has not begun. It fails if a stage reads itself or
-// a later one.
+// maxStages bounds the stages of a route: an execution has room for each pair of them.
+const maxStages = 256
+
+// newExecution returns an execution that has not begun. It fails if there are more than maxStages, if a stage
+// reads itself or a later one, or if stages wait for each other.
 func newExecution(r *Runner, g Graph) (*execution, error) {
 	stageCount := len(g.Route.Stages)
+	if stageCount > maxStages {
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStage, "route %s has %d stages, more than %d", g.Route.Name, stageCount, maxStages)
+	}
 	e := &execution{
 		runner: r, graph: g, done: make([]chan struct{}, stageCount), handlesByStage: make([][]string, stageCount),
 		timeToAnswer: make([]time.Duration, stageCount), minTimeAfterStage: make([]time.Duration, stageCount), pendingReaders: make([]int, stageCount),
@@ -57,6 +65,10 @@
 		}
 	}
 	e.computeTimes()
+	var err error
+	if e.sequence, err = e.order(); err != nil {
+		return nil, err
+	}
 	e.progress = e.newProgress()
 	return e, nil
 }
@@ -71,21 +83,33 @@
 }
 
 // computeTimes computes timeToAnswer, minTimeAfterStage and startAfter of all stages. A stage
-// that reads nothing starts after the stages one level before its own that do not depend on
-// it, so that its results do not occupy memory meanwhile.
+// that reads nothing starts after the stages one level before its own, so that its results do
+// not occupy memory meanwhile.
+//
+// Levels and times count through stages that are left out, since a stage that reads one of
+// these still waits for what that one reads. The level then never falls from a stage to one
+// that it waits for, and rises to those in startAfter, so that stages can't wait for each other
+// in a ring.
 func (e *execution) computeTimes() {
 	stages := e.graph.Route.Stages
-	depth := make([]int, len(stages)) // number of stages from each one to the answer
+	depth := make([]int, len(stages)) // number of stages with pieces from each one to the answer
 	for i := len(stages) - 1; i >= 0; i-- {
-		after, deepest := e.graph.TimeToFirstByte, 0
+		after := e.graph.TimeToFirstByte
 		for j := i + 1; j < len(stages); j++ {
-			if e.pieceCount(j) > 0 && slices.Contains(stages[j].InputStages, i) {
-				after, deepest = max(after, e.timeToAnswer[j]), max(deepest, depth[j])
-				e.minTimeAfterStage[i] = max(e.minTimeAfterStage[i], e.minTimeAfterStage[j]+e.callTime(j))
+			if !slices.Contains(stages[j].InputStages, i) {
+				continue
+			}
+			after, depth[i] = max(after, e.timeToAnswer[j]), max(depth[i], depth[j])
+			minTime := e.minTimeAfterStage[j]
+			if e.pieceCount(j) > 0 {
+				minTime += e.callTime(j)
 			}
+			e.minTimeAfterStage[i] = max(e.minTimeAfterStage[i], minTime)
 		}
 		e.timeToAnswer[i] = after + e.expectedTime(i)
-		depth[i] = deepest + 1
+		if e.pieceCount(i) > 0 {
+			depth[i]++
+		}
 	}
 	e.startAfter = make([][]int, len(stages))
 	for i := range stages {
@@ -93,26 +117,13 @@
 			continue
 		}
 		for j := range stages {
-			if e.pieceCount(j) > 0 && depth[j] == depth[i]+1 && e.isIndependent(j, i) {
+			if e.pieceCount(j) > 0 && depth[j] == depth[i]+1 {
 				e.startAfter[i] = append(e.startAfter[i], j)
 			}
 		}
 	}
 }
 
-// isIndependent reports whether stage j does not depend on stage i, so that i may wait for it.
-func (e *execution) isIndependent(j, i int) bool {
-	if j == i {
-		return false
-	}
-	for _, k := range e.graph.Route.Stages[j].InputStages {
-		if k == i || !e.isIndependent(k, i) {
-			return false
-		}
-	}
-	return true
-}
-
 // expectedTime returns how long a stage is expected to take from when it may begin, with its
 // wait for a call. It assumes a call with at least half a batch.
 func (e *execution) expectedTime(stage int) time.Duration {
@@ -198,16 +209,22 @@
 	return service.Pool.CallTime
 }
 
+// awaitStages returns once all stages that stage i reads and waits for have ended, or ctx has.
+func (e *execution) awaitStages(ctx context.Context, i int) {
+	for _, j := range e.waitsFor(i) {
+		select {
+		case <-e.done[j]:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // runStage runs stage i once all stages that it reads and waits for have ended.
 func (e *execution) runStage(ctx context.Context, i int) {
-	for _, j := range e.startAfter[i] {
-		<-e.done[j]
-	}
+	e.awaitStages(ctx, i)
 	spec := e.graph.Route.Stages[i]
 	var inputs []string
-	for _, j := range spec.InputStages {
-		<-e.done[j]
-	}
 	pieces := e.pieceCount(i)
 	if pieces == 0 || e.failed() {
 		return
