--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -85,6 +85,8 @@
 	Bind(ctx context.Context, list []binding.Binding) error
 	// FindBinding calls Bindings.Known of the gateway.
 	FindBinding(ctx context.Context, q Query) (Known, error)
+	// Ping succeeds if the gateway is running.
+	Ping(ctx context.Context) error
 	// RecordStreams calls Journal.Record of the gateway.
 	RecordStreams(ctx context.Context, service string, list []binding.Binding) (Base, error)
 }
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -33,6 +33,10 @@
 	restoreCheckInterval = 500 * time.Millisecond
 	// maxFailedOwners is the number of owners that may fail before this process writes by itself.
 	maxFailedOwners = 2
+	// answerTrust is how long after its last answer an owner is expected to answer the next call. After it, a
+	// ping of pingTimeout shows whether it is there: a first event waits for bindTimeout.
+	answerTrust = 2 * time.Second
+	pingTimeout = 20 * time.Millisecond
 	// maxQueued limits the bindings that wait for their record; the oldest are dropped.
 	maxQueued = 1 << 14
 )
@@ -47,8 +51,9 @@
 	Remote func(address string) Remote
 	Log    *log.Logger
 
-	mu        sync.Mutex
-	byService map[string]*outbox
+	mu         sync.Mutex
+	byService  map[string]*outbox
+	answeredAt map[string]time.Time // when owners answered last, by address
 }
 
 // outbox has the bindings of one service that are not recorded yet. Recorder.mu guards it.
@@ -222,18 +227,48 @@
 	return slices.Clone(o.queue[:min(len(o.queue), maxPerCall)]), true
 }
 
-// call records bindings at the owner of a journal.
+// call records bindings at the owner of a journal. An owner that has not answered lately is first checked to be
+// there, since it may have ended without a word; if it isn't, this process writes by itself.
 func (r *Recorder) call(owner hookhall.Member, service string, list []*queued) (Base, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	bindings := make([]binding.Binding, 0, len(list))
+	streams := make([]binding.Binding, 0, len(list))
 	for _, q := range list {
-		bindings = append(bindings, q.Binding)
+		streams = append(streams, q.Binding)
 	}
-	if owner.Address == r.Fleet.Self().Address {
-		return r.Journal.Record(ctx, service, bindings)
+	if owner.Address == r.Fleet.Self().Address || !r.isThere(ctx, owner) {
+		return r.Journal.Record(ctx, service, streams)
 	}
-	return r.Remote(owner.Address).RecordStreams(ctx, service, bindings)
+	return r.callRemote(ctx, owner, service, streams)
+}
+
+// isThere reports whether another gateway has answered within answerTrust, or answers within pingTimeout.
+func (r *Recorder) isThere(ctx context.Context, member hookhall.Member) bool {
+	r.mu.Lock()
+	at, ok := r.answeredAt[member.Address]
+	r.mu.Unlock()
+	if ok && clock.Since(at) < answerTrust {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return r.Remote(member.Address).Ping(ctx) == nil
+}
+
+// callRemote records bindings at another gateway.
+func (r *Recorder) callRemote(ctx context.Context, owner hookhall.Member, service string, list []binding.Binding) (Base, error) {
+	base, err := r.Remote(owner.Address).RecordStreams(ctx, service, list)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeredAt == nil {
+		r.answeredAt = map[string]time.Time{}
+	}
+	if err == nil {
+		r.answeredAt[owner.Address] = clock.Now()
+	} else {
+		delete(r.answeredAt, owner.Address)
+	}
+	return base, err
 }
 
 // settle removes bindings that are recorded.
--- a/internal/coordination/bindings/records_test.go
+++ b/internal/coordination/bindings/records_test.go
@@ -143,6 +143,16 @@
 		f.restartAll("v1", "v2")
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 	})
+	run(t, "the owner of the journal does not answer", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		f.bindAt(t, "v1", "a")
+		time.Sleep(5 * time.Second)
+		owner := f.at(0).Owner("streams/"+service, nil, clock.Now())
+		f.gateway(owner.Address).isDead = true
+		f.at(slices.IndexFunc(f.order, func(address string) bool { return address != owner.Address })).bind(t, "b", "v2")
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "b", "v2", bindings.SourceStore)
+	})
 	run(t, "one version only", func(t *testing.T) {
 		f := newFleet(5, "v1")
 		f.bindAt(t, "v1", "a")
