buffer: bodies that run out of memory together are not all refused

Each held 503,296 bytes, and all were refused in the same millisecond.

Cause: a body that couldn't grow was refused, but its memory was free only after the refusal was written. Bodies that grow at the same speed all failed before the first one's memory was free.

Change: the memory of a refused body is free before another one is refused. A body whose stated length doesn't fit is refused before it is read. The limit of the memory is the same.

Ruled out without a trial: memory for the whole of a stated length at its beginning (a stalled client would hold it), and for the maximum size of a body without one (a single body may exceed the limit of all), cutting off others that are being read (needs a way to interrupt each reader).

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -141,17 +141,17 @@
 // the buffer is released.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int) (*hookhall.Call, *hookhall.Error) {
 	info, invalid := h.dialect.Read(r.Header)
-	bufferFull, err := h.fill(w, r, body, limit, info.ClientTimeout)
+	err := h.fill(w, r, body, limit, info.ClientTimeout)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
 	case errors.As(err, &tooLarge):
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+	case errors.Is(err, buffer.ErrNoRoom):
+		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	case err != nil:
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "the body did not come whole: %v", err)
-	case bufferFull:
-		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	}
 	if invalid != nil {
 		return nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "%v", invalid)
@@ -163,7 +163,7 @@
 
 // fill reads a body of at most limit bytes. Without a whole body within the time that the client waits, 0 for
 // defaultBodyTimeout, it fails with os.ErrDeadlineExceeded.
-func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, clientTimeout time.Duration) (bufferFull bool, err error) {
+func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, clientTimeout time.Duration) (err error) {
 	h.reading.Add(1)
 	defer h.reading.Add(-1)
 	if r.ContentLength != 0 {
@@ -178,7 +178,7 @@
 			}
 		}()
 	}
-	return body.Fill(http.MaxBytesReader(w, r.Body, int64(limit)))
+	return body.FillRequest(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength)
 }
 
 // logRejected logs a request that is refused before it was read completely.
