placement: requests of a killed gateway no longer count for ever

Operators could see: after a gateway was killed and started again at its address, the placement owner took some targets for busier than they were, for as long as it ran; brittle targets got fewer requests than they have slots, or none.

Cause: a gateway numbered its tickets from one and took them for unique, though the owner still had, for up to 20 s, those of the process that was killed. A new request replaced the entry of the old one with the same ticket, whose end was never counted then.

Change: tickets start at a random number. An owner also ends a request whose ticket is used again, as callers of an earlier version do that.

--- a/internal/coordination/placement/client.go
+++ b/internal/coordination/placement/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -55,7 +56,7 @@
 	// Remote returns the client of the placement owner at address.
 	Remote func(address string) Remote
 
-	ticketCount    atomic.Uint64 // tickets issued; makes them unique in this process
+	lastTicket     atomic.Uint64 // number of the newest ticket, 0 before the first
 	mu             sync.Mutex
 	notesByAddress map[string][]Note // notes to send; guarded by mu
 }
@@ -77,7 +78,7 @@
 func (c *Client) Place(ctx context.Context, service string, criteria balance.Criteria, limits []advisory.Report) Placement {
 	owner := c.Fleet.Owner(OwnerKey(service), nil, clock.Now())
 	placement := Placement{client: c, address: owner.Address}
-	placement.ticket = c.Fleet.Self().Address + "/" + strconv.FormatUint(c.ticketCount.Add(1), 36)
+	placement.ticket = c.newTicket()
 	if owner.Address == c.Fleet.Self().Address {
 		placement.Choice = c.Local.Place(placement.ticket, service, criteria)
 		return placement
@@ -96,6 +97,13 @@
 	return placement
 }
 
+// newTicket returns a ticket that is unique in the fleet. The numbers start at a random one, since an
+// owner may still know the tickets of an earlier process at this address.
+func (c *Client) newTicket() string {
+	c.lastTicket.CompareAndSwap(0, rand.Uint64())
+	return c.Fleet.Self().Address + "/" + strconv.FormatUint(c.lastTicket.Add(1), 36)
+}
+
 // Report sends a note on the request to the placement owner. It does not wait for the
 // delivery, and does nothing if no target was chosen.
 func (p Placement) Report(k NoteKind) { p.send(Note{Ticket: p.ticket, Kind: k}) }
--- a/internal/coordination/placement/owner.go
+++ b/internal/coordination/placement/owner.go
@@ -148,6 +148,9 @@
 		}
 	}
 	choice.Target = target.ID
+	if previous := o.requestsByTicket[ticket]; previous != nil {
+		previous.activeCall.End() // of an earlier process at the caller's address, whose version doesn't issue unique tickets
+	}
 	o.requestsByTicket[ticket] = &placedRequest{o.tracker.Begin(target, criteria, now), service, target.Incarnation(), now}
 	return choice
 }
