quarantine: crashes that are too few for a refusal outlive all gateways

Callers saw, in a test: a content that crashes engines reached four more of them after its third crash, where the platform allows three retries (BUDGET), if all gateways were killed twice while the content came again every 1.5 s.

Cause: the store had a content only once it was refused, at three crashes. Gateways that had just started took the count that they knew for all crashes there were; each time that all were killed, up to two were forgotten.

Change: a content is recorded from two crashes on. Each crash isn't: when many targets crash at once, that would write all that they were running. Parts are recorded once they are refused, as before: up to two crashes of one are forgotten.

--- a/internal/coordination/quarantine/stored.go
+++ b/internal/coordination/quarantine/stored.go
@@ -19,6 +19,11 @@
 const (
 	// keyPrefix begins the keys of records; the content's digest in hex follows.
 	keyPrefix = "hookhall/crashes/"
+	// minStoredCrashes is the number of crashes from which a content is recorded: one less than for
+	// a refusal. With only refused ones recorded, gateways that were all killed twice forgot four
+	// crashes of a content. Recording each crash would write all that targets were running when
+	// many of them crash at once.
+	minStoredCrashes = maxCrashes - 1
 	// minStoreRetryDelay and maxStoreRetryDelay bound the pauses between retries of a failed
 	// store call.
 	minStoreRetryDelay = 100 * time.Millisecond
@@ -31,7 +36,7 @@
 	writerPollInterval = 2 * time.Second
 )
 
-// record is the stored form of a refused content or part: its crashes.
+// record is the stored form of a content or a refused part: its crashes.
 type record struct {
 	Content string          `json:"content"`        // digest
 	Part    string          `json:"part,omitempty"` // ID of the part
@@ -105,7 +110,7 @@
 	for _, item := range items {
 		list, err := parseRecord(item, now)
 		if err != nil {
-			w.log.Error("could not decode record of refused content", "key", item.Key, "error", err.Error())
+			w.log.Error("could not decode record of a crashing content", "key", item.Key, "error", err.Error())
 			continue
 		}
 		w.Merge(list, "store")
@@ -123,19 +128,20 @@
 	allWritten := true
 	for d := range w.changed() {
 		if err := w.writeOne(ctx, d); err != nil {
-			w.log.Warn("could not write record of refused content", "content", d, "error", err.Error())
+			w.log.Warn("could not write record of a crashing content", "content", d, "error", err.Error())
 			allWritten = false
 		}
 	}
 	return allWritten
 }
 
-// changed returns the contents that are or were refused and whose records differ from the
-// ledger. A store that was restored from an older copy may have lost any record.
+// changed returns the contents that have or had minStoredCrashes and the parts that are or were
+// refused, whose records differ from the ledger. A store that was restored from an older copy may
+// have lost any record.
 func (w *recordWriter) changed() map[crashes.Digest]bool {
 	differing := map[crashes.Digest]bool{}
-	for _, ledger := range w.ledgers() {
-		for d, status := range ledger.Refused() {
+	for _, list := range []map[crashes.Digest]crashes.Status{w.Ledger.WithCrashes(minStoredCrashes), w.Parts.Ledger().Refused()} {
+		for d, status := range list {
 			if stored, isStored := w.storedByDigest[d]; !isStored || stored.crashes != status.Crashes || stored.era < w.Era() {
 				differing[d] = true
 			}
@@ -184,11 +190,6 @@
 	w.storedByDigest[d] = storedRecord{lease, w.ledgerOf(d).Status(d).Crashes, w.Era()}
 }
 
-// ledgers returns the ledgers of contents and of parts.
-func (w *recordWriter) ledgers() []*crashes.Ledger {
-	return []*crashes.Ledger{w.Ledger, w.Parts.Ledger()}
-}
-
 // ledgerOf returns the ledger that holds crashes of a content or part; none else has crashes of it.
 func (w *recordWriter) ledgerOf(d crashes.Digest) *crashes.Ledger {
 	if parts := w.Parts.Ledger(); len(parts.ByContent(d)) > 0 {
--- a/internal/state/crashes/ledger.go
+++ b/internal/state/crashes/ledger.go
@@ -83,6 +83,18 @@
 	return maps.Clone(l.refused)
 }
 
+// WithCrashes returns the status of the contents with at least n crashes, as Status.Crashes counts them.
+func (l *Ledger) WithCrashes(n int) map[Digest]Status {
+	found := map[Digest]Status{}
+	l.statuses.Range(func(d, s any) bool {
+		if status := s.(Status); status.Crashes >= n {
+			found[d.(Digest)] = status
+		}
+		return true
+	})
+	return found
+}
+
 // Merge merges reported crashes into the ledger, except those older than Limits.Retention
 // and those for whose content there is no capacity. It returns those that are new, newly cleared,
 // or newly known to be of a recently served content.
