--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -156,7 +156,7 @@
 // readBody reads the body of a request, of at most limit bytes and within timeLimit. It is held in the given buffer and is
 // valid until the buffer is released.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) *hookhall.Error {
-	bufferFull, err := h.fill(w, r, body, limit, timeLimit)
+	err := h.fill(w, r, body, limit, timeLimit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(r.Context()), hookhall.ErrStopping):
@@ -165,17 +165,17 @@
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
 	case errors.As(err, &tooLarge):
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+	case errors.Is(err, buffer.ErrNoRoom):
+		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	case err != nil:
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "the body did not come whole: %v", err)
-	case bufferFull:
-		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseOverload, "no room is left for the body").WithRetryAfter(bodyRetryDelay)
 	}
 	return nil
 }
 
 // fill reads a body of at most limit bytes. Without a whole body within timeLimit, or before the end of
 // the request's context, it fails with os.ErrDeadlineExceeded.
-func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) (bufferFull bool, err error) {
+func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) (err error) {
 	h.reading.Add(1)
 	defer h.reading.Add(-1)
 	if r.ContentLength != 0 {
@@ -188,7 +188,7 @@
 			}
 		}()
 	}
-	return body.Fill(http.MaxBytesReader(w, r.Body, int64(limit)))
+	return body.FillRequest(http.MaxBytesReader(w, r.Body, int64(limit)), r.ContentLength)
 }
 
 // logRejected logs a request that is refused before it was read completely.
