--- a/contract_peer_test.go
+++ b/contract_peer_test.go
@@ -105,3 +105,50 @@
 		})
 	})
 }
+
+// reversed is an echo that answers the first call of Table after the second.
+type reversed struct {
+	echo
+	firstArrived, secondAnswered chan struct{}
+}
+
+func (r reversed) HandleTable(have uint64) hookhall.TableDocument {
+	if have == 1 {
+		close(r.firstArrived)
+		<-r.secondAnswered
+	}
+	return r.echo.HandleTable(have)
+}
+
+// TestPeerAnswersOutOfOrder guards against the answer to one call of a peer being taken for that to another
+// on the same connection.
+func TestPeerAnswersOutOfOrder(t *testing.T) {
+	const secret = "the-secret"
+	handler := reversed{echo{}, make(chan struct{}), make(chan struct{})}
+	s := peers.NewServer(handler, secret, log.New(io.Discard))
+	server := grpc.NewServer(grpc.UnaryInterceptor(s.Authenticate))
+	s.Register(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(l) }() // ends with Stop
+	defer server.Stop()
+	clients := peers.NewClients(secret)
+	defer clients.Close()
+	p := clients.Peer(l.Addr().String())
+	first := make(chan uint64)
+	go func() {
+		table, _ := p.Table(t.Context(), 1) // version 0 after an error
+		first <- table.Version
+	}()
+	<-handler.firstArrived
+	second, err := p.Table(t.Context(), 2)
+	close(handler.secondAnswered)
+	if err != nil || second.Version != 3 {
+		t.Errorf("the second call got version %d, %v", second.Version, err)
+	}
+	if version := <-first; version != 2 {
+		t.Errorf("the first call got version %d", version)
+	}
+}
