platform, upstream: a stage answer without an id and without results ends its connection

Callers saw: 200 for requests that ran with the stage results of other requests (MIXED), up to ten in a row on a connection, also after the trouble had ended.

Cause: a stage answer without an id counts as that of the call, and only its handles show whether it is a copy of an earlier one. A refusal, a failure and an answer with reasons only have no handle. Their connection was kept, so that a late copy was taken for the answer to the next call, and the answer to that, with new handles, for the one to the call after it.

Change: the connection of a stage call or a release is put back only after its answer was checked and proven (AwaitsProof, Response.Proven): by the id of the call, or a first handle that is new.

Why it works: no connection in use has had an answer that a bare one could be a copy of, so a bare answer is that of its call, and no call follows on its connection.

Ruled out: a rest of the connection with a check for bytes before its next use. It saves the new connections, but a copy that comes together with the next answer (TestSurplusStageAnswers, "late") is found by neither.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -167,12 +167,16 @@
 	return defaultIdleTimeout
 }
 
-// answerBody is the body of an answer. When it ends, finish keeps or closes the connection.
+// answerBody is the body of an answer. When it ends, finish keeps or closes the connection; one that
+// awaits proof does so when it is closed.
 type answerBody struct {
 	io.Reader
-	mark   func(error) error   // adds to an error of a read what is known of its cause
-	finish func(complete bool) // complete: the body was read to its end
-	done   bool                // finish was called
+	mark        func(error) error // adds to an error of a read what is known of its cause
+	finish      func(isFit bool)  // isFit: the body was read to its end, and proven if it awaits that
+	awaitsProof bool
+	isProven    bool
+	isComplete  bool // the body was read to its end
+	done        bool // finish was called
 }
 
 // Read implements io.Reader.
@@ -181,23 +185,24 @@
 	if err != nil && err != io.EOF && !b.done {
 		err = b.mark(err)
 	}
-	if err != nil {
-		b.finishOnce(err == io.EOF)
+	b.isComplete = err == io.EOF
+	if err != nil && !(b.isComplete && b.awaitsProof) {
+		b.finishOnce(b.isComplete)
 	}
 	return n, err
 }
 
-// Close implements io.Closer. If the body was not read to its end, its connection is
-// closed.
+// Close implements io.Closer. If the body was not read to its end, or not proven although it awaits
+// that, its connection is closed.
 func (b *answerBody) Close() error {
-	b.finishOnce(false)
+	b.finishOnce(b.isComplete && b.isProven)
 	return nil
 }
 
 // finishOnce calls finish unless it has been called.
-func (b *answerBody) finishOnce(complete bool) {
+func (b *answerBody) finishOnce(isFit bool) {
 	if !b.done {
 		b.done = true
-		b.finish(complete)
+		b.finish(isFit)
 	}
 }
--- a/internal/transport/upstream/doc.go
+++ b/internal/transport/upstream/doc.go
@@ -12,7 +12,8 @@
 // A request returns once the head of the answer with its call's ID has been
 // received. Answers to earlier requests are read and dropped. A connection is kept
 // only if the request was written completely, the answer was read to its framed
-// end, no bytes follow it, and neither side asked to close.
+// end, no bytes follow it, and neither side asked to close. If only the body can show
+// whose the answer is, the caller has to confirm that as well.
 //
 // A target accepts a limited number of connections from all processes together and
 // resets others. So an idle connection is kept only while requests for kept
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -106,6 +106,9 @@
 	// carries no further request, so that a second copy of it can't be taken for another answer.
 	// It may be nil.
 	MatchesUnnamed func(status int, h http.Header) bool
+	// AwaitsProof means that the connection carries a further request only if the caller has called
+	// Response.Proven before it closes the body.
+	AwaitsProof bool
 	// NewConnection requires a new connection instead of a kept one. Only requests that must run
 	// at most once need it.
 	NewConnection bool
@@ -124,8 +127,14 @@
 	Relay string
 	// Body must be closed. An answer that was cut ends with an error other than io.EOF.
 	Body io.ReadCloser
+
+	body *answerBody
 }
 
+// Proven states that the answer is the one to its request. It matters if that has AwaitsProof set, and
+// must not be called after the body was closed.
+func (r *Response) Proven() { r.body.isProven = true }
+
 // takeIdle removes and returns a reusable idle connection to an address, or nil. It
 // closes those that are not reusable.
 func (p *Pool) takeIdle(address string, now time.Time) *conn {
@@ -393,7 +402,7 @@
 		p.Paths.Answered()
 	}
 	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay}
-	resp.Body = &answerBody{Reader: head.Body, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
+	resp.body = &answerBody{Reader: head.Body, awaitsProof: r.AwaitsProof, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
 		if c.relay != "" || !complete || !active || head.Close || !r.isNamed(head) || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
 			_ = c.Close()
@@ -407,6 +416,7 @@
 		c.idleTimeout = readIdleTimeout(head.Header)
 		p.putIdle(c, now)
 	}}
+	resp.Body = resp.body
 	return resp, nil
 }
 
