--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,6 +30,9 @@
 	// idleTimeoutMargin is subtracted from the timeout that a target announces, so that
 	// no request is sent while the target closes the connection.
 	idleTimeoutMargin = time.Second
+	// maxMarks bounds the answers of a connection that are remembered. A copy comes in the place of
+	// the next answer.
+	maxMarks = 32
 )
 
 // conn is one connection to a target. One request uses it at a time.
@@ -44,6 +48,7 @@
 	idleTimeout  time.Duration // how long it may be reused while idle
 	dialDuration time.Duration // time taken to connect
 	relay        string        // address of the peer that it passes through, "" for none; such a connection carries one request
+	marks        []string      // of recent answers, the newest last; see Response.IsFirst
 }
 
 // newConn returns a conn over c.
@@ -54,6 +59,18 @@
 	return wrapped
 }
 
+// addMark remembers a mark of an answer, and reports whether it was not known.
+func (c *conn) addMark(mark string) bool {
+	if slices.Contains(c.marks, mark) {
+		return false
+	}
+	if len(c.marks) >= maxMarks {
+		c.marks = append(c.marks[:0], c.marks[1:]...)
+	}
+	c.marks = append(c.marks, mark)
+	return true
+}
+
 // unlimited is the value of headLimit.left outside of heads.
 const unlimited = -1
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -129,8 +129,14 @@
 	Body io.ReadCloser
 
 	body *answerBody
+	conn *conn
 }
 
+// IsFirst remembers a mark that an answer has and no other one should have, such as the handle of a result. It
+// reports whether no recent answer of the connection had it: a copy comes on the connection of its
+// original. It must not be called after the body was closed.
+func (r *Response) IsFirst(mark string) bool { return r.conn.addMark(mark) }
+
 // Proven states that the answer is the one to its request. It matters if that has AwaitsProof set, and
 // must not be called after the body was closed.
 func (r *Response) Proven() { r.body.isProven = true }
@@ -401,7 +407,7 @@
 	if p.Paths != nil && c.relay == "" {
 		p.Paths.Answered()
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay}
+	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay, conn: c}
 	resp.body = &answerBody{Reader: head.Body, awaitsProof: r.AwaitsProof, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
 		if c.relay != "" || !complete || !active || head.Close || !r.isNamed(head) || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
--- a/internal/transport/upstream/proof_test.go
+++ b/internal/transport/upstream/proof_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -48,3 +49,25 @@
 		})
 	}
 }
+
+// TestMarksOfConnection guards against a copy of a recent answer that is not noticed, and against marks that
+// are remembered without a bound.
+func TestMarksOfConnection(t *testing.T) {
+	c := newConn(nil, address)
+	for i := range 3 * maxMarks {
+		if !c.addMark(strconv.Itoa(i)) {
+			t.Errorf("%d is new", i)
+		}
+		for known := max(0, i-maxMarks+1); known <= i; known++ {
+			if c.addMark(strconv.Itoa(known)) {
+				t.Errorf("%d is known after %d", known, i)
+			}
+		}
+	}
+	if n := len(c.marks); n != maxMarks {
+		t.Errorf("%d marks, want %d", n, maxMarks)
+	}
+	if !newConn(nil, address).addMark("1") {
+		t.Error("a mark of another connection is known")
+	}
+}
