--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,6 +30,9 @@
 	// idleTimeoutMargin is subtracted from the timeout that a target announces, so that
 	// no request is sent while the target closes the connection.
 	idleTimeoutMargin = time.Second
+	// maxMarks bounds the answers of a connection that are remembered. A copy comes in the place of
+	// the next answer.
+	maxMarks = 32
 )
 
 // conn is one connection to a target. One request uses it at a time.
@@ -44,6 +48,7 @@
 	idleTimeout  time.Duration // how long it may be reused while idle
 	dialDuration time.Duration // time taken to connect
 	relay        string        // address of the peer that it passes through, "" for none; such a connection carries one request
+	marks        []string      // of recent answers, the newest last; see Response.IsFirst
 }
 
 // newConn returns a conn over c.
@@ -54,6 +59,18 @@
 	return wrapped
 }
 
+// addMark remembers a mark of an answer, and reports whether it was not known.
+func (c *conn) addMark(mark string) bool {
+	if slices.Contains(c.marks, mark) {
+		return false
+	}
+	if len(c.marks) >= maxMarks {
+		c.marks = append(c.marks[:0], c.marks[1:]...)
+	}
+	c.marks = append(c.marks, mark)
+	return true
+}
+
 // unlimited is the value of headLimit.left outside of heads.
 const unlimited = -1
 
@@ -170,12 +187,16 @@
 	return defaultIdleTimeout
 }
 
-// answerBody is the body of an answer. When it ends, finish keeps or closes the connection.
+// answerBody is the body of an answer. When it ends, finish keeps or closes the connection; one that
+// awaits proof does so when it is closed.
 type answerBody struct {
 	io.Reader
-	mark   func(error) error   // adds to an error of a read what is known of its cause
-	finish func(complete bool) // complete: the body was read to its end
-	done   bool                // finish was called
+	mark        func(error) error // adds to an error of a read what is known of its cause
+	finish      func(isFit bool)  // isFit: the body was read to its end, and proven if it awaits that
+	awaitsProof bool
+	isProven    bool
+	isComplete  bool // the body was read to its end
+	done        bool // finish was called
 }
 
 // Read implements io.Reader.
@@ -184,23 +205,24 @@
 	if err != nil && err != io.EOF && !b.done {
 		err = b.mark(err)
 	}
-	if err != nil {
-		b.finishOnce(err == io.EOF)
+	b.isComplete = err == io.EOF
+	if err != nil && !(b.isComplete && b.awaitsProof) {
+		b.finishOnce(b.isComplete)
 	}
 	return n, err
 }
 
-// Close implements io.Closer. If the body was not read to its end, its connection is
-// closed.
+// Close implements io.Closer. If the body was not read to its end, or not proven although it awaits
+// that, its connection is closed.
 func (b *answerBody) Close() error {
-	b.finishOnce(false)
+	b.finishOnce(b.isComplete && b.isProven)
 	return nil
 }
 
 // finishOnce calls finish unless it has been called.
-func (b *answerBody) finishOnce(complete bool) {
+func (b *answerBody) finishOnce(isFit bool) {
 	if !b.done {
 		b.done = true
-		b.finish(complete)
+		b.finish(isFit)
 	}
 }
