binding: an older copy does not shorten the life of a binding

A handover or a delayed copy with the expiry of a client's first try replaced the binding that a take-up had renewed, which then expired too early and was looked for in the store. Found by reading; the new case of TestTable failed before.

--- a/internal/state/binding/binding.go
+++ b/internal/state/binding/binding.go
@@ -67,8 +67,8 @@
 	order []Key
 }
 
-// Put adds a binding or replaces that of the same stream. A full table drops the binding that was
-// put first.
+// Put adds a binding or replaces that of the same stream, of which the later expiry counts: an older copy may
+// arrive last. A full table drops the binding that was put first.
 func (t *Table) Put(b Binding, now time.Time) {
 	if !now.Before(b.ExpiresAt) {
 		return
@@ -78,7 +78,11 @@
 	if t.byKey == nil {
 		t.byKey = map[Key]Binding{}
 	}
-	if known, ok := t.byKey[b.Key]; !ok || known != b {
+	known, ok := t.byKey[b.Key]
+	if ok && known.ExpiresAt.After(b.ExpiresAt) {
+		b.ExpiresAt = known.ExpiresAt
+	}
+	if !ok || known != b {
 		t.order = append(t.order, b.Key)
 	}
 	t.byKey[b.Key] = b
--- a/internal/state/binding/binding_test.go
+++ b/internal/state/binding/binding_test.go
@@ -45,6 +45,12 @@
 		table.Put(bound("b", "v2", time.Minute), start.Add(2*time.Second))
 		checkGet(t, &table, "a", "v1", start.Add(2*time.Second))
 	})
+	t.Run("a copy that is older does not shorten it", func(t *testing.T) {
+		var table binding.Table
+		table.Put(bound("a", "v1", time.Minute), start)
+		table.Put(bound("a", "v1", time.Second), start)
+		checkGet(t, &table, "a", "v1", start.Add(2*time.Second))
+	})
 	t.Run("expired bindings are dropped", func(t *testing.T) {
 		var table binding.Table
 		for i := range 100 {
