forward: a stream that runs on is evidence against a crash of its content

Clients that took up cut streams got 502 with crashes-targets for up to ten minutes, or until one stream of the same account, host, path and body was complete, though the streams ran on at all engines that had not crashed.

Only a complete answer cleared the crashes of a content and marked it as served. While the first streams of a content run, engines that crash of themselves count one by one, three in one moment as three. A target that has written events for a second, measured in the time that the gateway waited for them, now counts as one that serves the content and its parts. Content that crashes targets did so some 100 ms after they began to run it, so it never gets there.

--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -54,6 +54,39 @@
 	r.Quarantine.Served(served, r.target)
 }
 
+// recordSoundRun records that the target has run the request for soundRunTime without a crash. Long
+// answers would otherwise be evidence only at their end, and their crashes would add up until then.
+func (r *request) recordSoundRun() { r.Quarantine.Served(r.identity(), r.target) }
+
+// soundRunTime is how long a target writes events of an answer until it has shown that the request doesn't
+// crash it. The targets that crashed in the users' records did so about 100 ms after they had begun to
+// run the request.
+const soundRunTime = time.Second
+
+// soundRun finds out whether a target that has not completed its answer has run the request for long
+// enough to show that it doesn't crash there.
+type soundRun struct {
+	events int           // complete events so far
+	waited time.Duration // for bytes of the target, between events
+}
+
+// add records that the target has written events complete events in all, the last of them after the
+// caller had waited for it. It reports whether the target has shown since the last such report that the
+// request doesn't crash it. Time in which the client or this process was slow doesn't count, as events that
+// the target wrote at once may be read during it.
+func (s *soundRun) add(events int, waited time.Duration) bool {
+	if s.events > 0 {
+		s.waited += waited
+	}
+	isNew := events > s.events
+	s.events = events
+	if !isNew || s.waited < soundRunTime {
+		return false
+	}
+	s.waited = 0
+	return true
+}
+
 // excludeCrashing excludes the targets that the request would crash, and returns an error if that
 // excludes all of them. Crashes are counted by what stays the same when a request comes again, since it
 // may come through any gateway and with another id.
--- a/internal/coordination/forward/crashing_test.go
+++ b/internal/coordination/forward/crashing_test.go
@@ -4,10 +4,17 @@
 package forward
 
 import (
+	"io"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/balance"
+	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/state/crashes"
 )
 
 // TestSharedPartsForLog guards against log lines that don't show which part broken requests have in
@@ -36,3 +43,81 @@
 		})
 	}
 }
+
+// countingQuarantine counts the reports that a target runs a request without a crash.
+type countingQuarantine struct {
+	noQuarantine
+	served int
+}
+
+func (q *countingQuarantine) Served(crashes.Identity, hookhall.Target) { q.served++ }
+
+// slowBody is a body that waits before each chunk.
+type slowBody struct {
+	pause  time.Duration
+	chunks []string
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.chunks) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := copy(p, b.chunks[0])
+	b.chunks = b.chunks[1:]
+	return n, nil
+}
+
+// slowClient is a client that takes a while for each chunk.
+type slowClient struct {
+	recordingClient
+	pause time.Duration
+}
+
+func (c *slowClient) Chunk(b []byte) error {
+	time.Sleep(c.pause)
+	return c.recordingClient.Chunk(b)
+}
+
+// TestSoundRun guards against crashes that count against a long stream until it is complete though targets
+// run it on, and against a first event, comments or a slow client that pass for such a run.
+func TestSoundRun(t *testing.T) {
+	const event, comment = "id: 1\ndata: a\n\n", ": c\n\n"
+	events := func(n int) []string { return slices.Repeat([]string{event}, n) }
+	for name, c := range map[string]struct {
+		pause, clientPause time.Duration
+		chunks             []string
+		served             int
+	}{
+		"events for over a second":           {250 * time.Millisecond, 0, events(6), 1},
+		"events for over three seconds":      {250 * time.Millisecond, 0, events(14), 3},
+		"a late first event":                 {5 * time.Second, 0, events(1), 0},
+		"a late second event":                {2 * time.Second, 0, events(2), 1},
+		"events for less than a second":      {100 * time.Millisecond, 0, events(8), 0},
+		"a first event and comments":         {time.Second, 0, []string{event, comment, comment, comment}, 0},
+		"comments only":                      {time.Second, 0, slices.Repeat([]string{comment}, 5), 0},
+		"a slow client of events at once":    {0, time.Second, events(8), 0},
+		"events at once in one long chunk":   {time.Second, 0, []string{strings.Join(events(8), "")}, 0},
+		"an event, then comments and events": {400 * time.Millisecond, 0, []string{event, comment, comment, event}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := &countingQuarantine{}
+				f := withBuffers(64 << 20)
+				f.Quarantine = q
+				tracker := balance.NewTracker()
+				a := &attempt{
+					activeCall: tracker.Begin(hookhall.Target{}, balance.Criteria{}, clock.Now()), began: clock.Now(),
+					reply: &hookhall.Reply{Framing: hookhall.FramedByChunks, Body: io.NopCloser(&slowBody{c.pause, c.chunks})},
+				}
+				r := &request{Forwarder: f, route: &hookhall.Route{}, call: &hookhall.Call{}, answer: &slowClient{pause: c.clientPause}}
+				if failure := (&stream{r: r, head: a.reply}).passEvents(t.Context(), a); failure != nil {
+					t.Fatal(failure)
+				}
+				if q.served != c.served {
+					t.Errorf("%d reports, want %d", q.served, c.served)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -143,6 +143,7 @@
 		}
 	}()
 	passed := 0 // bytes of the stream
+	var run soundRun
 	passedBefore := s.r.passedOn
 	lastRead := clock.Now()
 	for {
@@ -156,10 +157,14 @@
 		if clock.Since(lastRead) >= unreadTimeLimit {
 			a.unread = true
 		}
+		readFrom := clock.Now()
 		n, err := a.reply.Body.Read(buffer[len(buffer):cap(buffer)])
 		lastRead = clock.Now()
 		parser.Feed(buffer[len(buffer) : len(buffer)+n])
 		buffer = buffer[:len(buffer)+n]
+		if run.add(parser.Events(), lastRead.Sub(readFrom)) {
+			s.r.recordSoundRun()
+		}
 		if complete := parser.Complete() - passed; complete > 0 {
 			if parser.Events() > 0 {
 				s.r.bind(ctx)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -141,8 +141,9 @@
 	return q.Ledger.Status(i.Content).Union(q.Parts.Status(i, clock.Now()))
 }
 
-// Served records that t gave a complete answer to a request. A content or part that a target has
-// served is taken not to be the cause of its earlier crashes, which are cleared.
+// Served records that t gave a complete answer to a request, or has run it for longer than one that crashes
+// targets. A content or part that a target has served is taken not to be the cause of its earlier crashes,
+// which are cleared.
 func (q *Quarantine) Served(i crashes.Identity, t hookhall.Target) {
 	q.recentlyServed.Add(i.Content, clock.Now())
 	if q.Ledger.Status(i.Content).Crashes > 0 {
