crashes: several faulty parts no longer convict a common part that was served

Sound requests with the part that all requests of a route share were refused for crashes: beside several faulty parts, each with too few crashes for a refusal of its own, the common part was the only one present at all of them.

A crash of a part that was served counts a third if a part that no target has served, and that has two crashes, ran there as well. It still counts, so that a part which was served and becomes faulty is refused after fifteen crashes at most beside such parts, and after five without.

--- a/internal/state/crashes/causes.go
+++ b/internal/state/crashes/causes.go
@@ -104,6 +104,28 @@
 	return true
 }
 
+const (
+	// minSuspectCrashes is how many crashes make a part that no target has served a likelier cause of
+	// these than parts that were served. With one it may only have been there.
+	minSuspectCrashes = 2
+	// suspectedCrashes is how many crashes with such a part count as one for a part that was served.
+	// Several faulty parts, each with too few crashes for a refusal, were taken for a fault of the part
+	// that all requests share. They still count, since a part that was served may have become faulty.
+	suspectedCrashes = 3
+)
+
+// suspected returns the targets that crashed with a part that no target has served and that has
+// minSuspectCrashes. l.mu must be held.
+func (l *Ledger) suspected() map[hookhall.Incarnation]bool {
+	set := map[hookhall.Incarnation]bool{}
+	for _, c := range l.contents {
+		if len(c.crashes) >= minSuspectCrashes && !c.served() && l.count(c, func(*Crash) bool { return true }) >= minSuspectCrashes {
+			maps.Copy(set, c.incarnations())
+		}
+	}
+	return set
+}
+
 // incarnations returns the targets that crashed, without cleared crashes. The ledger's mu must be held.
 func (c *content) incarnations() map[hookhall.Incarnation]bool {
 	set := map[hookhall.Incarnation]bool{}
--- a/internal/state/crashes/parts.go
+++ b/internal/state/crashes/parts.go
@@ -143,12 +143,20 @@
 	refused := []RefusedParts{}
 	groups := l.groups()
 	explained := map[hookhall.Incarnation]bool{} // by the sets that are refused
+	var suspected map[hookhall.Incarnation]bool  // nil before it is needed
 	for _, g := range groups {
 		unexplained := l.count(g.content, func(c *Crash) bool { return !explained[c.Incarnation] })
 		needed := l.limits.MinCrashes
 		if g.served {
 			needed = max(needed, l.limits.MinServedCrashes)
 		}
+		if g.served && unexplained >= needed {
+			if suspected == nil {
+				suspected = l.suspected()
+			}
+			plain := l.count(g.content, func(c *Crash) bool { return !explained[c.Incarnation] && !suspected[c.Incarnation] })
+			unexplained = plain + (unexplained-plain)/suspectedCrashes
+		}
 		if unexplained < needed || len(refused) == maxRefusedSets {
 			continue
 		}
--- a/internal/state/crashes/parts_test.go
+++ b/internal/state/crashes/parts_test.go
@@ -35,13 +35,18 @@
 // crash records the crash of a target that ran requests with these lists of parts, a second after the
 // crash before.
 func (p *partCrashes) crash(account string, requests ...string) {
+	p.crashAt("s v1", account, requests...)
+}
+
+// crashAt is crash for a target with other software.
+func (p *partCrashes) crashAt(software, account string, requests ...string) {
 	p.now = p.now.Add(time.Second)
 	p.targets++
 	var list []Crash
 	for _, parts := range requests {
 		for _, part := range identityOf(account, parts).Parts {
 			list = append(list, Crash{
-				Content: part.Digest, Part: part.ID, Account: account, Software: "s v1", ReportedAt: p.now,
+				Content: part.Digest, Part: part.ID, Account: account, Software: software, ReportedAt: p.now,
 				Incarnation: hookhall.Incarnation{ID: fmt.Sprint(p.targets)},
 			})
 		}
@@ -185,6 +190,25 @@
 	wantRefused(t, p, "account", []string{"a", "a x"}, false)
 }
 
+// TestServedPartBecomesFaulty guards against a served part that crashes targets from some time on and is never
+// refused, because each crash has another part that no target has served as well.
+func TestServedPartBecomesFaulty(t *testing.T) {
+	for name, c := range map[string]struct{ sharing, crashes int }{
+		"beside parts seen once":  {1, partLimits.MinServedCrashes},
+		"beside parts seen twice": {2, suspectedCrashes * partLimits.MinServedCrashes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &partCrashes{Parts: NewParts(partLimits), now: start}
+			p.crash("account", "a")
+			p.Served(identityOf("account", "a").Parts, "s v1")
+			for n := range c.crashes {
+				p.crash("account", fmt.Sprint("a x", n/c.sharing))
+			}
+			wantRefused(t, p, "account", []string{"a", "a z"}, true)
+		})
+	}
+}
+
 // TestServedRefusalTime checks how long a part that was served is refused.
 func TestServedRefusalTime(t *testing.T) {
 	for further, want := range map[int]time.Duration{0: 5 * time.Second, 1: 10 * time.Second, 3: 40 * time.Second, 1000: maxServedRefusal} {
