crashes: a crash at another version no longer has a part refused at both

That was counted as three, and the part refused at v1 and v2.

A part is refused now at the versions with enough crashes of their own, or with two if there are two more than enough at all versions together: counted for each version alone, a faulty part would crash up to five engines of each.

TestPartAtVersions: 4 of 7 cases failed before.

--- a/internal/state/crashes/causes.go
+++ b/internal/state/crashes/causes.go
@@ -126,6 +126,26 @@
 	return set
 }
 
+// minOtherVersionCrashes is how many crashes at some software have a part refused there, if those at all
+// software together are as many more than a refusal needs. With one, a crash of another kind at a second
+// version had the part refused at all targets; counted for each version alone, a faulty part would crash
+// more targets before its refusal than the platform allows.
+const minOtherVersionCrashes = 2
+
+// convictedAt returns the software at which the parts of g are refused, none if count, which counts the
+// crashes that hold against them, finds too few of them. l.mu must be held.
+func (l *Ledger) convictedAt(g *group, needed int, count func(chosen func(*Crash) bool) int) []string {
+	all := count(func(*Crash) bool { return true })
+	var list []string
+	for _, software := range l.refused[g.parts[0].Digest].Software {
+		n := count(func(c *Crash) bool { return c.Software == software })
+		if n >= needed || n >= minOtherVersionCrashes && all >= needed+minOtherVersionCrashes {
+			list = append(list, software)
+		}
+	}
+	return list
+}
+
 // incarnations returns the targets that crashed, without cleared crashes. The ledger's mu must be held.
 func (c *content) incarnations() map[hookhall.Incarnation]bool {
 	set := map[hookhall.Incarnation]bool{}
--- a/internal/state/crashes/parts.go
+++ b/internal/state/crashes/parts.go
@@ -145,23 +145,32 @@
 	explained := map[hookhall.Incarnation]bool{} // by the sets that are refused
 	var suspected map[hookhall.Incarnation]bool  // nil before it is needed
 	for _, g := range groups {
-		unexplained := l.count(g.content, func(c *Crash) bool { return !explained[c.Incarnation] })
 		needed := l.limits.MinCrashes
 		if g.served {
 			needed = max(needed, l.limits.MinServedCrashes)
 		}
-		if g.served && unexplained >= needed {
-			if suspected == nil {
-				suspected = l.suspected()
-			}
-			plain := l.count(g.content, func(c *Crash) bool { return !explained[c.Incarnation] && !suspected[c.Incarnation] })
-			unexplained = plain + (unexplained-plain)/suspectedCrashes
+		unexplained := func(c *Crash) bool { return !explained[c.Incarnation] }
+		if l.count(g.content, unexplained) < needed || len(refused) == maxRefusedSets {
+			continue
 		}
-		if unexplained < needed || len(refused) == maxRefusedSets {
+		if g.served && suspected == nil {
+			suspected = l.suspected()
+		}
+		software := l.convictedAt(g, needed, func(chosen func(*Crash) bool) int {
+			both := func(c *Crash) bool { return unexplained(c) && chosen(c) }
+			all := l.count(g.content, both)
+			if !g.served {
+				return all
+			}
+			plain := l.count(g.content, func(c *Crash) bool { return both(c) && !suspected[c.Incarnation] })
+			return plain + (all-plain)/suspectedCrashes
+		})
+		if len(software) == 0 {
 			continue
 		}
 		maps.Copy(explained, g.incarnations)
 		set := RefusedParts{Status: l.refused[g.parts[0].Digest], accounts: g.content.accounts()}
+		set.Status.Software = software
 		if g.served {
 			set.Until = g.content.lastReported().Add(servedRefusalTime(set.Status.Crashes - needed))
 		}
--- a/internal/state/crashes/parts_test.go
+++ b/internal/state/crashes/parts_test.go
@@ -209,6 +209,39 @@
 	}
 }
 
+// TestPartAtVersions guards against refusing a part at a version for the crashes of another one, and against
+// counting a part that crashes targets of two versions for each alone.
+func TestPartAtVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		v1, v2         int // crashes
+		refused1, both bool
+	}{
+		"three crashes, two of one version":     {1, 2, false, false},
+		"four crashes, two of each":             {2, 2, false, false},
+		"three of one, none of the other":       {3, 0, true, false},
+		"three of one, one of the other":        {3, 1, true, false},
+		"five crashes, two of the second":       {3, 2, true, true},
+		"six crashes, only one of the second":   {5, 1, true, false},
+		"six crashes, three of each of the two": {3, 3, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &partCrashes{Parts: NewParts(partLimits), now: start}
+			for n := range max(c.v1, c.v2) {
+				if n < c.v1 {
+					p.crashAt("s v1", "account", "a")
+				}
+				if n < c.v2 {
+					p.crashAt("s v2", "account", "a")
+				}
+			}
+			status := p.Status(identityOf("account", "a"), p.now)
+			if got1, got2 := status.RefusedBy("s v1"), status.RefusedBy("s v2"); got1 != c.refused1 || got2 != c.both {
+				t.Errorf("refused by v1 %v, by v2 %v; want %v, %v", got1, got2, c.refused1, c.both)
+			}
+		})
+	}
+}
+
 // TestServedRefusalTime checks how long a part that was served is refused.
 func TestServedRefusalTime(t *testing.T) {
 	for further, want := range map[int]time.Duration{0: 5 * time.Second, 1: 10 * time.Second, 3: 40 * time.Second, 1000: maxServedRefusal} {
