--- a/internal/state/crashes/parts_test.go
+++ b/internal/state/crashes/parts_test.go
@@ -35,13 +35,18 @@
 // crash records the crash of a target that ran requests with these lists of parts, a second after the
 // crash before.
 func (p *partCrashes) crash(account string, requests ...string) {
+	p.crashAt("s v1", account, requests...)
+}
+
+// crashAt is crash for a target with other software.
+func (p *partCrashes) crashAt(software, account string, requests ...string) {
 	p.now = p.now.Add(time.Second)
 	p.targets++
 	var list []Crash
 	for _, parts := range requests {
 		for _, part := range identityOf(account, parts).Parts {
 			list = append(list, Crash{
-				Content: part.Digest, Part: part.ID, Account: account, Software: "s v1", ReportedAt: p.now,
+				Content: part.Digest, Part: part.ID, Account: account, Software: software, ReportedAt: p.now,
 				Incarnation: hookhall.Incarnation{ID: fmt.Sprint(p.targets)},
 			})
 		}
@@ -185,6 +190,58 @@
 	wantRefused(t, p, "account", []string{"a", "a x"}, false)
 }
 
+// TestServedPartBecomesFaulty guards against a served part that crashes targets from some time on and is never
+// refused, because each crash has another part that no target has served as well.
+func TestServedPartBecomesFaulty(t *testing.T) {
+	for name, c := range map[string]struct{ sharing, crashes int }{
+		"beside parts seen once":  {1, partLimits.MinServedCrashes},
+		"beside parts seen twice": {2, suspectedCrashes * partLimits.MinServedCrashes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &partCrashes{Parts: NewParts(partLimits), now: start}
+			p.crash("account", "a")
+			p.Served(identityOf("account", "a").Parts, "s v1")
+			for n := range c.crashes {
+				p.crash("account", fmt.Sprint("a x", n/c.sharing))
+			}
+			wantRefused(t, p, "account", []string{"a", "a z"}, true)
+		})
+	}
+}
+
+// TestPartAtVersions guards against refusing a part at a version for the crashes of another one, and against
+// counting a part that crashes targets of two versions for each alone.
+func TestPartAtVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		v1, v2         int // crashes
+		refused1, both bool
+	}{
+		"three crashes, two of one version":     {1, 2, false, false},
+		"four crashes, two of each":             {2, 2, false, false},
+		"three of one, none of the other":       {3, 0, true, false},
+		"three of one, one of the other":        {3, 1, true, false},
+		"five crashes, two of the second":       {3, 2, true, true},
+		"six crashes, only one of the second":   {5, 1, true, false},
+		"six crashes, three of each of the two": {3, 3, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &partCrashes{Parts: NewParts(partLimits), now: start}
+			for n := range max(c.v1, c.v2) {
+				if n < c.v1 {
+					p.crashAt("s v1", "account", "a")
+				}
+				if n < c.v2 {
+					p.crashAt("s v2", "account", "a")
+				}
+			}
+			status := p.Status(identityOf("account", "a"), p.now)
+			if got1, got2 := status.RefusedBy("s v1"), status.RefusedBy("s v2"); got1 != c.refused1 || got2 != c.both {
+				t.Errorf("refused by v1 %v, by v2 %v; want %v, %v", got1, got2, c.refused1, c.both)
+			}
+		})
+	}
+}
+
 // TestServedRefusalTime checks how long a part that was served is refused.
 func TestServedRefusalTime(t *testing.T) {
 	for further, want := range map[int]time.Duration{0: 5 * time.Second, 1: 10 * time.Second, 3: 40 * time.Second, 1000: maxServedRefusal} {
