bindings: a late write of a segment does not remove records

A write of a segment that gets no answer may still be done by the store seconds later. The next write of the same key, with more streams, could come first, and the late one then removed the streams added since; after a restart of all gateways they went on at the base version. A segment of which a write failed now gets another key, and its former number stays unused until the write's lease has ended.

--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -81,6 +82,8 @@
 	lease      hookhall.Lease
 	leasedAt   time.Time
 	segments   []*segment
+	// unanswered has the numbers of segments of which a write failed, by the time of the last failure.
+	unanswered map[int]time.Time
 }
 
 // batch has the bindings that are written together. Its result is set before done is closed.
@@ -291,13 +294,33 @@
 			return last
 		}
 	}
+	opened := &segment{number: s.freeNumber(now), record: segmentRecord{map[string][]byte{}}, openedAt: now}
+	s.segments = append(s.segments, opened)
+	return opened
+}
+
+// freeNumber returns a number that no segment has, and of which no write can be done any more.
+func (s *serviceJournal) freeNumber(now time.Time) int {
+	maps.DeleteFunc(s.unanswered, func(_ int, at time.Time) bool { return now.Sub(at) > recordTTL })
+	isUsed := func(number int) bool {
+		_, isUnanswered := s.unanswered[number]
+		return isUnanswered || slices.ContainsFunc(s.segments, func(g *segment) bool { return g.number == number })
+	}
 	number := 0
-	for slices.ContainsFunc(s.segments, func(g *segment) bool { return g.number == number }) {
+	for isUsed(number) {
 		number++
 	}
-	opened := &segment{number: number, record: segmentRecord{map[string][]byte{}}, openedAt: now}
-	s.segments = append(s.segments, opened)
-	return opened
+	return number
+}
+
+// renumber gives a segment another key after a write that failed: the store may do that write later, and it
+// would replace what has been written since.
+func (s *serviceJournal) renumber(g *segment, now time.Time) {
+	if s.unanswered == nil {
+		s.unanswered = map[int]time.Time{}
+	}
+	s.unanswered[g.number] = now
+	g.number = s.freeNumber(now)
 }
 
 // add adds a binding.
@@ -336,6 +359,7 @@
 			continue
 		}
 		if err != nil {
+			s.renumber(segment, now)
 			return err
 		}
 		segment.isStored = true
--- a/internal/coordination/bindings/store_test.go
+++ b/internal/coordination/bindings/store_test.go
@@ -28,6 +28,9 @@
 	lostLease uint64
 	writes    int
 	reads     int
+	// isLate is set while writes get no answer and are done later; late has them.
+	isLate bool
+	late   []func()
 }
 
 func newFakeStore() *fakeStore {
@@ -73,6 +76,16 @@
 	s.set(func() { s.items, s.era, s.count = items, s.era+1, 10 })
 }
 
+// doLate does the writes that got no answer.
+func (s *fakeStore) doLate() {
+	s.set(func() {
+		for _, write := range s.late {
+			write()
+		}
+		s.late = nil
+	})
+}
+
 func (s *fakeStore) Get(_ context.Context, key string) (hookhall.Item, hookhall.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,6 +132,9 @@
 		return hookhall.ErrUnavailable
 	case lease.Era < s.era || lease.Number <= s.lostLease:
 		return hookhall.ErrLeaseGone
+	case s.isLate:
+		s.late = append(s.late, func() { s.write(key, value) })
+		return hookhall.ErrUnavailable
 	}
 	s.write(key, value)
 	return nil
@@ -132,6 +148,13 @@
 		return 0, hookhall.ErrUnavailable
 	case s.items[key].Revision != previous:
 		return 0, hookhall.ErrConflict
+	case s.isLate:
+		s.late = append(s.late, func() {
+			if s.items[key].Revision == previous {
+				s.write(key, value)
+			}
+		})
+		return 0, hookhall.ErrUnavailable
 	}
 	return s.write(key, value), nil
 }
