--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -33,6 +33,9 @@
 	// it: a segment outlives its streams.
 	recordTTL   = 2*binding.MaxWindow + 10*time.Second
 	maxLeaseAge = binding.MaxWindow
+	// maxBaseAge is how long the base version is known without reading it again. Another owner may replace it
+	// once it has not been listed for binding.MaxWindow, and it may be listed again then.
+	maxBaseAge = binding.MaxWindow / 2
 	// restoreDelay is how long after a restore of the store from an older copy the records count as
 	// incomplete: all gateways record their streams again meanwhile.
 	restoreDelay = 3 * time.Second
@@ -76,6 +79,7 @@
 	lastWrite  time.Time
 	base       baseRecord
 	baseAt     hookhall.Revision // of the last change of the stored base version
+	baseReadAt time.Time         // when the stored base version was last read or written
 	hasBase    bool
 	era        uint64
 	restoredAt time.Time // when the era was seen to rise, or the base version to be of an earlier one
@@ -203,8 +207,8 @@
 
 // ensureBase reads the stored base version, or decides on one if there is none or its streams have ended.
 func (s *serviceJournal) ensureBase(ctx context.Context, list []binding.Binding, now time.Time) error {
-	if !s.hasBase {
-		if err := s.readBase(ctx); err != nil {
+	if !s.hasBase || now.Sub(s.baseReadAt) > maxBaseAge {
+		if err := s.readBase(ctx, now); err != nil {
 			return err
 		}
 	}
@@ -219,15 +223,17 @@
 	if err != nil || s.hasBase && next == s.base {
 		return err
 	}
-	return s.writeBase(ctx, next)
+	return s.writeBase(ctx, next, now)
 }
 
 // readBase reads the stored base version.
-func (s *serviceJournal) readBase(ctx context.Context) error {
+func (s *serviceJournal) readBase(ctx context.Context, now time.Time) error {
+	s.hasBase = false
 	item, _, err := s.Store.Get(ctx, servicePrefix(s.service)+baseKey)
 	if err != nil {
 		return err
 	}
+	s.baseReadAt = now
 	s.base, s.baseAt = baseRecord{}, item.Revision
 	if item.Revision == 0 {
 		return nil
@@ -258,7 +264,7 @@
 }
 
 // writeBase replaces the stored base version.
-func (s *serviceJournal) writeBase(ctx context.Context, next baseRecord) error {
+func (s *serviceJournal) writeBase(ctx context.Context, next baseRecord, now time.Time) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "base version")
@@ -266,13 +272,13 @@
 	s.hasBase = false
 	at, err := s.Store.Swap(ctx, servicePrefix(s.service)+baseKey, value, s.baseAt)
 	if errors.Is(err, hookhall.ErrConflict) {
-		return s.readBase(ctx) // another process has written it
+		return s.readBase(ctx, now) // another process has written it
 	}
 	if err != nil {
 		return err
 	}
 	s.Log.Info("base version of a service's streams", "service", s.service, "version", next.Version, "before", s.base.Version, "era", next.Era)
-	s.base, s.baseAt, s.hasBase = next, at, true
+	s.base, s.baseAt, s.baseReadAt, s.hasBase = next, at, now, true
 	return nil
 }
 
--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -4,10 +4,13 @@
 package bindings_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/hookhall/hookhall/internal/coordination/bindings"
+	"github.com/hookhall/hookhall/internal/state/binding"
+	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
 // TestLateWriteOfRecords guards against records that are lost because a write without an answer is done after
@@ -28,3 +31,30 @@
 		f.checkAll(t, "c", "v2", bindings.SourceStore)
 	})
 }
+
+// TestBaseChangedByAnotherOwner guards against streams that are not recorded because a former owner of the journal
+// remembers a base version that another owner has replaced since.
+func TestBaseChangedByAnotherOwner(t *testing.T) {
+	run(t, "the base version has come back", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		first := f.at(0).Owner("streams/"+service, nil, clock.Now())
+		f.gateway(first.Address).bind(t, "a", "v1")
+		time.Sleep(recordDelay)
+		f.listAll("v2")
+		for _, g := range f.gateways {
+			g.suspects = map[string]bool{first.Address: true}
+		}
+		time.Sleep(binding.MaxWindow + time.Second)
+		other := f.at(slices.IndexFunc(f.order, func(address string) bool { return address != first.Address }))
+		other.bind(t, "b", "v2")
+		time.Sleep(recordDelay)
+		for _, g := range f.gateways {
+			g.suspects = nil
+		}
+		f.listAll("v1", "v2")
+		other.bind(t, "c", "v1")
+		time.Sleep(recordDelay)
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "c", "v1", bindings.SourceBase, bindings.SourceStore)
+	})
+}
