bindings: a late write of the base version does not replace the one that is kept

A write that gets no answer may be done seconds later if its condition still holds. An owner that had tried to replace the base version, and then kept it because it was listed again, left the stored revision as it was, so that the late write replaced it: streams at the version that was kept had no record and went on at the other. The owner now writes the base version again in this case, which makes the late condition fail. The new case of TestLateWriteOfRecords failed before and passes now.

--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -81,11 +81,13 @@
 	baseAt     hookhall.Revision // of the last change of the stored base version
 	baseReadAt time.Time         // when the stored base version was last read or written
 	hasBase    bool
-	era        uint64
-	restoredAt time.Time // when the era was seen to rise, or the base version to be of an earlier one
-	lease      hookhall.Lease
-	leasedAt   time.Time
-	segments   []*segment
+	// isBaseUnanswered is set after a write of the base version that failed and may still be done.
+	isBaseUnanswered bool
+	era              uint64
+	restoredAt       time.Time // when the era was seen to rise, or the base version to be of an earlier one
+	lease            hookhall.Lease
+	leasedAt         time.Time
+	segments         []*segment
 	// unanswered has the numbers of segments of which a write failed, by the time of the last failure.
 	unanswered map[int]time.Time
 }
@@ -220,7 +222,8 @@
 		return nil
 	}
 	next, err := s.nextBase(list, now)
-	if err != nil || s.hasBase && next == s.base {
+	// After a write that may still be done, the same value is written again, so that its condition fails.
+	if err != nil || s.hasBase && next == s.base && !s.isBaseUnanswered {
 		return err
 	}
 	return s.writeBase(ctx, next, now)
@@ -271,6 +274,7 @@
 	}
 	s.hasBase = false
 	at, err := s.Store.Swap(ctx, servicePrefix(s.service)+baseKey, value, s.baseAt)
+	s.isBaseUnanswered = err != nil && !errors.Is(err, hookhall.ErrConflict)
 	if errors.Is(err, hookhall.ErrConflict) {
 		return s.readBase(ctx, now) // another process has written it
 	}
--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -30,6 +30,27 @@
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 		f.checkAll(t, "c", "v2", bindings.SourceStore)
 	})
+	run(t, "base version, which has come back", func(t *testing.T) {
+		f := newFleet(1, "v1")
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		f.listAll("v2")
+		time.Sleep(binding.MaxWindow + time.Second)
+		f.store.set(func() { f.store.isLate = true })
+		f.at(0).bind(t, "b", "v2")
+		time.Sleep(recordDelay)
+		f.listAll("v1", "v2")
+		f.store.set(func() { f.store.isLate = false })
+		time.Sleep(recordDelay)
+		f.at(0).bind(t, "c", "v1")
+		time.Sleep(recordDelay)
+		f.store.doLate()
+		f.at(0).bind(t, "d", "v1")
+		time.Sleep(recordDelay)
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "c", "v1", bindings.SourceBase, bindings.SourceStore)
+		f.checkAll(t, "d", "v1", bindings.SourceBase, bindings.SourceStore)
+	})
 }
 
 // TestBaseChangedByAnotherOwner guards against streams that are not recorded because a former owner of the journal
