bindings: a stream does not go on at another service of its route

A gateway that found no binding took the only version of the service that it had drawn, before it looked for the stream's record, which names the service that began it. Nothing is concluded from versions any more where a route leads to several services and the client names its stream. TestSoleVersionOfOtherService failed before (the other service, source sole) and passes now.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -367,6 +367,9 @@
 		i.seen.add(i.memories[0])
 	}
 	i.found.Versions, i.found.Reach = i.seen.Versions, i.seen.Reach
+	if len(q.Others) > 0 && !q.IsUnnamed {
+		return false // the stream may have begun at another service
+	}
 	if !isCurrent || len(i.memories[0].Versions) != 1 || len(i.seen.Versions) != 1 || i.seen.Reach < q.Window {
 		return false
 	}
--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -79,3 +79,26 @@
 		f.checkAll(t, "c", "v1", bindings.SourceBase, bindings.SourceStore)
 	})
 }
+
+// TestSoleVersionOfOtherService guards against a stream that goes on at another service of its route, because that
+// service has had only one version.
+func TestSoleVersionOfOtherService(t *testing.T) {
+	run(t, "all gateways that knew have ended", func(t *testing.T) {
+		f := newFleet(9, "v1")
+		for _, g := range f.gateways {
+			g.History.Observe("other", map[string]bool{"v1": true}, clock.Now())
+		}
+		time.Sleep(window)
+		bound := binding.Binding{Key: binding.KeyOf("", "a"), Service: service, Version: "v1", ExpiresAt: clock.Now().Add(ttl), IsExplicit: true}
+		f.at(0).Bind(t.Context(), bound, window)
+		time.Sleep(recordDelay)
+		for _, g := range f.holders("a", nil) {
+			g.isGone = true
+		}
+		at := f.order[slices.IndexFunc(f.order, func(address string) bool { return !f.gateway(address).isGone })]
+		found := f.gateway(at).Find(t.Context(), bindings.Query{Key: bound.Key, Service: "other", Others: []string{service}, Window: window})
+		if found.Service != service || found.Version != "v1" || found.Source != bindings.SourceStore {
+			t.Errorf("%+v, want %s from the store", found, service)
+		}
+	})
+}
