bindings: streams are recorded again after a restore in era 0

The recorder took era 0 for no era, so that the first restore of a store whose eras begin at 0 made no gateway record its streams again. The protocol only states that the era rises by one; the stand-ins begin at 1, which hid this. A process that receives the first answer records what it holds once more, which is little. TestFirstRestoreOfStore failed before (v1 from the base instead of v2) and passes now.

--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -4,7 +4,9 @@
 package bindings_test
 
 import (
+	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -102,3 +104,33 @@
 		}
 	})
 }
+
+// TestFirstRestoreOfStore guards against streams that are not recorded again when the store's era is 0 before the
+// restore, which is also the era before the first answer.
+func TestFirstRestoreOfStore(t *testing.T) {
+	run(t, "the owner of the journal has ended meanwhile", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		f.store.set(func() { f.store.era = 0 })
+		ctx, stop := context.WithCancel(t.Context())
+		for _, g := range f.gateways {
+			go g.Recorder.Run(ctx)
+		}
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		old := f.store.copyItems()
+		f.bindAt(t, "v2", "b")
+		time.Sleep(recordDelay)
+		f.store.restore(old)
+		owner := f.gateway(f.at(0).Owner("streams/"+service, nil, clock.Now()).Address)
+		owner.isGone = true
+		f.order = slices.DeleteFunc(f.order, func(address string) bool { return address == owner.address })
+		time.Sleep(time.Second)
+		for n := range 5 { // the base version is in force again after 3 s
+			f.bindAt(t, "v2", "c"+strconv.Itoa(n))
+			time.Sleep(recordDelay)
+		}
+		stop()
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "b", "v2", bindings.SourceStore)
+	})
+}
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -295,7 +295,7 @@
 	era := r.Journal.Era()
 	for retry.Sleep(ctx, restoreCheckInterval) {
 		now := r.Journal.Era()
-		if era != 0 && now != era {
+		if now != era { // 0 may be the first era, or that no answer was received
 			r.recordAll()
 		}
 		era = now
