bindings: records do not grow with each write that fails

A binding whose write failed was sent again and added to the segments again, once for each try: after 10 s without the store, one stream was recorded 14 times. Bindings that wait in a segment that is not stored are not added again. TestRepeatedRecords failed before and passes now.

--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -104,6 +104,7 @@
 type segment struct {
 	number    int
 	record    segmentRecord
+	keys      map[binding.Key]string // versions of all streams in record
 	count     int
 	openedAt  time.Time
 	expiresAt time.Time // when the last of its bindings does
@@ -291,12 +292,32 @@
 	s.segments = slices.DeleteFunc(s.segments, func(g *segment) bool { return !now.Before(g.expiresAt) })
 	for _, bound := range list {
 		isBase := s.hasBase && bound.Version == s.base.Version && !bound.IsExplicit
-		if !isBase && now.Before(bound.ExpiresAt) {
+		if !isBase && now.Before(bound.ExpiresAt) && !s.isWaiting(bound) {
 			s.openSegment(now).add(bound)
 		}
 	}
 }
 
+// isWaiting reports whether a binding is in a segment that is not stored: its write has failed, and it was sent
+// again. The segment is kept for as long as the binding.
+func (s *serviceJournal) isWaiting(bound binding.Binding) bool {
+	for _, g := range s.segments {
+		if version, ok := g.keys[bound.Key]; ok && !g.isStored && version == bound.Version {
+			g.expiresAt = latest(g.expiresAt, bound.ExpiresAt)
+			return true
+		}
+	}
+	return false
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // openSegment returns a segment that is not full.
 func (s *serviceJournal) openSegment(now time.Time) *segment {
 	if n := len(s.segments); n > 0 {
@@ -304,7 +325,7 @@
 			return last
 		}
 	}
-	opened := &segment{number: s.freeNumber(now), record: segmentRecord{map[string][]byte{}}, openedAt: now}
+	opened := &segment{number: s.freeNumber(now), record: segmentRecord{map[string][]byte{}}, keys: map[binding.Key]string{}, openedAt: now}
 	s.segments = append(s.segments, opened)
 	return opened
 }
@@ -338,9 +359,8 @@
 	g.record.Streams[bound.Version] = append(g.record.Streams[bound.Version], bound.Key[:]...)
 	g.count++
 	g.isStored = false
-	if bound.ExpiresAt.After(g.expiresAt) {
-		g.expiresAt = bound.ExpiresAt
-	}
+	g.keys[bound.Key] = bound.Version
+	g.expiresAt = latest(g.expiresAt, bound.ExpiresAt)
 }
 
 // writeSegments writes the segments that have changed. If their lease has ended, the store has lost
--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -134,3 +136,30 @@
 		f.checkAll(t, "b", "v2", bindings.SourceStore)
 	})
 }
+
+// TestRepeatedRecords guards against records that grow with each write that fails.
+func TestRepeatedRecords(t *testing.T) {
+	run(t, "the store is down", func(t *testing.T) {
+		f := newFleet(1, "v1", "v2")
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		f.store.set(func() { f.store.isDown = true })
+		f.at(0).bind(t, "b", "v2")
+		time.Sleep(10 * time.Second)
+		f.store.set(func() { f.store.isDown = false })
+		time.Sleep(2 * recordDelay)
+		keys := 0
+		for key, item := range f.store.copyItems() {
+			if strings.Contains(key, "/log/") {
+				var segment struct{ Streams map[string][]byte }
+				if err := json.Unmarshal(item.Value, &segment); err != nil {
+					t.Fatal(err)
+				}
+				keys += len(segment.Streams["v2"]) / len(binding.Key{})
+			}
+		}
+		if keys != 1 {
+			t.Errorf("one stream is recorded %d times", keys)
+		}
+	})
+}
