--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -163,3 +163,27 @@
 		}
 	})
 }
+
+// TestWritesWithoutOwner guards against a number of writes that grows with the number of gateways while the owner of
+// the journal does not answer.
+func TestWritesWithoutOwner(t *testing.T) {
+	run(t, "986", func(t *testing.T) {
+		const gateways, seconds = 986, 4
+		f := newFleet(gateways, "v1", "v2")
+		f.at(0).bind(t, "base", "v1")
+		time.Sleep(recordDelay)
+		owner := f.at(0).Owner("streams/"+service, nil, clock.Now())
+		f.gateway(owner.Address).isDead = true
+		f.store.set(func() { f.store.writes, f.store.reads = 0, 0 })
+		leases := f.store.lease
+		for n := range 100 * seconds {
+			f.at(n%gateways).bindAsync("s"+strconv.Itoa(n), "v2")
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(recordDelay)
+		writes, reads := f.store.calls()
+		if writes > 41*seconds || reads > 2 {
+			t.Errorf("%d writes, %d reads and %d leases in %d s", writes, reads, f.store.lease-leases, seconds)
+		}
+	})
+}
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -14,6 +14,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/retry"
 	"github.com/hookhall/hookhall/internal/state/binding"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -41,6 +42,9 @@
 	maxQueued = 1 << 14
 )
 
+// errNotThere is returned for an owner that does not answer a ping.
+var errNotThere = errors.New("the owner does not answer")
+
 // Recorder sends the bindings of this process to the owners of journals. The exported fields are set
 // before use; it is safe for concurrent use.
 type Recorder struct {
@@ -228,7 +232,7 @@
 }
 
 // call records bindings at the owner of a journal. An owner that has not answered lately is first checked to be
-// there, since it may have ended without a word; if it isn't, this process writes by itself.
+// there, since it may have ended without a word.
 func (r *Recorder) call(owner hookhall.Member, service string, list []*queued) (Base, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
@@ -236,9 +240,12 @@
 	for _, q := range list {
 		streams = append(streams, q.Binding)
 	}
-	if owner.Address == r.Fleet.Self().Address || !r.isThere(ctx, owner) {
+	if owner.Address == r.Fleet.Self().Address {
 		return r.Journal.Record(ctx, service, streams)
 	}
+	if !r.isThere(ctx, owner) {
+		return Base{}, errNotThere
+	}
 	return r.callRemote(ctx, owner, service, streams)
 }
 
