--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -187,3 +187,85 @@
 		}
 	})
 }
+
+// TestRestoredStoreWithoutBase guards against a conclusion from the lack of a base version that a restore of the
+// store has removed.
+func TestRestoredStoreWithoutBase(t *testing.T) {
+	run(t, "another version has taken the place of the stream's", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		empty := f.store.copyItems()
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		f.store.restore(empty)
+		f.restartAll("v2")
+		f.checkAll(t, "a", "", bindings.SourceUnknown)
+	})
+	run(t, "the owner of the journal has written nothing before", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		empty := f.store.copyItems()
+		first := f.at(0).Owner("streams/"+service, nil, clock.Now())
+		f.bindAt(t, "v1", "a")
+		time.Sleep(recordDelay)
+		f.store.restore(empty)
+		f.gateway(first.Address).isGone = true
+		f.at(slices.IndexFunc(f.order, func(address string) bool { return address != first.Address })).bind(t, "b", "v2")
+		f.restartAll("v1", "v2")
+		found := f.at(0).Find(t.Context(), bindings.Query{Key: binding.KeyOf("", "a"), Service: service, Window: window})
+		if found.Version == "v2" {
+			t.Errorf("%+v, want v1 or unknown", found)
+		}
+	})
+}
+
+// TestRecordsOfStoppedGateway guards against streams without a record because their gateway has stopped as planned
+// while the store was down.
+func TestRecordsOfStoppedGateway(t *testing.T) {
+	run(t, "the store is down meanwhile", func(t *testing.T) {
+		f := newFleet(5, "v1", "v2")
+		stopped := f.at(0)
+		toPeer := stopped.Recorder.Remote
+		stopped.Recorder.Remote = func(address string) bindings.Remote {
+			if stopped.isKilled.Load() {
+				return remote{stopped} // its process has ended
+			}
+			return toPeer(address)
+		}
+		f.bindAt(t, "v1", "a", "b", "c", "d", "e")
+		time.Sleep(recordDelay)
+		f.store.set(func() { f.store.isDown = true })
+		stopped.bind(t, "stream", "v2")
+		stopped.HandOver(t.Context())
+		stopped.isKilled.Store(true)
+		stopped.isGone = true
+		f.order = f.order[1:]
+		f.store.set(func() { f.store.isDown = false })
+		time.Sleep(5 * recordDelay)
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "stream", "v2", bindings.SourceStore)
+	})
+}
+
+// TestBaseAfterSuspension guards against streams that are not recorded because a gateway that was suspended has not
+// seen that the base version left the list and was replaced.
+func TestBaseAfterSuspension(t *testing.T) {
+	run(t, "the base version has come back", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		f.bindAt(t, "v1", "a", "b", "c", "d", "e")
+		time.Sleep(recordDelay)
+		owner := f.gateway(f.at(0).Owner("streams/"+service, nil, clock.Now()).Address)
+		suspended := f.at(slices.IndexFunc(f.order, func(address string) bool { return address != owner.address }))
+		for _, g := range f.gateways {
+			if g != suspended {
+				g.list("v2")
+			}
+		}
+		time.Sleep(binding.MaxWindow + time.Second)
+		owner.bind(t, "f", "v2")
+		time.Sleep(recordDelay)
+		f.listAll("v1", "v2")
+		suspended.bind(t, "g", "v1")
+		time.Sleep(recordDelay)
+		f.restartAll("v1", "v2")
+		f.checkAll(t, "g", "v1", bindings.SourceStore, bindings.SourceBase)
+	})
+}
