--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -32,6 +33,9 @@
 	// it: a segment outlives its streams.
 	recordTTL   = 2*binding.MaxWindow + 10*time.Second
 	maxLeaseAge = binding.MaxWindow
+	// maxBaseAge is how long the base version is known without reading it again. Another owner may replace it
+	// once it has not been listed for binding.MaxWindow, and it may be listed again then.
+	maxBaseAge = binding.MaxWindow / 2
 	// restoreDelay is how long after a restore of the store from an older copy the records count as
 	// incomplete: all gateways record their streams again meanwhile.
 	restoreDelay = 3 * time.Second
@@ -75,12 +79,17 @@
 	lastWrite  time.Time
 	base       baseRecord
 	baseAt     hookhall.Revision // of the last change of the stored base version
+	baseReadAt time.Time         // when the stored base version was last read or written
 	hasBase    bool
-	era        uint64
-	restoredAt time.Time // when the era was seen to rise, or the base version to be of an earlier one
-	lease      hookhall.Lease
-	leasedAt   time.Time
-	segments   []*segment
+	// isBaseUnanswered is set after a write of the base version that failed and may still be done.
+	isBaseUnanswered bool
+	era              uint64
+	restoredAt       time.Time // when the era was seen to rise, or the base version to be of an earlier one
+	lease            hookhall.Lease
+	leasedAt         time.Time
+	segments         []*segment
+	// unanswered has the numbers of segments of which a write failed, by the time of the last failure.
+	unanswered map[int]time.Time
 }
 
 // batch has the bindings that are written together. Its result is set before done is closed.
@@ -95,6 +104,7 @@
 type segment struct {
 	number    int
 	record    segmentRecord
+	keys      map[binding.Key]string // versions of all streams in record
 	count     int
 	openedAt  time.Time
 	expiresAt time.Time // when the last of its bindings does
@@ -200,8 +210,8 @@
 
 // ensureBase reads the stored base version, or decides on one if there is none or its streams have ended.
 func (s *serviceJournal) ensureBase(ctx context.Context, list []binding.Binding, now time.Time) error {
-	if !s.hasBase {
-		if err := s.readBase(ctx); err != nil {
+	if !s.hasBase || now.Sub(s.baseReadAt) > maxBaseAge {
+		if err := s.readBase(ctx, now); err != nil {
 			return err
 		}
 	}
@@ -213,18 +223,21 @@
 		return nil
 	}
 	next, err := s.nextBase(list, now)
-	if err != nil || s.hasBase && next == s.base {
+	// After a write that may still be done, the same value is written again, so that its condition fails.
+	if err != nil || s.hasBase && next == s.base && !s.isBaseUnanswered {
 		return err
 	}
-	return s.writeBase(ctx, next)
+	return s.writeBase(ctx, next, now)
 }
 
 // readBase reads the stored base version.
-func (s *serviceJournal) readBase(ctx context.Context) error {
+func (s *serviceJournal) readBase(ctx context.Context, now time.Time) error {
+	s.hasBase = false
 	item, _, err := s.Store.Get(ctx, servicePrefix(s.service)+baseKey)
 	if err != nil {
 		return err
 	}
+	s.baseReadAt = now
 	s.base, s.baseAt = baseRecord{}, item.Revision
 	if item.Revision == 0 {
 		return nil
@@ -255,21 +268,22 @@
 }
 
 // writeBase replaces the stored base version.
-func (s *serviceJournal) writeBase(ctx context.Context, next baseRecord) error {
+func (s *serviceJournal) writeBase(ctx context.Context, next baseRecord, now time.Time) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "base version")
 	}
 	s.hasBase = false
 	at, err := s.Store.Swap(ctx, servicePrefix(s.service)+baseKey, value, s.baseAt)
+	s.isBaseUnanswered = err != nil && !errors.Is(err, hookhall.ErrConflict)
 	if errors.Is(err, hookhall.ErrConflict) {
-		return s.readBase(ctx) // another process has written it
+		return s.readBase(ctx, now) // another process has written it
 	}
 	if err != nil {
 		return err
 	}
 	s.Log.Info("base version of a service's streams", "service", s.service, "version", next.Version, "before", s.base.Version, "era", next.Era)
-	s.base, s.baseAt, s.hasBase = next, at, true
+	s.base, s.baseAt, s.baseReadAt, s.hasBase = next, at, now, true
 	return nil
 }
 
@@ -278,12 +292,32 @@
 	s.segments = slices.DeleteFunc(s.segments, func(g *segment) bool { return !now.Before(g.expiresAt) })
 	for _, bound := range list {
 		isBase := s.hasBase && bound.Version == s.base.Version && !bound.IsExplicit
-		if !isBase && now.Before(bound.ExpiresAt) {
+		if !isBase && now.Before(bound.ExpiresAt) && !s.isWaiting(bound) {
 			s.openSegment(now).add(bound)
 		}
 	}
 }
 
+// isWaiting reports whether a binding is in a segment that is not stored: its write has failed, and it was sent
+// again. The segment is kept for as long as the binding.
+func (s *serviceJournal) isWaiting(bound binding.Binding) bool {
+	for _, g := range s.segments {
+		if version, ok := g.keys[bound.Key]; ok && !g.isStored && version == bound.Version {
+			g.expiresAt = latest(g.expiresAt, bound.ExpiresAt)
+			return true
+		}
+	}
+	return false
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // openSegment returns a segment that is not full.
 func (s *serviceJournal) openSegment(now time.Time) *segment {
 	if n := len(s.segments); n > 0 {
@@ -291,13 +325,33 @@
 			return last
 		}
 	}
+	opened := &segment{number: s.freeNumber(now), record: segmentRecord{map[string][]byte{}}, keys: map[binding.Key]string{}, openedAt: now}
+	s.segments = append(s.segments, opened)
+	return opened
+}
+
+// freeNumber returns a number that no segment has, and of which no write can be done any more.
+func (s *serviceJournal) freeNumber(now time.Time) int {
+	maps.DeleteFunc(s.unanswered, func(_ int, at time.Time) bool { return now.Sub(at) > recordTTL })
+	isUsed := func(number int) bool {
+		_, isUnanswered := s.unanswered[number]
+		return isUnanswered || slices.ContainsFunc(s.segments, func(g *segment) bool { return g.number == number })
+	}
 	number := 0
-	for slices.ContainsFunc(s.segments, func(g *segment) bool { return g.number == number }) {
+	for isUsed(number) {
 		number++
 	}
-	opened := &segment{number: number, record: segmentRecord{map[string][]byte{}}, openedAt: now}
-	s.segments = append(s.segments, opened)
-	return opened
+	return number
+}
+
+// renumber gives a segment another key after a write that failed: the store may do that write later, and it
+// would replace what has been written since.
+func (s *serviceJournal) renumber(g *segment, now time.Time) {
+	if s.unanswered == nil {
+		s.unanswered = map[int]time.Time{}
+	}
+	s.unanswered[g.number] = now
+	g.number = s.freeNumber(now)
 }
 
 // add adds a binding.
@@ -305,9 +359,8 @@
 	g.record.Streams[bound.Version] = append(g.record.Streams[bound.Version], bound.Key[:]...)
 	g.count++
 	g.isStored = false
-	if bound.ExpiresAt.After(g.expiresAt) {
-		g.expiresAt = bound.ExpiresAt
-	}
+	g.keys[bound.Key] = bound.Version
+	g.expiresAt = latest(g.expiresAt, bound.ExpiresAt)
 }
 
 // writeSegments writes the segments that have changed. If their lease has ended, the store has lost
@@ -336,6 +389,7 @@
 			continue
 		}
 		if err != nil {
+			s.renumber(segment, now)
 			return err
 		}
 		segment.isStored = true
