binding: a concluded version does not replace the one that is known

A take-up whose version was concluded, from histories or the lack of a record, is copied to other gateways like any binding, and the copy replaced a binding of another version that they held. The first version of a stream stays. Found in review; the new case of TestTable failed before.

--- a/internal/state/binding/binding.go
+++ b/internal/state/binding/binding.go
@@ -37,6 +37,8 @@
 	// IsExplicit is set if nothing about the stream can be concluded from the lack of a record: its
 	// route leads to several services.
 	IsExplicit bool
+	// IsUnrecorded is set in a handover if the gateway that began the stream could not record it.
+	IsUnrecorded bool
 }
 
 // Rank returns the members in the order in which they hold the copies of a binding, by rendezvous
@@ -67,8 +69,8 @@
 	order []Key
 }
 
-// Put adds a binding or replaces that of the same stream, of which the later expiry counts: an older copy may
-// arrive last. A full table drops the binding that was put first.
+// Put adds a binding, or extends that of the same stream: the later expiry counts, since an older copy may arrive
+// last, and the first service and version. A full table drops the binding that was put first.
 func (t *Table) Put(b Binding, now time.Time) {
 	if !now.Before(b.ExpiresAt) {
 		return
@@ -82,6 +84,9 @@
 	if ok && known.ExpiresAt.After(b.ExpiresAt) {
 		b.ExpiresAt = known.ExpiresAt
 	}
+	if ok && now.Before(known.ExpiresAt) {
+		b.Service, b.Version = known.Service, known.Version
+	}
 	if !ok || known != b {
 		t.order = append(t.order, b.Key)
 	}
--- a/internal/state/binding/binding_test.go
+++ b/internal/state/binding/binding_test.go
@@ -51,6 +51,12 @@
 		table.Put(bound("a", "v1", time.Second), start)
 		checkGet(t, &table, "a", "v1", start.Add(2*time.Second))
 	})
+	t.Run("a stream does not change its version", func(t *testing.T) {
+		var table binding.Table
+		table.Put(bound("a", "v1", time.Second), start)
+		table.Put(bound("a", "v2", time.Minute), start)
+		checkGet(t, &table, "a", "v1", start.Add(2*time.Second))
+	})
 	t.Run("expired bindings are dropped", func(t *testing.T) {
 		var table binding.Table
 		for i := range 100 {
