bindings: a gateway that stops hands over what it could not record

While the store was down, a stream began at another version than the base, and its gateway stopped as planned. Its holders had the binding, but nobody recorded it later; when all of them ended, the stream went on at the base version. A handover marks such bindings, and the gateways that receive them record them. Found in review; TestRecordsOfStoppedGateway failed before. A gateway that is killed meanwhile still takes its queue with it.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -285,6 +285,10 @@
 func (b *Bindings) Merge(list []binding.Binding) {
 	now := clock.Now()
 	for _, bound := range list {
+		if bound.IsUnrecorded {
+			bound.IsUnrecorded = false
+			b.Recorder.Record(bound, false)
+		}
 		b.Table.Put(bound, now)
 	}
 }
@@ -477,8 +481,9 @@
 func (b *Bindings) HandOver(ctx context.Context) {
 	now := clock.Now()
 	byAddress := map[string][]binding.Binding{}
-	all := b.Table.All(now)
+	all, unrecorded := b.Table.All(now), b.Recorder.unrecorded()
 	for _, bound := range all {
+		bound.IsUnrecorded = unrecorded[bound.Key]
 		peers := b.peers(bound.Key, b.Fleet.List(now))
 		for _, peer := range peers[:min(len(peers), Copies)] {
 			byAddress[peer.Address] = append(byAddress[peer.Address], bound)
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -159,6 +159,19 @@
 	return Base{}
 }
 
+// unrecorded returns the streams whose bindings are queued.
+func (r *Recorder) unrecorded() map[binding.Key]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := map[binding.Key]bool{}
+	for _, o := range r.byService {
+		for _, q := range o.queue {
+			keys[q.Key] = true
+		}
+	}
+	return keys
+}
+
 // IsFailing reports whether bindings of a service can't be recorded now.
 func (r *Recorder) IsFailing(service string) bool {
 	r.mu.Lock()
--- a/internal/transport/fleet/bindings.go
+++ b/internal/transport/fleet/bindings.go
@@ -122,7 +122,7 @@
 
 // wireBinding converts a binding for a message that is sent at now.
 func wireBinding(bound binding.Binding, now time.Time) *pb.StreamBinding {
-	return &pb.StreamBinding{Key: bound.Key[:], Service: bound.Service, Version: bound.Version, RemainingMs: bound.ExpiresAt.Sub(now).Milliseconds(), Explicit: bound.IsExplicit}
+	return &pb.StreamBinding{Key: bound.Key[:], Service: bound.Service, Version: bound.Version, RemainingMs: bound.ExpiresAt.Sub(now).Milliseconds(), Explicit: bound.IsExplicit, Unrecorded: bound.IsUnrecorded}
 }
 
 // readBinding converts a binding of a message that was received at now. It returns false for a key
@@ -130,7 +130,7 @@
 func readBinding(m *pb.StreamBinding, now time.Time) (binding.Binding, bool) {
 	key, ok := readKey(m.GetKey())
 	ttl := min(milliseconds(m.GetRemainingMs()), maxBindingTTL)
-	return binding.Binding{Key: key, Service: m.GetService(), Version: m.GetVersion(), ExpiresAt: now.Add(ttl), IsExplicit: m.GetExplicit()}, ok
+	return binding.Binding{Key: key, Service: m.GetService(), Version: m.GetVersion(), ExpiresAt: now.Add(ttl), IsExplicit: m.GetExplicit(), IsUnrecorded: m.GetUnrecorded()}, ok
 }
 
 // readKey converts the key of a stream, and returns false for a wrong length.
