bindings: nothing is concluded from the lack of a base version after a restore of the store

A store that was restored from a copy older than a service's first stream has no base version. Found in review; TestRestoredStoreWithoutBase failed before (2 cases). Its second case runs the gateways' checks for a restore now, as a process does: without them a gateway with no earlier stream can't know of it.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -404,7 +404,7 @@
 	switch {
 	case stored.hasBase && (!hasOther || !q.IsUnnamed && i.mayHaveLost(q.Window, stored.created)):
 		found.Version, found.Source = stored.base.Version, SourceBase
-	case !stored.exists && i.isComplete && len(i.memories[0].Versions) == 1 && len(found.Versions) == 1:
+	case !stored.exists && !stored.wasRestored && i.isComplete && len(i.memories[0].Versions) == 1 && len(found.Versions) == 1:
 		// No stream has begun before these gateways started.
 		found.Version, found.Source = found.Versions[0], SourceSole
 	}
--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -65,6 +65,11 @@
 
 	mu        sync.Mutex
 	byService map[string]*serviceJournal
+	// seenEra is the era at the last look at it, and restoredAt when it had risen. Before the first look,
+	// hasSeenEra is not set.
+	seenEra    uint64
+	hasSeenEra bool
+	restoredAt time.Time
 }
 
 // serviceJournal has the records of one service that this process has written.
@@ -80,7 +85,9 @@
 	base       baseRecord
 	baseAt     hookhall.Revision // of the last change of the stored base version
 	baseReadAt time.Time         // when the stored base version was last read or written
-	hasBase    bool
+	// wasBaseListed is whether it was listed then. One that is listed again may have been replaced meanwhile.
+	wasBaseListed bool
+	hasBase       bool
 	// isBaseUnanswered is set after a write of the base version that failed and may still be done.
 	isBaseUnanswered bool
 	era              uint64
@@ -123,8 +130,20 @@
 	}
 }
 
+// noteEra looks for a restore of the store from an older copy.
+func (j *Journal) noteEra(now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	era := j.Era()
+	if j.hasSeenEra && era > j.seenEra {
+		j.restoredAt = now
+	}
+	j.seenEra, j.hasSeenEra = era, true
+}
+
 // add adds bindings to the next batch of a service.
 func (j *Journal) add(service string, list []binding.Binding) *batch {
+	j.noteEra(clock.Now())
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.byService == nil {
@@ -132,7 +151,7 @@
 	}
 	s := j.byService[service]
 	if s == nil {
-		s = &serviceJournal{Journal: j, service: service, era: j.Era()}
+		s = &serviceJournal{Journal: j, service: service, era: j.seenEra, restoredAt: j.restoredAt}
 		j.byService[service] = s
 	}
 	if s.next == nil {
@@ -199,10 +218,7 @@
 	if era == s.era {
 		return
 	}
-	if s.era != 0 {
-		s.restoredAt = now
-	}
-	s.era, s.hasBase, s.lease = era, false, hookhall.Lease{}
+	s.era, s.restoredAt, s.hasBase, s.lease = era, now, false, hookhall.Lease{}
 	for _, segment := range s.segments {
 		segment.isStored = false
 	}
@@ -237,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	s.baseReadAt = now
+	s.baseReadAt, s.wasBaseListed = now, false
 	s.base, s.baseAt = baseRecord{}, item.Revision
 	if item.Revision == 0 {
 		return nil
@@ -246,10 +262,16 @@
 		s.Log.Error("could not decode the base version of a service", "service", s.service, "error", err.Error())
 		return nil // it is written anew
 	}
-	s.hasBase = true
+	s.hasBase, s.wasBaseListed = true, s.isListed(s.base.Version, now)
 	return nil
 }
 
+// isListed reports whether a version of the service is listed.
+func (s *serviceJournal) isListed(version string, now time.Time) bool {
+	listed, _ := s.History.Within(s.service, 0, now)
+	return slices.Contains(listed, version)
+}
+
 // nextBase returns the base version that is right now.
 func (s *serviceJournal) nextBase(list []binding.Binding, now time.Time) (baseRecord, error) {
 	next := baseRecord{Version: s.base.Version, Era: s.era}
@@ -283,7 +305,7 @@
 		return err
 	}
 	s.Log.Info("base version of a service's streams", "service", s.service, "version", next.Version, "before", s.base.Version, "era", next.Era)
-	s.base, s.baseAt, s.baseReadAt, s.hasBase = next, at, now, true
+	s.base, s.baseAt, s.baseReadAt, s.hasBase, s.wasBaseListed = next, at, now, true, s.isListed(next.Version, now)
 	return nil
 }
 
--- a/internal/coordination/bindings/late_test.go
+++ b/internal/coordination/bindings/late_test.go
@@ -204,6 +204,10 @@
 	})
 	run(t, "the owner of the journal has written nothing before", func(t *testing.T) {
 		f := newFleet(5, "v1", "v2")
+		ctx, stop := context.WithCancel(t.Context())
+		for _, g := range f.gateways {
+			go g.Recorder.Run(ctx)
+		}
 		empty := f.store.copyItems()
 		first := f.at(0).Owner("streams/"+service, nil, clock.Now())
 		f.bindAt(t, "v1", "a")
@@ -211,6 +215,7 @@
 		f.store.restore(empty)
 		f.setGone(f.gateway(first.Address), true)
 		f.at(slices.IndexFunc(f.order, func(address string) bool { return address != first.Address })).bind(t, "b", "v2")
+		stop()
 		f.restartAll("v1", "v2")
 		found := f.at(0).Find(t.Context(), bindings.Query{Key: binding.KeyOf("", "a"), Service: service, Window: window})
 		if found.Version == "v2" {
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -63,8 +63,9 @@
 // outbox has the bindings of one service that are not recorded yet. Recorder.mu guards it.
 type outbox struct {
 	base Base
-	// isCurrent is set while the base version has been listed ever since the owner has stated it.
+	// isCurrent is set while the base version has been listed ever since the owner has stated it, at statedAt.
 	isCurrent bool
+	statedAt  time.Time
 	queue     []*queued
 	isSending bool
 	urgent    chan struct{} // receives once a first event waits
@@ -83,6 +84,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q := &queued{bound, clock.Now(), make(chan struct{})}
+	r.Journal.noteEra(q.since)
 	o := r.outbox(bound.Service)
 	if o.isCurrent && o.base.Version == bound.Version && !bound.IsExplicit {
 		close(q.done)
@@ -301,7 +303,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o.queue = slices.DeleteFunc(o.queue, func(q *queued) bool { return recorded[q] })
-	o.base, o.isCurrent = base, base.IsKnown && r.isListed(list[0].Service, base.Version)
+	o.base, o.isCurrent, o.statedAt = base, base.IsKnown && r.isListed(list[0].Service, base.Version), clock.Now()
 }
 
 // isListed reports whether a version of a service is listed now.
@@ -315,6 +317,7 @@
 	era := r.Journal.Era()
 	for retry.Sleep(ctx, restoreCheckInterval) {
 		now := r.Journal.Era()
+		r.Journal.noteEra(clock.Now())
 		if now != era { // 0 may be the first era, or that no answer was received
 			r.recordAll()
 		}
--- a/internal/coordination/bindings/stored.go
+++ b/internal/coordination/bindings/stored.go
@@ -27,6 +27,8 @@
 	segmentKey = "log/"
 	// maxServiceName is the length in bytes from which on a service's name is replaced by its hash.
 	maxServiceName = 100
+	// firstEra is the last era of a store that was never restored; one without eras is in era 0.
+	firstEra = 1
 	// readTimeout bounds one reading of a service's keys.
 	readTimeout = time.Second
 )
@@ -60,6 +62,8 @@
 	// exists is set if a base version is stored, and hasBase if no restore of the store can have
 	// removed records since.
 	exists, hasBase bool
+	// wasRestored is set if the store has ever been restored from an older copy.
+	wasRestored bool
 	// created is the store's revision when a base version was first stored, 0 if it does not state it.
 	created  hookhall.Revision
 	versions map[binding.Key]string
@@ -67,7 +71,7 @@
 
 // parseStored decodes the keys of a service, as of a revision of the store.
 func parseStored(items []hookhall.Item, prefix string, at hookhall.Revision) (storedStreams, error) {
-	s := storedStreams{versions: map[binding.Key]string{}}
+	s := storedStreams{versions: map[binding.Key]string{}, wasRestored: at.Era() > firstEra}
 	for _, item := range items {
 		name, _ := strings.CutPrefix(item.Key, prefix)
 		switch {
