bindings: a base version is believed for 30 s, and only if it stayed listed

A gateway asks again after 30 s, half of the time after which the base may change, and an owner reads the base again once it is back on the list.

Bindings that no first event waits for are gathered for 50 ms instead of 250: streams that began so shortly before all gateways ended, at a version that had taken the base's place, were refused until their end.

--- a/internal/coordination/bindings/journal.go
+++ b/internal/coordination/bindings/journal.go
@@ -226,7 +226,7 @@
 
 // ensureBase reads the stored base version, or decides on one if there is none or its streams have ended.
 func (s *serviceJournal) ensureBase(ctx context.Context, list []binding.Binding, now time.Time) error {
-	if !s.hasBase || now.Sub(s.baseReadAt) > maxBaseAge {
+	if !s.hasBase || now.Sub(s.baseReadAt) > maxBaseAge || !s.wasBaseListed && s.isListed(s.base.Version, now) {
 		if err := s.readBase(ctx, now); err != nil {
 			return err
 		}
--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -21,7 +21,7 @@
 	// ownerKeyPrefix begins the key by which the owner of a service's journal is found.
 	ownerKeyPrefix = "streams/"
 	// gatherDelay is how long bindings are gathered that no first event waits for.
-	gatherDelay = 250 * time.Millisecond
+	gatherDelay = 50 * time.Millisecond
 	// recordTimeout bounds a call of the owner of a journal, which waits for the store.
 	recordTimeout = 1200 * time.Millisecond
 	// minRecordDelay and maxRecordDelay bound the delay before a failed call is made again.
@@ -86,7 +86,8 @@
 	q := &queued{bound, clock.Now(), make(chan struct{})}
 	r.Journal.noteEra(q.since)
 	o := r.outbox(bound.Service)
-	if o.isCurrent && o.base.Version == bound.Version && !bound.IsExplicit {
+	isCurrent := o.isCurrent && q.since.Sub(o.statedAt) < maxBaseAge
+	if isCurrent && o.base.Version == bound.Version && !bound.IsExplicit {
 		close(q.done)
 		return q.done
 	}
