--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -12,16 +12,24 @@
 // then further ones: their lists of members may differ, and holders may have died. It copies what it
 // finds to the gateways that should hold it now. A gateway that stops hands its copies over.
 //
-// If no gateway knows the binding, the version still follows if the service has had only one for as
-// long as the stream can be old, by the histories of this gateway and of those that it asked. If all of
-// them are younger than that, as after a restart of the whole fleet, they count as far as they reach.
-// Otherwise the version is not known, and the stream must not go on.
+// Gateways may all end at once, so the store has records, too: a base version for each service, and the streams
+// that began at others. The owner of a service's Journal writes them, and a Recorder sends it the bindings of its
+// process. A stream that is not recorded began at the base version. Nothing has to be written when a second
+// version appears, and nothing for a service of one version but its base.
+//
+// If no gateway knows the binding, the version follows from the histories of versions, if one of them covers the
+// time in which the stream can have begun and all have one version, and otherwise from the records. Else it
+// is not known, and the stream must not go on.
 //
 // # Invariants
 //
 //   - While several versions of a service are listed, Bind returns only when a copy exists at
 //     another gateway, or none can be reached in bindTimeout.
-//   - Find returns a version that a gateway recorded, or the only one that any gateway remembers.
+//   - While the base version is listed beside others, Bind returns for a stream at one of these only when its record is
+//     written, or can't be in bindTimeout.
+//   - The base version changes only once it has not been listed for as long as a stream can be taken up.
+//   - Find returns a version that a gateway or the store recorded, the base version, or the only one that any
+//     gateway remembers.
 package bindings
 
 import (
