--- a/internal/coordination/bindings/recorder.go
+++ b/internal/coordination/bindings/recorder.go
@@ -248,7 +248,7 @@
 }
 
 // call records bindings at the owner of a journal. An owner that has not answered lately is first checked to be
-// there, since it may have ended without a word.
+// there, since it may have ended without closing its connections.
 func (r *Recorder) call(owner hookhall.Member, service string, list []*queued) (Base, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
