front: a suspension before a request is no part of its time

The first request after a suspension of the instance got 504: its head's time was read before the suspension was noticed, so the whole of it counted against the deadline.

--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -94,6 +94,7 @@
 	info, invalid := h.dialect.Read(r.Header)
 	timeLimit := h.service.TimeLimit(r.Host, r.RequestURI, info.ClientTimeout)
 	lastWrite := connDeadline(timeLimit + answerMargin)
+	clock.DetectSuspension() // else one that ended before the request would count as time of it
 	headReadAt := clock.Now()
 	if failure := h.readBody(w, r, body, limit, timeLimit); failure != nil {
 		h.logRejected(r, failure)
