catalog, forward: begun streams go on at departing engines of their version

What callers saw: streams taken up just after all engines of their version had begun to leave were refused with 503, each time, while these engines served on for two seconds and longer and new streams began elsewhere.

Cause: a target that leaves got no requests from the moment at which a gateway learned of it, also none that can go nowhere else.

Not done: new requests of a service all of whose targets are leaving.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -223,6 +223,7 @@
 	g.storeGate = outage.NewGate(g.eras)
 	g.storeGate.Pace, g.storeGate.Meter, g.storeGate.Log = g.outagePace, g.metrics, g.logger(logging.Catalog)
 	g.catalog = catalog.New(g.storeGate, g.adapters.StoreSchema, g.logger(logging.Catalog))
+	g.catalog.DrainTime = time.Duration(config.Bounds.DrainMS) * time.Millisecond
 	g.members = members.New(self, g.storeGate, g.logger(logging.Members))
 	g.members.Roles, g.members.Meter = g.roles, g.metrics
 	g.clients = fleet.NewClients(g.logger(logging.Members))
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -43,6 +43,7 @@
 	GraceS        float64 `toml:"grace_s"`         // the same in s; takes precedence unless 0
 	ConfigMS      int     `toml:"config_ms"`       // ms from a change of the operators' table until it is in force at all gateways
 	NoticeMS      int     `toml:"notice_ms"`       // ms for which a stopping gateway still accepts work, at most a third of the grace
+	DrainMS       int     `toml:"drain_ms"`        // ms for which a target that leaves still gets streams that only it can continue, 0 for none
 	RetryRatio    float64 `toml:"retry_ratio"`     // maximum of retries, as a fraction of requests, 0 to 1
 	RetryWindowMS int     `toml:"retry_window_ms"` // ms of the window in which requests and retries are counted
 	RetryWindowS  float64 `toml:"retry_window_s"`  // the same in s; takes precedence unless 0
@@ -92,6 +93,7 @@
 	c.inRange("bounds.grace_ms", s.Bounds.GraceMS, 100, 600000)
 	c.seconds("bounds.grace_s", s.Bounds.GraceS)
 	c.inRange("bounds.notice_ms", s.Bounds.NoticeMS, 0, 600000)
+	c.inRange("bounds.drain_ms", s.Bounds.DrainMS, 0, 600000)
 	c.seconds("bounds.retry_window_s", s.Bounds.RetryWindowS)
 	c.inRange("bounds.retry_window_ms", s.Bounds.RetryWindowMS, 100, 600000)
 	c.share("bounds.retry_ratio", s.Bounds.RetryRatio)
--- a/internal/coordination/catalog/entry.go
+++ b/internal/coordination/catalog/entry.go
@@ -61,6 +61,9 @@
 	changedRevision hookhall.Revision
 	// isLeaving is set once the present incarnation has announced that it is leaving.
 	isLeaving bool
+	// departedAfter is a time at which the present incarnation was listed and not leaving, and after which it
+	// began to leave or its key was removed. It is zero if it has not, or if no such time is known.
+	departedAfter time.Time
 	// coldUntil is the end of the cold time that the target reported, counted from when this
 	// process received the report, which is later than when the target wrote it.
 	coldUntil time.Time
@@ -183,8 +186,15 @@
 		c.markDirty(e)
 		e.changedAt, e.sends = now, 0
 	}
+	wasListed := e.missingSince.IsZero()
 	e.missingSince, e.lapsesAt = time.Time{}, time.Time{}
+	if !e.isLeaving {
+		e.departedAfter = time.Time{}
+	}
 	if !e.isLeaving && (t.Leaving || c.hasDeparted(t.Incarnation(), now)) {
+		if wasListed {
+			c.recordDeparture(e)
+		}
 		e.isLeaving = true
 		c.markDirty(e)
 		c.logChange(now, "target leaving", "target", t.ID, "service", t.Pool, "from", from)
@@ -206,7 +216,7 @@
 // previous one does not apply, so a target that was leaving gets requests again. c.mu must be held.
 func (c *Catalog) startIncarnation(e *entry, t hookhall.Target, from string) {
 	c.log.Info("target restarted", "target", t.ID, "service", t.Pool, "born", t.Start, "before", e.target.Start, "left", e.isLeaving, "from", from)
-	e.isLeaving = false
+	e.isLeaving, e.departedAfter = false, time.Time{}
 	c.OnRestart(e.target, t)
 }
 
@@ -256,6 +266,7 @@
 			e.lapsesAt = now.Add(lapseTimeout)
 			c.lastLapseEnd = e.lapsesAt
 		}
+		c.recordDeparture(e)
 		c.unlist(e, revision, from, now)
 	}
 }
--- a/internal/coordination/catalog/leaving.go
+++ b/internal/coordination/catalog/leaving.go
@@ -32,6 +32,9 @@
 	if e.isLeaving {
 		return
 	}
+	if e.missingSince.IsZero() {
+		c.recordDeparture(e)
+	}
 	e.isLeaving = true
 	c.markDirty(e)
 	c.logChange(now, "target leaving", "target", incarnation.ID, "service", e.target.Pool, "from", from)
--- a/internal/coordination/forward/admission_test.go
+++ b/internal/coordination/forward/admission_test.go
@@ -65,10 +65,11 @@
 func (f fakeCatalog) AgedTable(time.Time) (*routetable.Table, time.Duration) {
 	return f.table, f.tableAge
 }
-func (fakeCatalog) Targets(string) []hookhall.Target        { return nil }
-func (fakeCatalog) TargetsAge(time.Time) time.Duration      { return 0 }
-func (fakeCatalog) TimeSinceAnswer(time.Time) time.Duration { return 0 }
-func (fakeCatalog) Evacuated(string) bool                   { return false }
+func (fakeCatalog) Targets(string) []hookhall.Target              { return nil }
+func (fakeCatalog) Departing(string, time.Time) []hookhall.Target { return nil }
+func (fakeCatalog) TargetsAge(time.Time) time.Duration            { return 0 }
+func (fakeCatalog) TimeSinceAnswer(time.Time) time.Duration       { return 0 }
+func (fakeCatalog) Evacuated(string) bool                         { return false }
 
 func (*fakeMeter) UnfinishedStream(hookhall.Framing)                         {}
 func (*fakeMeter) Forwarded(string, string, hookhall.Verdict, time.Duration) {}
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -109,7 +109,7 @@
 			return hookhall.Target{}, refusal
 		}
 		r.criteria.Versions = r.versions()
-		targets := r.Catalog.Targets(r.service)
+		targets := r.targets()
 		pauseLeft := r.exclude(targets)
 		limits, limited, brittle := r.Advisories.Reports(targets, clock.Now())
 		r.criteria.Limiter, r.criteria.Rooms = nil, nil
@@ -130,7 +130,7 @@
 				}
 				return hookhall.Target{}, r.noRoom(ctx)
 			}
-			targets = r.Catalog.Targets(r.service) // the list may have changed during the call
+			targets = r.targets() // the list may have changed during the call
 			pauseLeft = r.exclude(targets)
 		}
 		if ctx.Err() != nil {
--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	remaining := 0
-	for _, target := range r.Catalog.Targets(r.service) {
+	for _, target := range r.targets() {
 		if standing.RefusedBy(target.Software()) {
 			r.tried[target.ID] = true
 		} else {
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -64,6 +64,8 @@
 	AgedTable(now time.Time) (table *routetable.Table, age time.Duration)
 	// Targets returns the known targets of a service.
 	Targets(service string) []hookhall.Target
+	// Departing returns those that are leaving, and that still serve what can go nowhere else.
+	Departing(service string, now time.Time) []hookhall.Target
 	// TargetsAge returns the age of the list of targets.
 	TargetsAge(now time.Time) time.Duration
 	// TimeSinceAnswer returns the time since the store last answered this process.
--- a/internal/coordination/forward/ownpath_test.go
+++ b/internal/coordination/forward/ownpath_test.go
@@ -118,7 +118,8 @@
 	targets []hookhall.Target
 }
 
-func (c oneCatalog) Targets(string) []hookhall.Target { return c.targets }
+func (oneCatalog) Departing(string, time.Time) []hookhall.Target { return nil }
+func (c oneCatalog) Targets(string) []hookhall.Target            { return c.targets }
 
 // TestFailedTargetStaysExcluded guards against a request that is sent to a target again which may have
 // run it, because all others refused it.
--- a/internal/coordination/forward/took_test.go
+++ b/internal/coordination/forward/took_test.go
@@ -23,7 +23,8 @@
 
 func (oneEngine) Table() *routetable.Table { return nil }
 
-func (oneEngine) Targets(string) []hookhall.Target { return []hookhall.Target{{ID: "e", Pool: "s"}} }
+func (oneEngine) Departing(string, time.Time) []hookhall.Target { return nil }
+func (oneEngine) Targets(string) []hookhall.Target              { return []hookhall.Target{{ID: "e", Pool: "s"}} }
 
 func (oneEngine) Self() hookhall.Member { return hookhall.Member{Address: "self"} }
 
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -145,13 +145,23 @@
 	if !r.begun.isBound {
 		return nil
 	}
-	if r.Rollouts.MayGoOn(r.service, r.begun.version) && slices.ContainsFunc(r.Catalog.Targets(r.service), r.versions().Allow) {
+	if r.Rollouts.MayGoOn(r.service, r.begun.version) && slices.ContainsFunc(r.targets(), r.versions().Allow) {
 		return nil
 	}
 	failure := hookhall.Errorf(hookhall.NotRun, hookhall.CauseNoTarget, "no target of %s is left that runs %q, which began the stream", r.service, r.begun.version)
 	return failure.WithRetryAfter(missingVersionRetryAfter)
 }
 
+// targets returns the targets of the request's service. If none is left of the version that began its stream,
+// it includes departing ones, since the stream can go on nowhere else.
+func (r *request) targets() []hookhall.Target {
+	targets := r.Catalog.Targets(r.service)
+	if !r.begun.isBound || slices.ContainsFunc(targets, r.versions().Allow) {
+		return targets
+	}
+	return slices.Concat(targets, r.Catalog.Departing(r.service, clock.Now()))
+}
+
 // candidates returns those of a service's targets at which a begun stream may go on, or all.
 func (r *request) candidates(targets []hookhall.Target) []hookhall.Target {
 	if !r.begun.isBound {
@@ -163,7 +173,7 @@
 
 // isExhausted reports whether all targets were tried to which the request may be sent.
 func (r *request) isExhausted() bool {
-	candidates := r.candidates(r.Catalog.Targets(r.service))
+	candidates := r.candidates(r.targets())
 	if !r.begun.isBound {
 		return len(r.tried) >= len(candidates)
 	}
