forward, platform: a begun stream does not go on at an engine that was replaced

What callers saw: streams with events of two versions. An engine had started again under its id and at its address with other software, and its entry still named the version before.

Cause: an entry is believed that is older than the process at its address. The id is the same, and Expect-Version is about weights.

Why this works: born, the start of an engine, is part of its report. Before a begun stream goes on at an engine, the report is read on a new connection; an engine that states another start than its entry gets no such stream. One that states none counts as listed, as before. New streams and all other requests ask nothing.

--- a/cmd/hookhall-gateway/main.go
+++ b/cmd/hookhall-gateway/main.go
@@ -53,7 +53,7 @@
 	targets := &platform.TargetClient{Connections: pool}
 	g, err := gateway.New(s, gateway.Adapters{
 		Store: platform.NewStore(s.Store.Address), StoreSchema: platform.StoreKeys{}, RolloutSchema: platform.StoreKeys{}, Dialect: platform.Dialect{},
-		Sender: targets, StagePool: targets, Advisories: targets, Connections: pool,
+		Sender: targets, Identifier: targets, StagePool: targets, Advisories: targets, Connections: pool,
 	}, os.Stdout)
 	if err != nil {
 		cli.Fail(parser.Name, err, cli.ExitFailed)
--- a/forward.go
+++ b/forward.go
@@ -162,6 +162,13 @@
 	Send(ctx context.Context, c *Call, a Attempt) (*Reply, error)
 }
 
+// Identifier asks targets who they are.
+type Identifier interface {
+	// Start returns the start of the incarnation that runs at a target, as Target.Start is, and false if the
+	// target does not say.
+	Start(ctx context.Context, t Target) (start int64, ok bool)
+}
+
 // Piece is one item of a stage call.
 type Piece struct {
 	Call      string        // ID of the request
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -123,6 +123,7 @@
 	RolloutSchema hookhall.RolloutSchema
 	Dialect       hookhall.Dialect
 	Sender        hookhall.Sender
+	Identifier    hookhall.Identifier // nil if targets can't be asked who they are
 	StagePool     hookhall.StagePool
 	// Advisories reports the advisories in targets' answers; nil if the platform has
 	// none.
@@ -290,7 +291,7 @@
 			Local: g.placementOwner, Fleet: g.members,
 			Remote: func(address string) placement.Remote { return g.clients.Client(address) },
 		},
-		Quarantine: g.quarantine, Rollouts: g.rollouts, Catalog: g.catalog, Stages: g.runner, Sender: g.adapters.Sender, Tracker: g.tracker,
+		Quarantine: g.quarantine, Rollouts: g.rollouts, Catalog: g.catalog, Stages: g.runner, Sender: g.adapters.Sender, Identifier: g.adapters.Identifier, Tracker: g.tracker,
 		Advisories: g.advisories.Registry,
 		Budget: budget.New(budget.Limits{
 			Ratio: config.Bounds.RetryRatio, Slack: config.Bounds.RetrySlack,
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -91,8 +91,14 @@
 			return hookhall.Target{}, refusal
 		}
 		target, failure := r.pickTarget(ctx)
-		if failure != nil || !r.Quarantine.Standing(r.identity).RefusedBy(target.Software()) {
+		switch {
+		case failure != nil:
 			return target, failure
+		case r.Quarantine.Standing(r.identity).RefusedBy(target.Software()):
+		case r.isReplaced(ctx, target):
+			r.tried[target.ID] = true
+		default:
+			return target, nil
 		}
 		r.placed.Report(placement.Ended)
 	}
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -146,10 +146,12 @@
 
 // Forwarder answers requests. The exported fields are set before the first call of Serve.
 type Forwarder struct {
-	Catalog   Catalog
-	Stages    Stages
-	Sender    hookhall.Sender
-	Placement Placement
+	Catalog Catalog
+	Stages  Stages
+	Sender  hookhall.Sender
+	// Identifier is asked before a begun stream goes on at a target. It may be nil.
+	Identifier hookhall.Identifier
+	Placement  Placement
 	// Quarantine excludes targets that a request content would crash.
 	Quarantine Quarantine
 	Rollouts   Rollouts
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -33,6 +33,9 @@
 	// missingVersionRetryAfter is the delay after which a client should retry for whose stream no
 	// target of its version is left: a target takes at least about a second to start.
 	missingVersionRetryAfter = time.Second
+	// identifyTimeout bounds the question to a target who it is. One that doesn't answer counts as the one
+	// that is listed: most often it has ended, and the stream is not taken up there.
+	identifyTimeout = 150 * time.Millisecond
 )
 
 // begunAt is the software that began a stream. Further attempts may be sent nowhere else.
@@ -171,6 +174,22 @@
 	return slices.DeleteFunc(slices.Clone(targets), func(t hookhall.Target) bool { return !versions.Allow(t) })
 }
 
+// isReplaced reports whether another incarnation than the listed one runs at a target where the request's
+// stream would go on. It may be of another version.
+func (r *request) isReplaced(ctx context.Context, target hookhall.Target) bool {
+	if !r.begun.isBound || r.Identifier == nil || target.Start == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	start, ok := r.Identifier.Start(ctx, target)
+	if !ok || start == target.Start {
+		return false
+	}
+	r.Log.Info("target was replaced: its stream goes on elsewhere", "request", r.call.ID, "target", target.ID, "listed", target.Start, "found", start)
+	return true
+}
+
 // isExhausted reports whether all targets were tried to which the request may be sent.
 func (r *request) isExhausted() bool {
 	candidates := r.candidates(r.targets())
