callers, entry: no wait for a caller outlasts its request

What was seen: connections and half-read requests stayed for as long as their callers did, at the entry's own interface: a head, a body, also that of a refused request, and an answer that is not read had no bound.

Now a caller has ten seconds, and a run request until its account's deadline and five seconds; while it runs, reads have no bound, as they show that the caller has left.

Answers that are not read are bounded by the same times; no test plays that.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -65,6 +65,11 @@
 	// readyPollInterval is the time between checks of a condition that a starting or
 	// stopping entry waits for.
 	readyPollInterval = 50 * time.Millisecond
+	// callerTimeout bounds how long a caller may take to send a request and to read its answer, unless it is
+	// one for a pipeline, which has its own bounds.
+	callerTimeout = 10 * time.Second
+	// callerIdleTimeout bounds how long a caller's connection may be idle.
+	callerIdleTimeout = 75 * time.Second
 	// peerFallbackDelay is how long a starting entry waits for the key-value service
 	// before it asks its peers for the table.
 	peerFallbackDelay = 2 * time.Second
@@ -183,6 +188,7 @@
 // of 0 replace the framework's default ones, which would cut off streamed answers.
 func (e *Entry) newApp() *kratos.App {
 	httpServer := khttp.NewServer(khttp.Listener(e.callersListener), khttp.Timeout(0))
+	httpServer.ReadTimeout, httpServer.WriteTimeout, httpServer.IdleTimeout = callerTimeout, callerTimeout, callerIdleTimeout
 	handler := callers.New(callersService{e})
 	e.drain = front.NewDrain(http.HandlerFunc(handler.Run), func(w http.ResponseWriter, err *hookhall.Error) {
 		wire.WriteProblem(w, wire.NewProblem("", err))
--- a/internal/transport/callers/callers.go
+++ b/internal/transport/callers/callers.go
@@ -47,6 +47,10 @@
 // this one stops.
 const stopRetryDelay = 100 * time.Millisecond
 
+// answerMargin is how much longer than until the request's deadline its body may be read, and its answer
+// written.
+const answerMargin = 5 * time.Second
+
 // Service runs the requests that a Handler reads.
 type Service interface {
 	// Table returns the table currently applied.
@@ -72,14 +76,16 @@
 	now := clock.Now()
 	id := uuid.NewString()
 	w.Header().Set(wire.HeaderRequestID, id)
+	c := callerConn{http.NewResponseController(w)}
 	if !h.service.Ready() {
 		w.Header().Set("Connection", "close") // the next request goes through the load balancer
 	}
-	request, body, err := h.readRequest(r, id, now)
+	request, body, err := h.readRequest(r, c, id, now)
 	if err != nil {
 		wire.WriteProblem(w, wire.NewProblem(id, hookhall.AsError(err)))
 		return
 	}
+	c.boundAnswer(request.Deadline.Add(answerMargin))
 	if !body.Stream {
 		answer, err := h.service.Run(r.Context(), request, nil)
 		if err != nil {
@@ -96,7 +102,7 @@
 
 // readRequest reads and checks the request r that arrived at now. It makes every check
 // that needs no stage call.
-func (h *Handler) readRequest(r *http.Request, id string, now time.Time) (*hookhall.Request, *wire.RunRequest, error) {
+func (h *Handler) readRequest(r *http.Request, c callerConn, id string, now time.Time) (*hookhall.Request, *wire.RunRequest, error) {
 	if r.Method != http.MethodPost {
 		return nil, nil, hookhall.Errorf(hookhall.NotRun, hookhall.CauseBadRequest, "use POST")
 	}
@@ -112,6 +118,8 @@
 	if err := wire.CheckKey(key); err != nil {
 		return nil, nil, err
 	}
+	// The deadline of the request counts from its arrival, so that a body which takes longer is of no use.
+	c.bound(now.Add(account.Deadline + answerMargin))
 	body, err := wire.ReadRunRequest(r.Body)
 	if err != nil {
 		return nil, nil, err
