--- a/forward.go
+++ b/forward.go
@@ -162,7 +162,7 @@
 	Send(ctx context.Context, c *Call, a Attempt) (*Reply, error)
 }
 
-// Identifier asks targets who they are.
+// Identifier queries targets for their incarnation.
 type Identifier interface {
 	// Start returns the start of the incarnation that runs at a target, as Target.Start is, and false if the
 	// target does not say.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -123,7 +123,7 @@
 	RolloutSchema hookhall.RolloutSchema
 	Dialect       hookhall.Dialect
 	Sender        hookhall.Sender
-	Identifier    hookhall.Identifier // nil if targets can't be asked who they are
+	Identifier    hookhall.Identifier // nil if targets don't report their incarnation
 	StagePool     hookhall.StagePool
 	// Advisories reports the advisories in targets' answers; nil if the platform has
 	// none.
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -119,14 +119,13 @@
 	// incarnation. It must not block or call the catalog: c.mu is held. Set before Run.
 	OnRestart func(before, after hookhall.Target)
 
-	// DrainTime is for how long a target may get requests after it has begun to leave, or after its key was
-	// removed. Set before Run.
-	DrainTime time.Duration
-
 	// OnVersions is called with the versions of a service's listed targets, those that are leaving
 	// included, when they may have changed. It must not block or call the catalog: c.mu is held. Set
 	// before Run.
 	OnVersions func(service string, versions map[string]bool)
+	// DrainTime is for how long a target may get requests after it has begun to leave, or after its key was
+	// removed. Set before Run.
+	DrainTime time.Duration
 
 	// readJitter is the fraction of the random delay that this process waits at maxRank before it
 	// reads the store itself, in [0, 1).
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -149,7 +149,7 @@
 	Catalog Catalog
 	Stages  Stages
 	Sender  hookhall.Sender
-	// Identifier is asked before a begun stream goes on at a target. It may be nil.
+	// Identifier is queried before a begun stream goes on at a target. It may be nil.
 	Identifier hookhall.Identifier
 	Placement  Placement
 	// Quarantine excludes targets that a request content would crash.
--- a/internal/coordination/forward/versions.go
+++ b/internal/coordination/forward/versions.go
@@ -33,8 +33,8 @@
 	// missingVersionRetryAfter is the delay after which a client should retry for whose stream no
 	// target of its version is left: a target takes at least about a second to start.
 	missingVersionRetryAfter = time.Second
-	// identifyTimeout bounds the question to a target who it is. One that doesn't answer counts as the one
-	// that is listed: most often it has ended, and the stream is not taken up there.
+	// identifyTimeout bounds the query for the incarnation that runs at a target. Without an answer it counts as
+	// the listed one: most often the target has ended, so that the attempt fails as well.
 	identifyTimeout = 150 * time.Millisecond
 )
 
@@ -186,7 +186,7 @@
 	if !ok || start == target.Start {
 		return false
 	}
-	r.Log.Info("target was replaced: its stream goes on elsewhere", "request", r.call.ID, "target", target.ID, "listed", target.Start, "found", start)
+	r.Log.Info("a stream does not go on at a target that was replaced", "request", r.call.ID, "target", target.ID, "listed", target.Start, "found", start)
 	return true
 }
 
