forward, quarantine: crashes of one moment count once under a content that engines are writing

What callers saw: streams of a new content were refused for crashes after several engines had crashed at once, though others ran on with the same content.

Cause: a run that goes on was evidence after a second only, so that each of eight crashes of one moment counted against a content in its first second.

Change: a target that has written events for 150 ms has crashes within a second count once, as a complete answer does. The earlier crashes still count, so that a content that crashes its engines as they begin to write is refused as before. Ruled out before: a window for crashes of any new content, with which pieces that are sent again at once crashed more targets.

--- a/internal/coordination/forward/admission_test.go
+++ b/internal/coordination/forward/admission_test.go
@@ -83,6 +83,7 @@
 
 func (noCrashes) Standing(func() crashes.Identity) crashes.Status       { return crashes.Status{} }
 func (noCrashes) Suspect(crashes.Identity, hookhall.Target)             {}
+func (noCrashes) Running(crashes.Identity)                              {}
 func (noCrashes) Served(crashes.Identity, hookhall.Target)              {}
 func (noCrashes) EndedWithConnection(crashes.Identity, hookhall.Target) {}
 
--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -54,37 +54,65 @@
 	r.Quarantine.Served(served, r.target)
 }
 
-// recordSoundRun records that the target has run the request for soundRunTime without a crash. Long
-// answers would otherwise be evidence only at their end, and their crashes would add up until then.
-func (r *request) recordSoundRun() { r.Quarantine.Served(r.identity(), r.target) }
-
-// soundRunTime is how long a target writes events of an answer until it has shown that the request doesn't
-// crash it. The targets that crashed in the users' records did so about 100 ms after they had begun to
-// run the request.
-const soundRunTime = time.Second
-
-// soundRun finds out whether a target that has not completed its answer has run the request for long
-// enough to show that it doesn't crash there.
-type soundRun struct {
+// recordRun records that the target has run the request for some time without a crash. Long answers would
+// otherwise be evidence only at their end, and their crashes would add up until then.
+func (r *request) recordRun(e runEvidence) {
+	switch e {
+	case begunRun:
+		r.Quarantine.Running(r.identity())
+	case soundRun:
+		r.Quarantine.Served(r.identity(), r.target)
+	}
+}
+
+const (
+	// soundRunTime is how long a target writes events of an answer until it has shown that the request doesn't
+	// crash it. The targets that crashed in the users' records did so about 100 ms after they had begun to
+	// run the request.
+	soundRunTime = time.Second
+	// begunRunTime is how long it does so until crashes of several targets in one moment are no longer
+	// taken for crashes by the request: those would be spread as the beginnings of its runs are.
+	begunRunTime = 150 * time.Millisecond
+)
+
+// runEvidence is what the time for which a target has written events shows of the request.
+type runEvidence int
+
+const (
+	noEvidence runEvidence = iota
+	// begunRun is reached after begunRunTime, once for each attempt.
+	begunRun
+	// soundRun is reached after each soundRunTime.
+	soundRun
+)
+
+// runTimer measures for how long a target that has not completed its answer has run the request.
+type runTimer struct {
 	events int           // complete events so far
-	waited time.Duration // for bytes of the target, between events
+	waited time.Duration // for bytes of the target, between events, since the last soundRun
+	begun  bool
 }
 
 // add records that the target has written events complete events in all, the last of them after the
-// caller had waited for it. It reports whether the target has shown since the last such report that the
-// request doesn't crash it. Time in which the client or this process was slow doesn't count, as events that
-// the target wrote at once may be read during it.
-func (s *soundRun) add(events int, waited time.Duration) bool {
-	if s.events > 0 {
-		s.waited += waited
+// caller had waited for it. It returns what the target has shown by that and not before. Time in which the
+// client or this process was slow doesn't count, as events that the target wrote at once may be read
+// during it.
+func (t *runTimer) add(events int, waited time.Duration) runEvidence {
+	if t.events > 0 {
+		t.waited += waited
 	}
-	isNew := events > s.events
-	s.events = events
-	if !isNew || s.waited < soundRunTime {
-		return false
+	isNew := events > t.events
+	t.events = events
+	switch {
+	case !isNew:
+	case t.waited >= soundRunTime:
+		t.waited, t.begun = 0, true
+		return soundRun
+	case t.waited >= begunRunTime && !t.begun:
+		t.begun = true
+		return begunRun
 	}
-	s.waited = 0
-	return true
+	return noEvidence
 }
 
 // excludeCrashing excludes the targets that the request would crash, and returns an error if that
--- a/internal/coordination/forward/crashing_test.go
+++ b/internal/coordination/forward/crashing_test.go
@@ -47,9 +47,11 @@
 // countingQuarantine counts the reports that a target runs a request without a crash.
 type countingQuarantine struct {
 	noQuarantine
-	served int
+	running, served int
 }
 
+func (q *countingQuarantine) Running(crashes.Identity) { q.running++ }
+
 func (q *countingQuarantine) Served(crashes.Identity, hookhall.Target) { q.served++ }
 
 // slowBody is a body that waits before each chunk.
@@ -87,18 +89,19 @@
 	for name, c := range map[string]struct {
 		pause, clientPause time.Duration
 		chunks             []string
-		served             int
+		running, served    int
 	}{
-		"events for over a second":           {250 * time.Millisecond, 0, events(6), 1},
-		"events for over three seconds":      {250 * time.Millisecond, 0, events(14), 3},
-		"a late first event":                 {5 * time.Second, 0, events(1), 0},
-		"a late second event":                {2 * time.Second, 0, events(2), 1},
-		"events for less than a second":      {100 * time.Millisecond, 0, events(8), 0},
-		"a first event and comments":         {time.Second, 0, []string{event, comment, comment, comment}, 0},
-		"comments only":                      {time.Second, 0, slices.Repeat([]string{comment}, 5), 0},
-		"a slow client of events at once":    {0, time.Second, events(8), 0},
-		"events at once in one long chunk":   {time.Second, 0, []string{strings.Join(events(8), "")}, 0},
-		"an event, then comments and events": {400 * time.Millisecond, 0, []string{event, comment, comment, event}, 1},
+		"events for over a second":           {250 * time.Millisecond, 0, events(6), 1, 1},
+		"events for over three seconds":      {250 * time.Millisecond, 0, events(14), 1, 3},
+		"a late first event":                 {5 * time.Second, 0, events(1), 0, 0},
+		"a late second event":                {2 * time.Second, 0, events(2), 0, 1},
+		"events for less than a second":      {100 * time.Millisecond, 0, events(8), 1, 0},
+		"events for a tenth of a second":     {100 * time.Millisecond, 0, events(2), 0, 0},
+		"a first event and comments":         {time.Second, 0, []string{event, comment, comment, comment}, 0, 0},
+		"comments only":                      {time.Second, 0, slices.Repeat([]string{comment}, 5), 0, 0},
+		"a slow client of events at once":    {0, time.Second, events(8), 0, 0},
+		"events at once in one long chunk":   {time.Second, 0, []string{strings.Join(events(8), "")}, 0, 0},
+		"an event, then comments and events": {400 * time.Millisecond, 0, []string{event, comment, comment, event}, 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -114,8 +117,8 @@
 				if failure := (&stream{r: r, head: a.reply}).passEvents(t.Context(), a); failure != nil {
 					t.Fatal(failure)
 				}
-				if q.served != c.served {
-					t.Errorf("%d reports, want %d", q.served, c.served)
+				if q.running != c.running || q.served != c.served {
+					t.Errorf("%d reports of a run that has begun, and %d of a sound one, want %d and %d", q.running, q.served, c.running, c.served)
 				}
 			})
 		})
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -94,6 +94,8 @@
 	Standing(identity func() crashes.Identity) crashes.Status
 	// Suspect records that t broke off its answer to a request.
 	Suspect(i crashes.Identity, t hookhall.Target)
+	// Running records that a target is writing the answer to a request.
+	Running(i crashes.Identity)
 	// Served records that t answered a request completely, or has run it for long without a crash.
 	Served(i crashes.Identity, t hookhall.Target)
 	// EndedWithConnection records the same of an answer whose end was only marked by the end of
--- a/internal/coordination/forward/ownpath_test.go
+++ b/internal/coordination/forward/ownpath_test.go
@@ -40,6 +40,7 @@
 
 func (noQuarantine) Standing(func() crashes.Identity) crashes.Status       { return crashes.Status{} }
 func (noQuarantine) Suspect(crashes.Identity, hookhall.Target)             {}
+func (noQuarantine) Running(crashes.Identity)                              {}
 func (noQuarantine) Served(crashes.Identity, hookhall.Target)              {}
 func (noQuarantine) EndedWithConnection(crashes.Identity, hookhall.Target) {}
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -145,7 +145,7 @@
 	}()
 	resumedAfter, isChecked := s.lastEventID, false
 	passed := 0 // bytes of the stream
-	var run soundRun
+	var run runTimer
 	passedBefore := s.r.passedOn
 	lastRead := clock.Now()
 	for {
@@ -164,9 +164,7 @@
 		lastRead = clock.Now()
 		parser.Feed(buffer[len(buffer) : len(buffer)+n])
 		buffer = buffer[:len(buffer)+n]
-		if run.add(parser.Events(), lastRead.Sub(readFrom)) {
-			s.r.recordSoundRun()
-		}
+		s.r.recordRun(run.add(parser.Events(), lastRead.Sub(readFrom)))
 		if complete := parser.Complete() - passed; complete > 0 {
 			if first := parser.FirstID(); first != "" && !isChecked {
 				isChecked = true
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -141,6 +141,10 @@
 	return q.Ledger.Status(i.Content).Union(q.Parts.Status(i, clock.Now()))
 }
 
+// Running records that a target has written the answer to a request for longer than targets do that crash
+// under it. Crashes of one moment then count once against its content; the earlier ones still count.
+func (q *Quarantine) Running(i crashes.Identity) { q.recentlyServed.Add(i.Content, clock.Now()) }
+
 // Served records that t gave a complete answer to a request, or has run it for longer than one that crashes
 // targets. A content or part that a target has served is taken not to be the cause of its earlier crashes,
 // which are cleared.
