intake: a limit begins by several samples of a delay that lasts, is long, or comes with a surge

What callers saw: gateways that served all of their requests in time refused some for two seconds, and one alone in its hall sent its callers elsewhere for five.

Cause: a delay of 20 ms in one interval began a limit, by as little as one round trip and whatever arrived.

Change: one or two round trips begin none. Below 80 ms a limit begins only in a surge of arrivals, or once the delay has lasted for half a second.

Not built: a threshold by the time that requests have left.

--- a/internal/state/intake/delay.go
+++ b/internal/state/intake/delay.go
@@ -47,6 +47,14 @@
 // Total returns the larger of the two delays: round trips wait for the processor as well.
 func (d Delay) Total() time.Duration { return max(d.Trips, d.Timers) }
 
+// Shown returns the delay that several samples show. One or two round trips may be slow for other reasons.
+func (d Delay) Shown() time.Duration {
+	if d.Completed > 0 && d.Completed < minTrips {
+		return d.Timers
+	}
+	return d.Total()
+}
+
 // Trip is a round trip to a target or a peer that takes them no work, such as opening a
 // connection.
 type Trip struct {
--- a/internal/state/intake/doc.go
+++ b/internal/state/intake/doc.go
@@ -11,11 +11,12 @@
 // serve delays the answers that it needs for those it has, until none of them is served in time. A
 // DelayMeter measures that delay by what this process does anyway: opening connections, and
 // timers. A Limiter bounds the requests in progress by it, and says for how long connections may
-// be accepted. A Diversion decides whether the load balancer should send callers elsewhere.
+// be accepted. A limit begins with a long delay, or with a shorter one that lasts or comes with a
+// surge of arrivals. A Diversion decides whether the load balancer should send callers elsewhere.
 //
 // # Invariants
 //
 //   - What is slow at one target or peer is not taken for a delay of this process.
-//   - Without a delay nothing is limited.
+//   - Without a delay that several samples show, no limit begins.
 //   - Connections are accepted at least for a moment every half second.
 package intake
--- a/internal/state/intake/limiter.go
+++ b/internal/state/intake/limiter.go
@@ -14,6 +14,10 @@
 	// such as one with a quota of its processor, it is usualFactor times the usual delay.
 	maxDelay    = 20 * time.Millisecond
 	usualFactor = 2
+	// urgentDelay is the delay at which a limit begins at once. With a smaller one it begins in a surge of arrivals, or
+	// when the delay has lasted for standingTime: other short queues pass by themselves.
+	urgentDelay  = 80 * time.Millisecond
+	standingTime = 500 * time.Millisecond
 	// usualWeight is the weight of an interval in the average of the usual delay, and maxUsual the
 	// most that one counts: some seconds count.
 	usualWeight, maxUsual = 0.02, 50 * time.Millisecond
@@ -58,6 +62,8 @@
 	limit                float64       // 0 if there is none
 	usual                time.Duration // average delay while there was no limit
 	isDelayed            bool          // in the last interval
+	standing             time.Duration // for which it has been delayed without a limit
+	arrivals             arrivalRate
 	window               time.Duration // for which connections are accepted at once under a limit
 	closedAt             time.Time     // end of the last one
 	reachedAt            time.Time     // when a limit was last reached
@@ -121,6 +127,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expected++
+	l.arrivals.count++
 }
 
 // Forget takes back an Expect whose request has not come.
@@ -146,6 +153,7 @@
 		return false
 	}
 	l.inProgress++
+	l.arrivals.count++
 	return true
 }
 
@@ -154,6 +162,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inProgress++
+	l.arrivals.count++
 }
 
 // End counts the end of a request in progress.
@@ -180,11 +189,15 @@
 	defer l.mu.Unlock()
 	// With few requests in progress the cause is not what this process has taken in.
 	l.isDelayed = l.isLong(d.Total()) && l.inProgress >= minLimit
+	l.arrivals.advance(interval)
 	switch {
-	case l.limit == 0 && (!l.isDelayed || d.IsPartial):
-		l.usual += time.Duration(usualWeight * float64(min(d.Total(), maxUsual)-l.usual))
+	case l.limit == 0 && !l.isDue(d, interval):
+		if !l.isDelayed || d.IsPartial {
+			l.usual += time.Duration(usualWeight * float64(min(d.Total(), maxUsual)-l.usual))
+		}
 		return interval, None
 	case l.limit == 0:
+		l.standing = 0
 		l.limit, l.window = max(firstLimitShare*float64(l.inProgress), minLimit), firstWindow
 		l.reachedAt, l.decreasedAt, l.closedAt = now, now, now
 		change = Began
@@ -200,6 +213,21 @@
 	return l.nextWindow(d, interval, now), change
 }
 
+// isDue reports whether a limit begins after an interval: by the delay that several samples show.
+func (l *Limiter) isDue(d Delay, interval time.Duration) bool {
+	if d.IsPartial {
+		return false
+	}
+	shown := d.Shown()
+	if !l.isDelayed || !l.isLong(shown) {
+		l.standing = 0
+		return false
+	}
+	l.standing += interval
+	isUrgent := shown >= max(urgentDelay, usualFactor*l.usual)
+	return isUrgent || l.arrivals.isSurge() || l.standing >= standingTime
+}
+
 // isLong reports whether a delay is one of a process that has taken in too much.
 func (l *Limiter) isLong(d time.Duration) bool { return d >= max(maxDelay, usualFactor*l.usual) }
 
--- a/internal/state/intake/limiter_test.go
+++ b/internal/state/intake/limiter_test.go
@@ -110,6 +110,72 @@
 	})
 }
 
+// queued returns the Delay of an interval with a queue that is short of urgent.
+func queued(began time.Time) intake.Delay {
+	const queue = 30 * time.Millisecond
+	return intake.Delay{Trips: queue, Completed: 3, Latest: queue, LatestBegan: began}
+}
+
+// TestLimitBegins checks how soon a limit begins.
+func TestLimitBegins(t *testing.T) {
+	const requests = 100
+	begin := func(t *testing.T) *limiter {
+		l := newLimiter(t, requests)
+		l.adjust(200, clear)
+		return l
+	}
+	arrive := func(l *limiter, n int) {
+		for range n {
+			l.Expect()
+			l.BeginExpected()
+			l.End()
+		}
+	}
+	t.Run("a short queue that lasts", func(t *testing.T) {
+		l := begin(t)
+		l.adjust(9, queued)
+		l.expectLimit("after less than half a second", 0)
+		l.adjust(1, queued)
+		l.expectLimit("after half a second", requests/2)
+	})
+	t.Run("a short queue that comes and goes", func(t *testing.T) {
+		l := begin(t)
+		for range 10 {
+			l.adjust(9, queued)
+			l.adjust(1, clear)
+		}
+		l.expectLimit("with a pause each half second", 0)
+	})
+	t.Run("a short queue in a surge", func(t *testing.T) {
+		l := begin(t)
+		for range 100 {
+			arrive(l, 2)
+			l.adjust(1, clear)
+		}
+		arrive(l, 3)
+		l.adjust(1, queued)
+		l.expectLimit("a few more arrivals than usual", 0)
+		for range 3 {
+			arrive(l, 8)
+			l.adjust(1, queued)
+		}
+		l.expectLimit("four times as many as usual", requests/2)
+	})
+	t.Run("a surge without a queue", func(t *testing.T) {
+		l := begin(t)
+		arrive(l, 500)
+		l.adjust(1, clear)
+		l.expectLimit("a surge", 0)
+	})
+	t.Run("one long round trip", func(t *testing.T) {
+		l := begin(t)
+		l.adjust(20, func(began time.Time) intake.Delay {
+			return intake.Delay{Trips: time.Second, Completed: 1, Latest: time.Second, LatestBegan: began}
+		})
+		l.expectLimit("no more than two samples", 0)
+	})
+}
+
 // TestSlowProcess guards against a process whose timers are late anyway, such as one with a quota of its
 // processor, that refuses callers whom it can serve.
 func TestSlowProcess(t *testing.T) {
