intake: two timers that fire at once don't end the comparison of arrivals

An interval without a length made the rates of arrivals not a number, after which no surge would be seen. Found by reading; the test fails without the check.

--- a/internal/state/intake/arrivals.go
+++ b/internal/state/intake/arrivals.go
@@ -23,8 +23,11 @@
 	current, usual float64 // per second
 }
 
-// advance ends an interval.
+// advance ends an interval. One without a length is part of the next one.
 func (a *arrivalRate) advance(interval time.Duration) {
+	if interval <= 0 {
+		return
+	}
 	rate := float64(a.count) / interval.Seconds()
 	a.count = 0
 	a.current += (rate - a.current) * weight(interval, currentWindow)
--- a/internal/state/intake/limiter_test.go
+++ b/internal/state/intake/limiter_test.go
@@ -161,6 +161,16 @@
 		}
 		l.expectLimit("four times as many as usual", requests/2)
 	})
+	t.Run("a surge after an interval without a length", func(t *testing.T) {
+		l := begin(t)
+		arrive(l, 8)
+		l.Adjust(clear(l.now), 0, l.now)
+		for range 3 {
+			arrive(l, 8)
+			l.adjust(1, queued)
+		}
+		l.expectLimit("a surge", requests/2)
+	})
 	t.Run("a surge without a queue", func(t *testing.T) {
 		l := begin(t)
 		arrive(l, 500)
