rollouts: an owner that answers a report with an error is not suspected of silence

One failed report of a rollout, whatever the reason, made the gateway that owns the rollout suspected for all work, so that it lost its roles as broker and placement owner too. A gateway of an earlier version that doesn't know the report, a report that is refused, and the end of the reporting process itself counted so.

Now only an owner that doesn't answer, and only while the reporting process goes on.

Left: one report that is late by 0.3 s is taken for silence.

--- a/internal/coordination/rollouts/owner.go
+++ b/internal/coordination/rollouts/owner.go
@@ -73,12 +73,16 @@
 
 // sendReport sends a report to an owner and applies the phases in its reply.
 func (r *Rollouts) sendReport(ctx context.Context, owner string, report Report) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	reply, err := r.Remote(owner).Tally(ctx, report)
+	reply, err := r.Remote(owner).Tally(callCtx, report)
 	if err != nil {
-		r.Fleet.Suspect(owner, clock.Now())
-		r.Log.Warn("rollout owner did not answer", "owner", owner, "error", err.Error())
+		// A suspected process loses all its roles, so only silence that this process has not caused counts.
+		isSilent := ctx.Err() == nil && errors.Is(err, ErrNoAnswer)
+		if isSilent {
+			r.Fleet.Suspect(owner, clock.Now())
+		}
+		r.Log.Warn("report of rollouts failed", "owner", owner, "suspected", isSilent, "error", err.Error())
 		return
 	}
 	r.mu.Lock()
--- a/internal/coordination/rollouts/rollouts.go
+++ b/internal/coordination/rollouts/rollouts.go
@@ -17,6 +17,7 @@
 	"github.com/hookhall/hookhall/internal/state/balance"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/rollout"
+	"github.com/pkg/errors"
 )
 
 // Fleet finds the processes that own rollouts.
@@ -30,9 +31,13 @@
 	Suspect(address string, now time.Time)
 }
 
+// ErrNoAnswer is wrapped by errors of a Remote whose process has not answered.
+var ErrNoAnswer = errors.New("the process does not answer")
+
 // Remote sends reports to another process.
 type Remote interface {
-	// Tally sends a report to an owner and returns the progress of the reported rollouts.
+	// Tally sends a report to an owner and returns the progress of the reported rollouts. Its error wraps
+	// ErrNoAnswer unless the owner has answered with one.
 	Tally(ctx context.Context, r Report) ([]Progress, error)
 }
 
--- a/internal/transport/fleet/rollouts.go
+++ b/internal/transport/fleet/rollouts.go
@@ -11,6 +11,9 @@
 	"github.com/hookhall/hookhall/internal/coordination/rollouts"
 	pb "github.com/hookhall/hookhall/internal/protocol/fleetpb"
 	"github.com/hookhall/hookhall/internal/state/rollout"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // Rollouts stores the rollouts that operators ordered.
@@ -36,7 +39,7 @@
 // Tally implements rollouts.Remote.
 func (c *Client) Tally(ctx context.Context, r rollouts.Report) ([]rollouts.Progress, error) {
 	if c.err != nil {
-		return nil, c.err
+		return nil, errors.Wrap(rollouts.ErrNoAnswer, c.err.Error())
 	}
 	request := &pb.RolloutReport{Reporter: r.Reporter}
 	for _, t := range r.Tallies {
@@ -44,7 +47,11 @@
 	}
 	reply, err := c.rpc().Tally(ctx, request)
 	c.checkAfterTimeout(err)
-	if err != nil {
+	switch status.Code(err) {
+	case codes.OK:
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled: // closing a connection cancels its calls
+		return nil, errors.Wrap(rollouts.ErrNoAnswer, err.Error())
+	default:
 		return nil, err
 	}
 	return readRollouts(reply.GetOrders()), nil
