--- a/internal/coordination/forward/crashing.go
+++ b/internal/coordination/forward/crashing.go
@@ -70,8 +70,8 @@
 	// crash it. The targets that crashed in the users' records did so about 100 ms after they had begun to
 	// run the request.
 	soundRunTime = time.Second
-	// begunRunTime is how long it does so until crashes of several targets in one moment are no longer
-	// taken for crashes by the request: those would be spread as the beginnings of its runs are.
+	// begunRunTime is how long it does so until crashes of several targets in one moment count once: the
+	// request would have crashed each of them some 100 ms after its own run had begun.
 	begunRunTime = 150 * time.Millisecond
 )
 
@@ -90,7 +90,7 @@
 type runTimer struct {
 	events int           // complete events so far
 	waited time.Duration // for bytes of the target, between events, since the last soundRun
-	begun  bool
+	begun  bool          // begunRun was returned
 }
 
 // add records that the target has written events complete events in all, the last of them after the
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -141,8 +141,9 @@
 	return q.Ledger.Status(i.Content).Union(q.Parts.Status(i, clock.Now()))
 }
 
-// Running records that a target has written the answer to a request for longer than targets do that crash
-// under it. Crashes of one moment then count once against its content; the earlier ones still count.
+// Running records that a target has been writing the answer to a request for a while. From then on, crashes
+// of several targets in one moment count once against its content, as if it had been served. Unlike Served,
+// it clears no crashes.
 func (q *Quarantine) Running(i crashes.Identity) { q.recentlyServed.Add(i.Content, clock.Now()) }
 
 // Served records that t gave a complete answer to a request, or has run it for longer than one that crashes
--- a/internal/state/crashes/crash.go
+++ b/internal/state/crashes/crash.go
@@ -24,7 +24,8 @@
 	// Software is what the target ran: its service and version.
 	Software string
 	// RecentlyServed is set if any process had served the content shortly before it learned of
-	// the crash, which shows that not every target that runs it crashes.
+	// the crash, or a target had been writing its answer for a while, which shows that not every target
+	// that runs it crashes.
 	RecentlyServed bool
 	// Cleared is set once a target has given a complete response to the content, or to another
 	// request with the part.
--- a/internal/state/intake/delay.go
+++ b/internal/state/intake/delay.go
@@ -47,7 +47,8 @@
 // Total returns the larger of the two delays: round trips wait for the processor as well.
 func (d Delay) Total() time.Duration { return max(d.Trips, d.Timers) }
 
-// Shown returns the delay that several samples show. One or two round trips may be slow for other reasons.
+// Shown returns the delay that several samples show, 0 if there are too few. One or two round trips may be
+// slow for other reasons.
 func (d Delay) Shown() time.Duration {
 	if d.Completed > 0 && d.Completed < minTrips {
 		return d.Timers
--- a/internal/state/intake/limiter.go
+++ b/internal/state/intake/limiter.go
@@ -63,7 +63,7 @@
 	usual                time.Duration // average delay while there was no limit
 	isDelayed            bool          // in the last interval
 	standing             time.Duration // for which it has been delayed without a limit
-	arrivals             arrivalRate
+	arrivals             arrivalRate   // of requests, also expected ones
 	window               time.Duration // for which connections are accepted at once under a limit
 	closedAt             time.Time     // end of the last one
 	reachedAt            time.Time     // when a limit was last reached
