upstream, sockets: a break that only a write learns of ends no answer in order

What callers saw: a target answered a long upload early with a 200 without a length, sent a part of its body and reset the connection. The caller got the part as the whole answer.

Cause: Linux reports a break of a connection to one call. If the goroutine that writes the request takes the ECONNRESET, the next read returns 0 bytes, and the reader takes that for the end of the connection, which is the end of such an answer. A close with bytes unread, and an end with a reset after it, come out the same.

Evidence: TestAnswerBrokenOffDuringUpload failed before in all 9 cases that it then had (reset, close, reset after more was read; 0, 2 and 20 ms after the head). With only the check of the write's error by its kind, EPIPE apart, a close right after the head still passed as whole: its FIN came first.

Fix: the end of the connection ends an answer in order only if the request was written to its end. Sound answers go on: TestEarlyAnswers (with a length, chunks or neither, with CloseWrite, rest read at once or slowly) passed before and passes. Both with the race detector, 2 runs of 20 tries a case.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -187,6 +187,52 @@
 	return defaultIdleTimeout
 }
 
+// writeResult is the result of writing a request.
+type writeResult struct {
+	done chan struct{} // closed at the end
+	err  error
+}
+
+// finish sets the result.
+func (w *writeResult) finish(err error) {
+	w.err = err
+	close(w.done)
+}
+
+// wait waits until the request was written, or could not be, and returns the error.
+func (w *writeResult) wait() error {
+	<-w.done
+	return w.err
+}
+
+// succeeded reports, without waiting, whether the request was written completely.
+func (w *writeResult) succeeded() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// unframedBody is the body of an answer that ends with its connection. If the request can't be written to its
+// end, the connection broke, and the answer with it: the end may be that of the part that arrived before.
+type unframedBody struct {
+	io.Reader
+	written *writeResult
+}
+
+// Read implements io.Reader. At the end of the body it waits until the request was written.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		if failure := b.written.wait(); failure != nil {
+			return n, errors.Wrap(failure, "the connection ended before the request was written")
+		}
+	}
+	return n, err
+}
+
 // answerBody is the body of an answer. When it ends, finish keeps or closes the connection; one that
 // awaits proof does so when it is closed.
 type answerBody struct {
--- a/internal/transport/upstream/doc.go
+++ b/internal/transport/upstream/doc.go
@@ -15,6 +15,10 @@
 // end, no bytes follow it, and neither side asked to close. If only the body can show
 // whose the answer is, the caller has to confirm that as well.
 //
+// A target may answer before it has read the request. An answer that ends with its
+// connection is complete only if the target then takes the rest of the request, because a
+// connection that breaks may look as if it had ended in order.
+//
 // A target accepts a limited number of connections from all processes together and
 // resets others. So an idle connection is kept only while requests for kept
 // connections arrive, and within this process's share of the idle connections that the
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -82,9 +82,8 @@
 
 // NewPool returns a Pool without connections.
 func NewPool() *Pool {
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		return sockets.TargetDialer(dialTimeout).DialContext(ctx, "tcp", address)
-	}
+	open := sockets.DialFunc(sockets.TargetDialer(dialTimeout))
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return open(ctx, "tcp", address) }
 	return &Pool{Dial: dial, idleByAddress: map[string][]*conn{}, lastTakenByAddress: map[string]time.Time{}, lastResetByAddress: map[string]time.Time{}, awaiting: map[*conn]time.Time{}}
 }
 
@@ -379,12 +378,12 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, r Request) (*Response, error) {
 	c.bytesWritten.Store(0)
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	writeResult := make(chan error, 1)
+	written := &writeResult{done: make(chan struct{})}
 	parseRequest := &http.Request{Method: r.Method}
 	if len(r.Body) <= writeBufferSize {
-		writeResult <- writeRequest(c, &r)
+		written.finish(writeRequest(c, &r))
 	} else {
-		go func() { writeResult <- writeRequest(c, &r) }()
+		go func() { written.finish(writeRequest(c, &r)) }()
 	}
 	p.beginAwaiting(c, &r)
 	head, err := readHead(c, parseRequest, r.accepts())
@@ -392,7 +391,7 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
-		<-writeResult
+		_ = written.wait()
 		if errors.Is(err, errNoAnswer) && p.OnNoAnswer != nil {
 			p.OnNoAnswer()
 		}
@@ -408,9 +407,13 @@
 		p.Paths.Answered()
 	}
 	resp := &Response{Status: head.StatusCode, Header: head.Header, Framing: framingOf(head), Length: head.ContentLength, Relay: c.relay, conn: c}
-	resp.body = &answerBody{Reader: head.Body, awaitsProof: r.AwaitsProof, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
+	body := io.Reader(head.Body)
+	if resp.Framing == hookhall.FramedByConnection {
+		body = &unframedBody{Reader: body, written: written}
+	}
+	resp.body = &answerBody{Reader: body, awaitsProof: r.AwaitsProof, mark: func(err error) error { return p.markOwnPath(ctx, c, err) }, finish: func(complete bool) {
 		active := stop()
-		if c.relay != "" || !complete || !active || head.Close || !r.isNamed(head) || !requestWritten(writeResult) || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
+		if c.relay != "" || !complete || !active || head.Close || !r.isNamed(head) || !written.succeeded() || c.reader.Buffered() > 0 || resp.Framing == hookhall.FramedByConnection {
 			_ = c.Close()
 			return
 		}
@@ -451,16 +454,6 @@
 	return hookhall.FramedByConnection
 }
 
-// requestWritten reports, without waiting, whether the request was written completely.
-func requestWritten(writeResult chan error) bool {
-	select {
-	case err := <-writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // writeRequest writes the head with the given fields except framingFields, and the body
 // with its length.
 func writeRequest(c *conn, r *Request) error {
