--- a/internal/transport/fleet/relay_test.go
+++ b/internal/transport/fleet/relay_test.go
@@ -27,11 +27,11 @@
 type directRelayer struct{}
 
 func (directRelayer) Open(ctx context.Context, r hookhall.RelayRequest, _ string) (net.Conn, error) {
-	c, err := sockets.DialFunc(&net.Dialer{})(ctx, "tcp", r.Address)
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, &hookhall.RelayError{Failure: hookhall.RelayRefused, Detail: err.Error()}
 	}
-	return c, nil
+	return sockets.RememberBreak(c), nil
 }
 
 // startRelay starts a process that relays, and returns a client of it.
--- a/internal/transport/sockets/breaks.go
+++ b/internal/transport/sockets/breaks.go
@@ -4,7 +4,6 @@
 package sockets
 
 import (
-	"context"
 	"io"
 	"net"
 	"sync"
@@ -15,17 +14,6 @@
 // RememberBreak returns c with a Read that does not return io.EOF after a Write has failed.
 func RememberBreak(c net.Conn) net.Conn { return &breakConn{Conn: c} }
 
-// DialFunc returns a function that opens TCP connections with d, each with RememberBreak.
-func DialFunc(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return RememberBreak(c), nil
-	}
-}
-
 // breakConn is a connection that remembers the failure of a Write.
 type breakConn struct {
 	net.Conn // an interface: the ReadFrom of *net.TCPConn would bypass Write
