answers, upstream, httpclient: the head of an answer is judged once, for all readers

What callers saw: answers in whose head the name of a field holds a blank came with that line dropped. Where the name was that of the length or of the encoding, the body had the sizes of its chunks in it, or ended elsewhere. At the own interface, an answer of status 000 or 999, or with such a name, that said not-run was taken for the proof that a call had not run.

Cause: the library's parser accepts a name with blanks as another name, and any status of three digits. Only the status was judged, only by one reader.

Evidence, before: 10 of 30 cases of TestInvalidAnswers (upstream) were accepted, 6 of 8 of TestInvalidHeads (backend). The rest, among them status 000 on the platform's path and control bytes in names, were refused already; the tests stay.

Fix: package answers judges the status and the names of final and informational heads and of trailers. The pool of connections uses it, and httpclient for all other readers: the store, the own interface's targets, key-value service and list of instances, hookhallctl, the load generator. httpclient also bounds their heads to 64 KB, where the library's default was 10 MB (TestHeadWithoutEnd). Folded values, trailers, chunks beside a length and statuses to 599 are accepted as before (TestValidAnswers). All of these pass now.

--- a/cmd/hookhallctl/cmd/client.go
+++ b/cmd/hookhallctl/cmd/client.go
@@ -16,6 +16,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/app/settings"
 	"github.com/hookhall/hookhall/internal/coordination/tables"
+	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/hookhall/hookhall/internal/transport/operators"
 	"github.com/pkg/errors"
 )
@@ -34,6 +35,9 @@
 	maxAnswerBytes = 64 << 20
 )
 
+// transport makes all calls of the program.
+var transport = httpclient.NewDefaultTransport()
+
 // call sends one request with the operators' token to address, with body as
 // JSON if it is not nil, and decodes the answer into result. It returns the
 // status, or 0 if there was no complete answer. A status other than 200 is an
@@ -54,7 +58,7 @@
 		return 0, err
 	}
 	req.Header.Set("Authorization", "Bearer "+options.Token)
-	resp, err := (&http.Client{Timeout: timeoutOf(path)}).Do(req)
+	resp, err := (&http.Client{Transport: transport, Timeout: timeoutOf(path)}).Do(req)
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/hookhallctl/cmd/crashes.go
+++ b/cmd/hookhallctl/cmd/crashes.go
@@ -76,12 +76,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "crashes")
 	}
-	resp, err := (&http.Client{Timeout: crashesTimeout}).Do(req)
+	resp, err := (&http.Client{Transport: transport, Timeout: crashesTimeout}).Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "crashes")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = errors.New(strings.TrimSpace(string(body)))
 	}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
+	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/pkg/errors"
 )
 
@@ -59,7 +60,7 @@
 
 // NewClient returns a Client that reuses connections.
 func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}}}
+	return &Client{&http.Client{Transport: httpclient.NewTransport(&http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true})}}
 }
 
 // Close closes idle connections.
--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -31,6 +31,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
 	"github.com/hookhall/hookhall/internal/state/clock"
+	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/pkg/errors"
 )
 
@@ -56,12 +57,12 @@
 // New returns an HTTP with its own connection pool.
 func New() *HTTP {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTP{client: &http.Client{Transport: &http.Transport{
+	return &HTTP{client: &http.Client{Transport: httpclient.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerTarget,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}}
+	})}}
 }
 
 // Call implements hookhall.Backend. It sends the call once and never retries.
--- a/internal/transport/instances/instances.go
+++ b/internal/transport/instances/instances.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/pkg/errors"
 )
 
@@ -48,7 +49,7 @@
 
 // New returns a Client of the service at address, an IP address and port.
 func New(address string) *Client {
-	return &Client{url: "http://" + address + Path, client: &http.Client{Timeout: callTimeout}}
+	return &Client{url: "http://" + address + Path, client: &http.Client{Transport: httpclient.NewDefaultTransport(), Timeout: callTimeout}}
 }
 
 // List implements hookhall.InstanceList. The returned slice is shared and must not be
--- a/internal/transport/keyvalue/keyvalue.go
+++ b/internal/transport/keyvalue/keyvalue.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 )
@@ -64,7 +65,7 @@
 // New returns a Client of the service at address, an IP address and port.
 func New(address string) *Client {
 	return &Client{
-		baseURL: "http://" + address + "/v1/kv/", client: &http.Client{},
+		baseURL: "http://" + address + "/v1/kv/", client: &http.Client{Transport: httpclient.NewDefaultTransport()},
 		limiter: rate.NewLimiter(maxCallsPerSecond, maxCallBurst),
 	}
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hookhall/hookhall/internal/protocol/answers"
 	"github.com/pkg/errors"
 )
 
@@ -77,6 +78,11 @@
 // errNoAnswer means that a target sent bytes that can't be an answer.
 var errNoAnswer = errors.New("the target sent bytes that are no answer")
 
+// isNoAnswer reports whether an error means that.
+func isNoAnswer(err error) bool {
+	return errors.Is(err, errNoAnswer) || errors.Is(err, answers.ErrInvalid)
+}
+
 // headLimit bounds the bytes read for the heads of the answers to one request.
 type headLimit struct {
 	io.Reader
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/protocol/answers"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/transport/sockets"
 	"github.com/pkg/errors"
@@ -393,7 +394,7 @@
 		stop()
 		_ = c.Close()
 		_ = written.wait()
-		if errors.Is(err, errNoAnswer) && p.OnNoAnswer != nil {
+		if isNoAnswer(err) && p.OnNoAnswer != nil {
 			p.OnNoAnswer()
 		}
 		if c.idleSince.IsZero() && c.relay == "" && errors.Is(err, syscall.ECONNRESET) {
@@ -487,10 +488,11 @@
 		if err != nil {
 			return nil, err
 		}
-		switch {
-		case resp.StatusCode < 100 || resp.StatusCode > 599:
-			return nil, errors.Wrapf(errNoAnswer, "its status is %d", resp.StatusCode)
-		case resp.StatusCode < 200:
+		if err := answers.CheckHead(resp.StatusCode, resp.Header); err != nil {
+			return nil, err
+		}
+		resp.Body = answers.NewBody(resp)
+		if resp.StatusCode < http.StatusOK {
 			informational++
 			continue
 		}
