httpclient: an answer is not whole that ends before the request was written

What callers would see: the same as in the package upstream, for the readers of other answers. A store that answers a write early with a 200 without a length and resets the connection counts as having acknowledged it; answers whose body is checked by its content were safe.

Cause: the same. net/http takes a read of 0 bytes for the end of the answer, whatever became of the write.

Evidence: before, TestUpload accepted the part in its cases of a reset, at once and after 2 ms, and of a close.

--- a/internal/transport/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -7,10 +7,13 @@
 // # Invariants
 //
 //   - A head that is not valid (package answers), or longer than MaxHeadBytes, is an error.
-//   - A body whose trailer is not valid does not end with io.EOF.
+//   - A body ends with io.EOF only if it arrived whole: not if its trailer is not valid, and not
+//     if it ends with its connection before the request was written (package upstream).
 package httpclient
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -24,9 +27,21 @@
 // Transport is an http.RoundTripper that rejects answers which are not valid.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport over base, whose limit of heads it changes.
+// NewTransport returns a Transport over base, whose limit of heads and way of dialing it changes. base must not
+// be used by itself afterwards.
 func NewTransport(base *http.Transport) *Transport {
 	base.MaxResponseHeaderBytes = MaxHeadBytes
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newRequestConn(c), nil
+	}
 	return &Transport{base}
 }
 
@@ -37,7 +52,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), newTrace())))
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), newTrace(r))))
 	if err != nil {
 		return nil, err
 	}
@@ -49,11 +64,27 @@
 	return resp, nil
 }
 
-// newTrace returns the trace of a request.
-func newTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
+// newTrace returns the trace of a request. The writing of one without a body is not followed: net/http may
+// write it again on another connection before the first attempt ends.
+func newTrace(r *http.Request) *httptrace.ClientTrace {
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, h textproto.MIMEHeader) error {
 		return answers.CheckHead(status, http.Header(h))
 	}}
+	if r.Body == nil || r.Body == http.NoBody {
+		return trace
+	}
+	var conn *requestConn // of the last attempt
+	trace.GotConn = func(info httptrace.GotConnInfo) {
+		if conn, _ = info.Conn.(*requestConn); conn != nil {
+			conn.beginRequest()
+		}
+	}
+	trace.WroteRequest = func(info httptrace.WroteRequestInfo) {
+		if conn != nil {
+			conn.endRequest(info.Err)
+		}
+	}
+	return trace
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
--- a/internal/transport/httpclient/httpclient_test.go
+++ b/internal/transport/httpclient/httpclient_test.go
@@ -99,6 +99,38 @@
 	}
 }
 
+// TestUpload checks which answers are accepted that come before the request was read.
+func TestUpload(t *testing.T) {
+	const size, tries = 6 << 20, 20
+	for name, c := range map[string]struct {
+		answer string
+		end    func(c *net.TCPConn, r *http.Request)
+		check  func(t *testing.T, body string, err error)
+	}{
+		"end, and the rest is read": {wholeBody, func(c *net.TCPConn, r *http.Request) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		}, expectWhole},
+		"reset":                   {"the who", func(c *net.TCPConn, _ *http.Request) { _ = c.SetLinger(0) }, expectError},
+		"close with bytes unread": {"the who", func(*net.TCPConn, *http.Request) {}, expectError},
+		"reset a moment later": {"the who", func(c *net.TCPConn, _ *http.Request) {
+			time.Sleep(2 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}, expectError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := startServer(t, func(conn *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+c.answer)
+				c.end(conn, r)
+			})
+			for range tries {
+				body, err := call(t, url, size)
+				c.check(t, body, err)
+			}
+		})
+	}
+}
+
 // TestHeadWithoutEnd guards against heads that are read until the end of the call: they fill the memory of this
 // process.
 func TestHeadWithoutEnd(t *testing.T) {
