backend, entry: the answers in progress of an entry share a memory budget

What callers would see: an engine at the own interface sends an answer without an end. The entry keeps up to 16 MiB of each, in a decoder's buffer, as text and as output, for as many calls as are in progress; it runs out of memory and its end takes all requests with it.

Cause: each answer had a bound, their sum had none.

Fix: what is read of an answer beyond 32 KB is reserved in a budget, five times since its decoding needs as much, of a quarter of the new setting entry.memory_mb (256, as for a gateway). An answer without room is given up as may-have-run. Small answers need no reservation, so that sound ones are read meanwhile. The heads were bounded to 64 KB by httpclient.

--- a/cmd/hookhall-entry/main.go
+++ b/cmd/hookhall-entry/main.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/hookhall/hookhall/internal/app/cli"
 	"github.com/hookhall/hookhall/internal/app/entry"
@@ -26,6 +27,10 @@
   hookhall-entry --config entry.toml
   hookhall-entry --config entry.toml --check-config`
 
+// memoryLimitShare is the Go runtime's soft memory limit, as a fraction of the memory that the
+// process may use. Near the limit the garbage collector runs more often.
+const memoryLimitShare = 0.7
+
 func main() {
 	var options struct {
 		cli.Common
@@ -46,6 +51,7 @@
 		fmt.Println("settings are fine")
 		return
 	}
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Entry.MemoryMB) * (1 << 20)))
 	e, err := entry.New(s, os.Stderr)
 	if err != nil {
 		cli.Fail(parser.Name, err, cli.ExitFailed)
--- a/contract_backend_test.go
+++ b/contract_backend_test.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/standin"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/transport/backend"
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
@@ -20,7 +21,7 @@
 
 // backends are the implementations that TestBackendContract runs against, by name.
 var backends = map[string]func() hookhall.Backend{
-	"HTTP": func() hookhall.Backend { return backend.New() },
+	"HTTP": func() hookhall.Backend { return backend.New(buffer.NewBudget(1 << 20)) },
 }
 
 // stageCall returns a call with an idempotency key that may run only once.
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -47,6 +47,7 @@
 	"github.com/hookhall/hookhall/internal/coordination/targets"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
 	"github.com/hookhall/hookhall/internal/state/admission"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/claim"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/state/routing"
@@ -76,6 +77,9 @@
 	// poolsTimeout bounds how long a starting entry waits until all pools of the table
 	// have targets; then it becomes ready without them.
 	poolsTimeout = 5 * time.Second
+	// answersShare is the fraction of the memory that the process may use for the answers of targets in
+	// progress.
+	answersShare = 0.25
 	// peerCleanupInterval is the time between closings of connections to former
 	// members.
 	peerCleanupInterval = 30 * time.Second
@@ -162,7 +166,7 @@
 	})
 	e.claims = claims.New(e.store, e.fleet, e.clients, e.logger(logging.Claims))
 	e.limits = limits.New(e.fleet, e.tables, e.clients)
-	backends := backend.New()
+	backends := backend.New(buffer.NewBudget(int64(answersShare * float64(config.Entry.MemoryMB) * (1 << 20))))
 	e.targets = targets.New(e.fleet, e.tables, backends, targetPolicy(config.Policy), e.logger(logging.Targets))
 	e.runner = pipeline.New(pipeline.Dependencies{
 		Tables: e.tables, Targets: e.targets, Claims: e.claims, Limits: e.limits, Backend: backends, Meter: e.metrics,
--- a/internal/app/settings/gateway.go
+++ b/internal/app/settings/gateway.go
@@ -66,7 +66,7 @@
 // set.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Gateway:  GatewaySection{Cores: 1, LinkMbps: 1000, MemoryMB: 256},
+		Gateway:  GatewaySection{Cores: 1, LinkMbps: 1000, MemoryMB: defaultMemoryMB},
 		Bounds:   BoundsSection{ConfigMS: 5000, GraceMS: 8000, NoticeMS: 2600, RetryRatio: 0.1, RetryWindowMS: 10000, RetrySlack: 10, ColdOver: 1, ExposeShare: 0.1},
 		Overload: OverloadSection{Admission: "off"},
 		Log:      LogSection{Level: "info"},
@@ -87,7 +87,7 @@
 	c.address("gateway.metrics", s.Gateway.Metrics)
 	c.positive("gateway.cores", s.Gateway.Cores)
 	c.positive("gateway.link_mbps", s.Gateway.LinkMbps)
-	c.inRange("gateway.memory_mb", s.Gateway.MemoryMB, 32, 1<<20)
+	c.inRange("gateway.memory_mb", s.Gateway.MemoryMB, minMemoryMB, maxMemoryMB)
 	c.address("store.address", s.Store.Address)
 	c.inRange("bounds.config_ms", s.Bounds.ConfigMS, 100, 600000)
 	c.inRange("bounds.grace_ms", s.Bounds.GraceMS, 100, 600000)
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -49,6 +49,7 @@
 	Peers         string `toml:"peers"`          // IP:port that peers use
 	Advertise     string `toml:"advertise"`      // IP:port at which peers reach Peers if it differs; "" if not
 	OperatorToken string `toml:"operator_token"` // bearer token for state dumps and metrics, 8 characters or more
+	MemoryMB      int    `toml:"memory_mb"`      // memory that the process may use, in MiB
 }
 
 // PlatformSection has the addresses of the platform's services.
@@ -106,10 +107,18 @@
 // MaxAccept is the largest value of admin.accept_ms.
 const MaxAccept = time.Minute
 
+// defaultMemoryMB, minMemoryMB and maxMemoryMB are of the settings of memory, in MiB.
+const (
+	defaultMemoryMB = 256
+	minMemoryMB     = 32
+	maxMemoryMB     = 1 << 20
+)
+
 // DefaultEntry returns the defaults of all keys that have one; the other keys must be
 // set.
 func DefaultEntry() Entry {
 	return Entry{
+		Entry:  EntrySection{MemoryMB: defaultMemoryMB},
 		Fleet:  defaultFleet(),
 		Stop:   StopSection{NoticeMS: 2000, GraceMS: 30000},
 		Log:    LogSection{Level: "info"},
@@ -141,6 +150,7 @@
 		c.address("entry.advertise", s.Entry.Advertise)
 	}
 	c.secret("entry.operator_token", s.Entry.OperatorToken)
+	c.inRange("entry.memory_mb", s.Entry.MemoryMB, minMemoryMB, maxMemoryMB)
 	c.platform(s.Platform)
 	c.fleet(s.Fleet)
 	c.inRange("stop.notice_ms", s.Stop.NoticeMS, 0, 60000)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -174,7 +174,7 @@
 func (l *Lab) startEntry(i int) error {
 	entrySettings := settings.DefaultEntry()
 	entrySettings.Entry = settings.EntrySection{
-		Instance: fmt.Sprintf("entry-%d", i+1), Hall: hallName(i), Callers: loopbackAddress, Peers: loopbackAddress, OperatorToken: operatorToken,
+		Instance: fmt.Sprintf("entry-%d", i+1), Hall: hallName(i), Callers: loopbackAddress, Peers: loopbackAddress, OperatorToken: operatorToken, MemoryMB: entrySettings.Entry.MemoryMB,
 	}
 	entrySettings.Platform = settings.PlatformSection{KeyValue: l.keyValueAddress, Instances: l.listAddress}
 	entrySettings.Fleet.Secret = fleetSecret
--- a/internal/transport/backend/backend.go
+++ b/internal/transport/backend/backend.go
@@ -15,8 +15,12 @@
 // of 400 or more, the echoed headers of the call and the header
 // Hookhall-Not-Run: true.
 // Ran: the complete answer was received and its headers match the call.
-// Any other outcome (lost connection, truncated answer, answer to another call)
-// is MayHaveRun.
+// Any other outcome (lost connection, truncated answer, answer to another call, answer
+// for which no memory is left) is MayHaveRun.
+//
+// # Invariants
+//
+//   - The answers in progress take no more memory than their budget, and some for each.
 package backend
 
 import (
@@ -30,6 +34,7 @@
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/state/clock"
 	"github.com/hookhall/hookhall/internal/transport/httpclient"
 	"github.com/pkg/errors"
@@ -44,20 +49,20 @@
 	// maxIdlePerTarget bounds the idle connections to one target; connections
 	// beyond it are closed after their call.
 	maxIdlePerTarget = 64
-	// maxAnswerBytes bounds the answer of a target, JSON framing included. A
-	// longer answer counts as truncated.
-	maxAnswerBytes = 16 << 20
 	// maxDetailBytes bounds the part of a target's error text that is quoted.
 	maxDetailBytes = 200
 )
 
 // HTTP is a hookhall.Backend that calls targets over HTTP/1.1.
-type HTTP struct{ client *http.Client }
+type HTTP struct {
+	client  *http.Client
+	answers *buffer.Budget
+}
 
-// New returns an HTTP with its own connection pool.
-func New() *HTTP {
+// New returns an HTTP with its own connection pool. answers is the memory for the answers in progress.
+func New(answers *buffer.Budget) *HTTP {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTP{client: &http.Client{Transport: httpclient.NewTransport(&http.Transport{
+	return &HTTP{answers: answers, client: &http.Client{Transport: httpclient.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerTarget,
 		IdleConnTimeout:     idleConnTimeout,
@@ -84,7 +89,9 @@
 	if err := wire.CheckEcho(resp.Header, req.Header); err != nil {
 		return hookhall.StageResult{}, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseMisdirected, "target %s: %v", t.ID, err)
 	}
-	return readAnswer(resp.Body, emit)
+	body := newAnswerReader(resp.Body, b.answers)
+	defer body.release()
+	return readAnswer(body, emit)
 }
 
 // newRequest returns the HTTP request of a call.
@@ -133,11 +140,11 @@
 // each to emit.
 func readAnswer(body io.Reader, emit func([]byte) error) (hookhall.StageResult, error) {
 	var result hookhall.StageResult
-	decoder := json.NewDecoder(io.LimitReader(body, maxAnswerBytes))
+	decoder := json.NewDecoder(body)
 	for {
 		var line wire.TargetLine
 		if err := decoder.Decode(&line); err != nil {
-			return result, hookhall.Errorf(hookhall.MayHaveRun, hookhall.CauseTruncated, "the answer broke off after %d bytes: %v", len(result.Output), err)
+			return result, readError(err, len(result.Output))
 		}
 		if line.Text != "" {
 			result.Output = append(result.Output, line.Text...)
@@ -152,6 +159,15 @@
 	}
 }
 
+// readError returns the error of an answer that can't be read to its end, after a number of bytes of its output.
+func readError(err error, output int) error {
+	cause := hookhall.CauseTruncated
+	if errors.Is(err, buffer.ErrNoRoom) {
+		cause = hookhall.CauseOverload
+	}
+	return hookhall.Errorf(hookhall.MayHaveRun, cause, "the answer broke off after %d bytes: %v", output, err)
+}
+
 // checkResult compares the output with the length and checksum of the end line, and
 // returns the result with the measurements of the target filled in.
 func checkResult(result hookhall.StageResult, end *wire.TargetEnd) (hookhall.StageResult, error) {
--- a/internal/transport/backend/invalidheads_test.go
+++ b/internal/transport/backend/invalidheads_test.go
@@ -14,6 +14,7 @@
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
 	"github.com/hookhall/hookhall/internal/standin"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/transport/backend"
 )
 
@@ -52,7 +53,7 @@
 		"not run, blank in name": replace("200 x\r\n", "503 x\r\nX Bad: 1\r\n"+wire.HeaderNotRun+": true\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := backend.New().Call(t.Context(), startRewriting(t, rewrite), call("some tag"), func([]byte) error { return nil })
+			_, err := backend.New(buffer.NewBudget(1<<20)).Call(t.Context(), startRewriting(t, rewrite), call("some tag"), func([]byte) error { return nil })
 			if err == nil || hookhall.AsError(err).Verdict != hookhall.MayHaveRun {
 				t.Errorf("error %v", err)
 			}
@@ -60,7 +61,7 @@
 	}
 	t.Run("valid", func(t *testing.T) {
 		unchanged := func(answer string) string { return answer }
-		if _, err := backend.New().Call(t.Context(), startRewriting(t, unchanged), call("some tag"), func([]byte) error { return nil }); err != nil {
+		if _, err := backend.New(buffer.NewBudget(1<<20)).Call(t.Context(), startRewriting(t, unchanged), call("some tag"), func([]byte) error { return nil }); err != nil {
 			t.Error(err)
 		}
 	})
--- a/internal/transport/backend/midway_test.go
+++ b/internal/transport/backend/midway_test.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/standin"
+	"github.com/hookhall/hookhall/internal/state/buffer"
 	"github.com/hookhall/hookhall/internal/transport/backend"
 )
 
@@ -71,7 +72,7 @@
 			defer s.Close()
 			target := hookhall.Target{ID: "e", Address: strings.TrimPrefix(s.URL, "http://"), Streams: true}
 			for ; p.sent < p.length; p.sent++ {
-				_, err := backend.New().Call(context.Background(), target, call("some tag"), func([]byte) error { return nil })
+				_, err := backend.New(buffer.NewBudget(1<<20)).Call(context.Background(), target, call("some tag"), func([]byte) error { return nil })
 				// The end line has the checksum of all others: only the framing may be missing behind it.
 				if err == nil && p.sent < p.endLine || err != nil && hookhall.AsError(err).Verdict != hookhall.MayHaveRun {
 					t.Errorf("after %d of %d bytes: error %v", p.sent, p.length, err)
