front: a stop refuses requests whose body is still coming and that it can't finish

Cause: the stop decides about a request when its head was read. The body may come until the time limit of the request, which has nothing to do with the grace.

Fix: when the gateway begins to refuse, it refuses the requests whose body is not whole, too, as not run and with Retry-After, unless their time limit ends before the stop does. What it takes then ends in time in any case.

--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,22 +27,26 @@
 // whose request has just been read but is not yet counted as active: the request runs
 // and its client gets no answer. A Drain closes no connection. It asks clients to close
 // their connections after the next answer, then refuses the requests that still arrive
-// on kept connections, so that no request starts that the process could not finish. The
-// caller stops its Listener from accepting.
+// on kept connections, so that no request starts that the process could not finish. That
+// holds for those whose body is still being read, too, unless their time limit ends before
+// the stop does. The caller stops its Listener from accepting.
 type Drain struct {
 	next               http.Handler
+	refused            context.Context // done when new requests are refused
+	beginRefusing      context.CancelFunc
+	end                time.Time       // of the stop, zero if there is none; set before refused is done
 	aborted            context.Context // done when the requests in progress must be answered at once
 	cancelAbort        context.CancelFunc
 	refuse             func(w http.ResponseWriter, e *hookhall.Error) // writes a refusal
 	inFlight           atomic.Int64
 	keepAlivesDisabled atomic.Bool // answers carry Connection: close
-	refusing           atomic.Bool // new requests are refused
 }
 
 // NewDrain returns a Drain that passes requests to next. refuse writes the answer to a
 // refused request.
 func NewDrain(next http.Handler, refuse func(w http.ResponseWriter, e *hookhall.Error)) *Drain {
 	d := &Drain{next: next, refuse: refuse}
+	d.refused, d.beginRefusing = context.WithCancel(context.Background())
 	d.aborted, d.cancelAbort = context.WithCancel(context.Background())
 	return d
 }
@@ -56,9 +61,9 @@
 	if d.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	// The request is counted before refusing is read: if refusing is set and no
-	// request is in flight, no further request can be passed on.
-	if d.refusing.Load() {
+	// The request is counted before refused is read: if that is done and no request is
+	// in flight, no further request can be passed on.
+	if d.refused.Err() != nil {
 		boundBodyRest(w)
 		d.refuse(w, hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops").WithRetryAfter(stopRetryDelay))
 		return
@@ -67,7 +72,46 @@
 	defer cancel(nil)
 	stop := context.AfterFunc(d.aborted, func() { cancel(hookhall.ErrStopping) })
 	defer stop()
-	d.next.ServeHTTP(w, r.WithContext(ctx))
+	d.next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, drainKey{}, d)))
+}
+
+// drainKey is the key of the *Drain in the context of a request.
+type drainKey struct{}
+
+// unservable watches whether a request whose body is being read can still be served.
+type unservable struct {
+	mu                 sync.Mutex
+	isDone, isReported bool
+	stop               func() bool
+}
+
+// watchUnservable calls f in a goroutine once a request whose time limit ends at limit must not be passed on
+// any more: the process stops, and may do so before the request ends. ctx is the request's context. The caller must
+// call done.
+func watchUnservable(ctx context.Context, limit time.Time, f func()) *unservable {
+	u := &unservable{stop: func() bool { return true }}
+	d, ok := ctx.Value(drainKey{}).(*Drain)
+	if !ok {
+		return u
+	}
+	u.stop = context.AfterFunc(d.refused, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if !u.isDone && !d.end.IsZero() && limit.After(d.end) {
+			u.isReported = true
+			f()
+		}
+	})
+	return u
+}
+
+// done ends the watch, and reports whether its function was called.
+func (u *unservable) done() bool {
+	u.stop()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isDone = true
+	return u.isReported
 }
 
 // DisableKeepAlives makes all further answers carry Connection: close, so that clients
@@ -75,9 +119,10 @@
 func (d *Drain) DisableKeepAlives() { d.keepAlivesDisabled.Store(true) }
 
 // RefuseAndWait refuses all further requests and waits until none is in progress or
-// ctx ends. It returns the number of requests still in progress.
+// ctx ends. It returns the number of requests still in progress. It must be called once.
 func (d *Drain) RefuseAndWait(ctx context.Context) int64 {
-	d.refusing.Store(true)
+	d.end, _ = ctx.Deadline()
+	d.beginRefusing()
 	return d.waitIdle(ctx)
 }
 
