forward: a request that waits in a stop is not passed on too late

What callers would see: a request that waits for its stages while its gateway stops is passed on whenever they are done, and cut at the end of the grace; the target has worked in vain, and a request that may not be repeated is lost.

Cause: a wait for stages or for a target has no regard to the stop. Only what still waits at its end is refused.

Evidence: TestWaitsLateInStop, stages that are done 2 s before the end of the grace, engines that work for 6 s: before, both streams were cut after their first event.

Fix: once the gateway refuses new requests, one that no target has run is refused as not run, with Retry-After, if neither the latency objective of its route nor its deadline ends before the stop. Requests in the queue of a target or of a limit take the same way. Those that a peer relays are refused from the SIGTERM on already (TestStoppingRelay). After: both refused, not run. The tests of stops passed with it, once.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -306,6 +306,7 @@
 		HallsIn:    g.hallsIn,
 		TableBound: time.Duration(config.Bounds.ConfigMS) * time.Millisecond,
 		Listed:     func() bool { listed, _ := g.members.Listed(); return listed },
+		StopsIn:    func() (time.Duration, bool) { return g.drain.EndsIn() },
 		Meter:      g.metrics, Log: g.logger(logging.Forward),
 	}
 	g.bodyBudget = g.memoryBudget(requestBodiesShare)
--- a/internal/coordination/forward/attempt.go
+++ b/internal/coordination/forward/attempt.go
@@ -87,6 +87,9 @@
 // owner and crashes may be reported meanwhile.
 func (r *request) chooseTarget(ctx context.Context) (hookhall.Target, *hookhall.Error) {
 	for {
+		if refusal := r.refuseBeforeStop(); refusal != nil {
+			return hookhall.Target{}, refusal
+		}
 		if refusal := r.excludeCrashing(); refusal != nil {
 			return hookhall.Target{}, refusal
 		}
@@ -104,6 +107,19 @@
 	}
 }
 
+// refuseBeforeStop returns the refusal of a request that no target has run yet, if this process may stop
+// before the request's latency objective or deadline, whichever is earlier: its target would be cut at its work.
+func (r *request) refuseBeforeStop() *hookhall.Error {
+	if r.runs > 0 || r.StopsIn == nil {
+		return nil
+	}
+	left, isStopping := r.StopsIn()
+	if !isStopping || min(r.route.LatencyObjective, clock.Until(r.deadline)) <= left {
+		return nil
+	}
+	return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops before a target could answer").WithRetryAfter(stoppingRetryAfter)
+}
+
 // pickTarget returns the next target, or the reason why there is none. Engines, cold targets,
 // and targets of services of which some have a rate limit or are brittle, are chosen by the
 // service's placement owner, if it answers; otherwise this process chooses.
--- a/internal/coordination/forward/forwarder.go
+++ b/internal/coordination/forward/forwarder.go
@@ -180,8 +180,11 @@
 	TableBound time.Duration
 	// Listed reports whether this process is on the list of gateways.
 	Listed func() bool
-	Meter  Meter
-	Log    *log.Logger
+	// StopsIn returns the time until this process ends the requests in progress. isStopping is false unless
+	// it refuses new ones. It may be nil.
+	StopsIn func() (left time.Duration, isStopping bool)
+	Meter   Meter
+	Log     *log.Logger
 
 	readTime readTimeEstimate
 }
--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -97,7 +97,7 @@
 	u.stop = context.AfterFunc(d.refused, func() {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		if !u.isDone && !d.end.IsZero() && limit.After(d.end) {
+		if left, ok := d.EndsIn(); !u.isDone && ok && time.Until(limit) > left {
 			u.isReported = true
 			f()
 		}
@@ -114,6 +114,15 @@
 	return u.isReported
 }
 
+// EndsIn returns the time until the end of the stop. ok is false before requests are refused, and if the stop has
+// no end.
+func (d *Drain) EndsIn() (left time.Duration, ok bool) {
+	if d.refused.Err() == nil || d.end.IsZero() {
+		return 0, false
+	}
+	return time.Until(d.end), true
+}
+
 // DisableKeepAlives makes all further answers carry Connection: close, so that clients
 // close their connections after them. It does not wait.
 func (d *Drain) DisableKeepAlives() { d.keepAlivesDisabled.Store(true) }
