bindings: a list that was read before the question does not show a sole version

Streams that had begun elsewhere at the new version broke, were taken up there and went on at the old one.

Cause: if gateways did not answer, the list of targets counted as current up to an age of 4 s, for the sake of gateways that have just started. A gateway that is cut off from the others has such a list, too; another version may have joined, and begun streams, since it was read. So the only version on its list was taken for that of the stream, before the store was asked.

Not seen with real processes: what waits in a suspended gateway's sockets tells it of the version once it runs again.

Fix: while gateways don't answer, only a list whose reading began after the question shows a sole version. Otherwise the store decides at once; only if it shows nothing, a new list is awaited for half a second as before. A gateway that reaches neither the others nor the store refuses the stream as not run.

'one version, and gateways have died' asked for a conclusion from a list of 1 s, which is this fault.

--- a/internal/coordination/bindings/bindings.go
+++ b/internal/coordination/bindings/bindings.go
@@ -67,10 +67,6 @@
 	startTimeout = 500 * time.Millisecond
 	// startPollInterval is the interval at which it looks for the lists.
 	startPollInterval = 10 * time.Millisecond
-	// maxListAge is how old the list of targets may be, while gateways don't answer, for conclusions
-	// from the versions on it. A gateway that reaches the store starts with a copy of up to three
-	// seconds, and replaces it within 0.8 s.
-	maxListAge = 4 * time.Second
 )
 
 // Fleet lists the gateways.
@@ -327,14 +323,20 @@
 	}
 	await(ctx, b.Fleet.HasList)
 	i := b.inquire(ctx, q, own)
-	if i.found.Source == SourcePeer || b.concludeSole(ctx, q, i) {
+	if i.found.Source == SourcePeer || b.concludeSole(q, i) {
 		return i.found
 	}
-	return b.findStored(ctx, q, i)
+	found := b.findStored(ctx, q, i)
+	if found.Source != SourceUnknown || !i.mayBeSole(q) || !await(ctx, func() bool { return b.isCurrent(i) }) {
+		return found
+	}
+	b.concludeSole(q, i)
+	return i.found
 }
 
 // inquiry is what gateways answered to the query for a stream.
 type inquiry struct {
+	began time.Time
 	found Found
 	// memories is what this gateway, the first, and those that answered know instead of the binding, and
 	// seen is all of that together.
@@ -351,7 +353,7 @@
 	all := b.peers(q.Key, b.Fleet.All())
 	peers := all[:min(len(all), maxAsked)]
 	holders := min(len(peers), Copies)
-	i := &inquiry{found: Found{Service: q.Service, Source: SourceUnknown}, memories: []Known{own}, seen: own}
+	i := &inquiry{began: clock.Now(), found: Found{Service: q.Service, Source: SourceUnknown}, memories: []Known{own}, seen: own}
 	for _, round := range [][]hookhall.Member{peers[:holders], peers[holders:]} {
 		answers := b.ask(ctx, round, q)
 		i.found.Asked, i.found.Unanswered = i.found.Asked+len(round), i.found.Unanswered+len(round)-len(answers)
@@ -372,23 +374,35 @@
 }
 
 // concludeSole reports whether the service has had only one version for as long as the stream can be old.
-func (b *Bindings) concludeSole(ctx context.Context, q Query, i *inquiry) bool {
-	isCurrent := i.found.Unanswered == 0 || await(ctx, b.hasCurrentList)
+func (b *Bindings) concludeSole(q Query, i *inquiry) bool {
+	isCurrent := b.isCurrent(i)
 	if i.found.Unanswered > 0 {
 		i.memories[0] = b.Known(q) // the list may have brought another version meanwhile
 		i.seen.add(i.memories[0])
 	}
 	i.found.Versions, i.found.Reach = i.seen.Versions, i.seen.Reach
-	if len(q.Others) > 0 && !q.IsUnnamed {
-		return false // the stream may have begun at another service
-	}
-	if !isCurrent || len(i.memories[0].Versions) != 1 || len(i.seen.Versions) != 1 || i.seen.Reach < q.Window {
+	if !isCurrent || !i.mayBeSole(q) {
 		return false
 	}
 	i.found.Version, i.found.Source = i.seen.Versions[0], SourceSole
 	return true
 }
 
+// isCurrent reports whether what the inquiry says of versions holds for all streams that have begun before it. If
+// gateways don't answer, they may have begun streams at a version that is not on an earlier list of targets.
+func (b *Bindings) isCurrent(i *inquiry) bool {
+	now := clock.Now()
+	return i.found.Unanswered == 0 || b.ListAge(now) <= now.Sub(i.began)
+}
+
+// mayBeSole reports whether the gateways that answered know only one version for as long as the stream can be old.
+func (i *inquiry) mayBeSole(q Query) bool {
+	if len(q.Others) > 0 && !q.IsUnnamed {
+		return false // the stream may have begun at another service
+	}
+	return len(i.memories[0].Versions) == 1 && len(i.seen.Versions) == 1 && i.seen.Reach >= q.Window
+}
+
 // findStored looks for a stream in the store that the gateways which were asked don't know.
 func (b *Bindings) findStored(ctx context.Context, q Query, i *inquiry) Found {
 	found := i.found
@@ -438,10 +452,6 @@
 	}
 }
 
-// hasCurrentList reports whether the list of targets is current. A gateway that is cut off does not know
-// which versions others have learned of since.
-func (b *Bindings) hasCurrentList() bool { return b.ListAge(clock.Now()) <= maxListAge }
-
 // await waits up to startTimeout for a condition and reports whether it was met.
 func await(ctx context.Context, condition func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/internal/coordination/bindings/bindings_test.go
+++ b/internal/coordination/bindings/bindings_test.go
@@ -50,9 +50,9 @@
 	address  string
 	isDead   bool // it does not answer
 	isKilled atomic.Bool
-	refuses  atomic.Bool // it has ended, and is listed
-	isGone   bool        // it is not listed
-	listAge  time.Duration
+	refuses  atomic.Bool     // it has ended, and is listed
+	isGone   bool            // it is not listed
+	listAge  atomic.Int64    // of the list of targets, a time.Duration
 	suspects map[string]bool // gateways that have not answered it lately
 	// knowsPeersAt is when the gateway learns of the others.
 	knowsPeersAt time.Time
@@ -79,7 +79,7 @@
 	journal := &bindings.Journal{Store: storeClient{f.store, g}, Era: f.store.Era, Writer: address, History: history, Log: logger}
 	g.Bindings = &bindings.Bindings{
 		Table: table, History: history, Fleet: g, Meter: g, Log: logger, Remote: toPeer,
-		ListAge:   func(time.Time) time.Duration { return g.listAge },
+		ListAge:   func(time.Time) time.Duration { return time.Duration(g.listAge.Load()) },
 		StartedAt: func() hookhall.Revision { return startedAt },
 		Recorder:  &bindings.Recorder{Journal: journal, Table: table, Fleet: g, Remote: toPeer, Log: logger},
 	}
@@ -395,7 +395,7 @@
 		f := newFleet(5, "v1")
 		time.Sleep(window)
 		for i := range f.order {
-			f.at(i).listAge = 5 * time.Second
+			f.at(i).listAge.Store(int64(5 * time.Second))
 		}
 		return f
 	}
@@ -413,10 +413,60 @@
 	})
 	run(t, "one version, and gateways have died", func(t *testing.T) {
 		f := oldLists()
-		f.at(0).listAge = time.Second
+		f.at(0).listAge.Store(int64(roundTrip)) // it is read while they are asked
 		f.at(1).isDead, f.at(2).isDead = true, true
 		f.at(0).checkFound(t, "a", "v1", bindings.SourceSole)
 	})
+	run(t, "one version, gateways have died, and the list was read before", func(t *testing.T) {
+		f := newFleet(5, "v1")
+		f.at(0).bind(t, "a", "v1")
+		time.Sleep(ttl)
+		synctest.Wait()
+		f.at(0).listAge.Store(int64(time.Second))
+		f.at(1).isDead, f.at(2).isDead = true, true
+		began := clock.Now()
+		f.at(0).checkFound(t, "b", "v1", bindings.SourceBase)
+		if took := clock.Since(began); took > 250*time.Millisecond {
+			t.Errorf("it took %v", took)
+		}
+	})
+	// The others list v2, which has joined since this gateway was cut off from them, and a stream began there.
+	cutOff := func(t *testing.T) *fleet {
+		f := newFleet(5, "v1")
+		f.at(0).bind(t, "a", "v1")
+		time.Sleep(ttl)
+		synctest.Wait()
+		for i := range 4 {
+			f.at(i+1).list("v1", "v2")
+		}
+		f.at(0).isDead = true
+		f.at(1).bind(t, "b", "v2")
+		time.Sleep(time.Second) // until the binding is copied and recorded
+		synctest.Wait()
+		f.at(0).isDead = false
+		for i := range 4 {
+			f.at(i + 1).isDead = true
+		}
+		f.at(0).listAge.Store(int64(3 * time.Second))
+		return f
+	}
+	run(t, "another version has joined while this gateway is cut off from the others", func(t *testing.T) {
+		cutOff(t).at(0).checkFound(t, "b", "v2", bindings.SourceStore)
+	})
+	run(t, "another version has joined while this gateway is cut off from the others and the store", func(t *testing.T) {
+		f := cutOff(t)
+		f.store.set(func() { f.store.isDown = true })
+		f.at(0).checkFound(t, "b", "", bindings.SourceUnknown)
+	})
+	run(t, "another version has joined, and the list is read again", func(t *testing.T) {
+		f := cutOff(t)
+		f.store.set(func() { f.store.isDown = true })
+		time.AfterFunc(300*time.Millisecond, func() {
+			f.at(0).list("v1", "v2")
+			f.at(0).listAge.Store(0)
+		})
+		f.at(0).checkFound(t, "b", "", bindings.SourceUnknown)
+	})
 	run(t, "a version that this gateway does not list yet", func(t *testing.T) {
 		f := newFleet(5, "v1")
 		time.Sleep(window)
