fleet, peers: the header list of a peer's answer is bounded to 64 KB

What callers would see: a process at the address of a peer that sends a header block without an end takes 11 to 16 MB of the caller's memory for each connection, the library's default.

Evidence: TestPeerBytesWithoutEnd read 55 to 58 MB on 5 connections before, and stays below 1 MB each now, 3 runs. Bytes that are no HTTP/2 were cut off at once already.

--- a/internal/transport/fleet/clients.go
+++ b/internal/transport/fleet/clients.go
@@ -32,6 +32,8 @@
 	checkTimeout = 300 * time.Millisecond
 	// minCheckInterval is the minimum time between two checks of a peer's connection.
 	minCheckInterval = time.Second
+	// maxHeadBytes bounds the header list of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // reconnectParams has short delays, so that a peer is used soon after it returns.
@@ -132,7 +134,7 @@
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) {
 			return sockets.Dialer(connectTimeout, sockets.ServiceSilence).DialContext(ctx, "tcp", a)
 		}),
-		grpc.WithDisableServiceConfig(), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
+		grpc.WithDisableServiceConfig(), grpc.WithMaxHeaderListSize(maxHeadBytes), grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(4<<10))
 	conn, err := grpc.NewClient("passthrough:///"+c.address, options...)
 	if err != nil {
 		return nil, err
--- a/internal/transport/peers/client.go
+++ b/internal/transport/peers/client.go
@@ -41,6 +41,8 @@
 	// MaxMessageBytes is the largest size of a message in bytes.
 	MaxMessageBytes = 16 << 20
 
+	// maxHeadBytes bounds the header list of an answer.
+	maxHeadBytes = 64 << 10
 	// idleTimeout is how long a connection stays open without a call. An entry calls
 	// few of its peers continuously and the others occasionally, so that most
 	// connections would be idle.
@@ -142,6 +144,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithMaxHeaderListSize(maxHeadBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithUnaryInterceptor(c.addCredentials),
 	)
