front, httpclient, settings: names and comments; the last bytes of a request count, too

net/http counts a request as written before its last up to 4 KB are, so that a break that their write learns of looked like an end. RememberBreak is for these.

--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -107,7 +107,7 @@
 // MaxAccept is the largest value of admin.accept_ms.
 const MaxAccept = time.Minute
 
-// defaultMemoryMB, minMemoryMB and maxMemoryMB are of the settings of memory, in MiB.
+// The default and the range of the settings memory_mb, in MiB.
 const (
 	defaultMemoryMB = 256
 	minMemoryMB     = 32
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -160,7 +160,7 @@
 	err := h.fill(w, r, body, limit, timeLimit)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errStopped), errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(r.Context()), hookhall.ErrStopping):
+	case errors.Is(err, hookhall.ErrStopping), errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(r.Context()), hookhall.ErrStopping):
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseStopping, "this instance stops before the body came whole").WithRetryAfter(stopRetryDelay)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return hookhall.Errorf(hookhall.NotRun, hookhall.CauseDeadline, "the body did not come whole before the deadline")
@@ -174,13 +174,9 @@
 	return nil
 }
 
-// errStopped means that a body was not whole when this process began to refuse requests, and that it may stop
-// before the request ends.
-var errStopped = errors.New("this instance stops")
-
 // fill reads a body of at most limit bytes. Without a whole body within timeLimit, or before the end of
-// the request's context, it fails with os.ErrDeadlineExceeded, and if the request can't be served any more
-// with errStopped.
+// the request's context, it fails with os.ErrDeadlineExceeded. It fails with hookhall.ErrStopping if the body is
+// not whole when this process begins to refuse requests, and may stop before timeLimit.
 func (h *Handler) fill(w http.ResponseWriter, r *http.Request, body *buffer.Buffer, limit int, timeLimit time.Duration) (err error) {
 	h.reading.Add(1)
 	defer h.reading.Add(-1)
@@ -195,7 +191,7 @@
 			isContextActive, isUnservable := endOfContext(), unservable.done()
 			switch {
 			case isUnservable && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
-				err = errStopped
+				err = hookhall.ErrStopping
 			case isContextActive && !isUnservable && err == nil:
 				_ = controller.SetReadDeadline(time.Time{})
 			}
--- a/internal/transport/httpclient/conn.go
+++ b/internal/transport/httpclient/conn.go
@@ -12,7 +12,8 @@
 )
 
 // requestConn is a connection that knows whether its last request was written. net/http closes a connection
-// once a read has returned io.EOF, so that a later check would find any request in progress cut.
+// once a read has returned io.EOF, so that a later check would find any request in progress cut. The last bytes of
+// a request may be written after it counts as written; sockets.RememberBreak is for these.
 type requestConn struct {
 	net.Conn
 	closed    chan struct{}
--- a/internal/transport/httpclient/httpclient.go
+++ b/internal/transport/httpclient/httpclient.go
@@ -19,6 +19,7 @@
 	"net/textproto"
 
 	"github.com/hookhall/hookhall/internal/protocol/answers"
+	"github.com/hookhall/hookhall/internal/transport/sockets"
 )
 
 // MaxHeadBytes bounds the heads of the answers to one request.
@@ -40,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newRequestConn(c), nil
+		return newRequestConn(sockets.RememberBreak(c)), nil
 	}
 	return &Transport{base}
 }
