--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -368,7 +368,7 @@
 	}
 	// A request may have been read without being active yet. If its connection were
 	// closed now, its caller would retry it while the first attempt still runs.
-	e.drain.RefuseAndWait(ctx)
+	e.drain.RefuseAndWait(ctx, time.Time{})
 	if active := e.runner.ActiveRequests(); active > 0 {
 		e.log.Error("requests cut off", "active", active)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -453,7 +453,7 @@
 	g.drain.DisableKeepAlives()
 	g.clientsListener.StopAccepting()
 	retry.Sleep(ctx, keepAliveDrainPeriod)
-	remaining := g.drain.RefuseAndWait(ctx)
+	remaining := g.drain.RefuseAndWait(ctx, stopStart.Add(grace))
 	relayed := g.relayer.Drain(ctx)
 	if relayed > 0 {
 		g.log.Warn("stop period over with connections relayed for peers", "relayed", relayed)
--- a/internal/transport/front/drain.go
+++ b/internal/transport/front/drain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
 const (
@@ -97,7 +98,7 @@
 	u.stop = context.AfterFunc(d.refused, func() {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		if left, ok := d.EndsIn(); !u.isDone && ok && time.Until(limit) > left {
+		if left, ok := d.EndsIn(); !u.isDone && ok && clock.Until(limit) > left {
 			u.isReported = true
 			f()
 		}
@@ -120,7 +121,7 @@
 	if d.refused.Err() == nil || d.end.IsZero() {
 		return 0, false
 	}
-	return time.Until(d.end), true
+	return clock.Until(d.end), true
 }
 
 // DisableKeepAlives makes all further answers carry Connection: close, so that clients
@@ -128,9 +129,10 @@
 func (d *Drain) DisableKeepAlives() { d.keepAlivesDisabled.Store(true) }
 
 // RefuseAndWait refuses all further requests and waits until none is in progress or
-// ctx ends. It returns the number of requests still in progress. It must be called once.
-func (d *Drain) RefuseAndWait(ctx context.Context) int64 {
-	d.end, _ = ctx.Deadline()
+// ctx ends. end is when the process ends the requests in progress, zero if it waits for them. RefuseAndWait returns
+// the number of requests still in progress. It must be called once.
+func (d *Drain) RefuseAndWait(ctx context.Context, end time.Time) int64 {
+	d.end = end
 	d.beginRefusing()
 	return d.waitIdle(ctx)
 }
--- a/internal/transport/front/drain_state_test.go
+++ b/internal/transport/front/drain_state_test.go
@@ -66,7 +66,7 @@
 			}
 			time.Sleep(refuseAt)
 			ctx, cancel := context.WithTimeout(context.Background(), grace)
-			remaining := drain.RefuseAndWait(ctx)
+			remaining := drain.RefuseAndWait(ctx, time.Time{})
 			cancel()
 			running := int64(0)
 			now := time.Since(start)
--- a/internal/transport/front/drain_test.go
+++ b/internal/transport/front/drain_test.go
@@ -118,7 +118,7 @@
 			t.Fatal("the answer has no Connection: close")
 		}
 	}
-	if left := drain.RefuseAndWait(t.Context()); left != 0 {
+	if left := drain.RefuseAndWait(t.Context(), time.Time{}); left != 0 {
 		t.Fatalf("%d requests still in progress", left)
 	}
 	if err := server.Close(); err != nil {
@@ -137,7 +137,7 @@
 	drain := NewDrain(handler, handler.Refuse)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	drain.RefuseAndWait(ctx)
+	drain.RefuseAndWait(ctx, time.Time{})
 	w := newRecorder()
 	r, _ := http.NewRequest(http.MethodGet, "/", http.NoBody)
 	drain.ServeHTTP(w, r)
--- a/internal/transport/front/front.go
+++ b/internal/transport/front/front.go
@@ -182,11 +182,10 @@
 	defer h.reading.Add(-1)
 	if r.ContentLength != 0 {
 		controller := http.NewResponseController(w)
-		end := connDeadline(timeLimit)
-		_ = controller.SetReadDeadline(end) // the recorders of tests have no deadlines
+		_ = controller.SetReadDeadline(connDeadline(timeLimit)) // the recorders of tests have no deadlines
 		interrupt := func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }
 		endOfContext := context.AfterFunc(r.Context(), interrupt)
-		unservable := watchUnservable(r.Context(), end, interrupt)
+		unservable := watchUnservable(r.Context(), clock.Now().Add(timeLimit), interrupt)
 		defer func() {
 			isContextActive, isUnservable := endOfContext(), unservable.done()
 			switch {
--- a/internal/transport/front/latebody_test.go
+++ b/internal/transport/front/latebody_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hookhall/hookhall"
+	"github.com/hookhall/hookhall/internal/state/clock"
 )
 
 // TestBodyLateInStop checks what becomes of a request whose body is being read when a stop begins to refuse others:
@@ -51,14 +52,13 @@
 			for handler.Reading() == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			ctx, cancel := context.WithCancel(t.Context())
+			var end time.Time
 			if c.stop > 0 {
-				ctx, cancel = context.WithTimeout(t.Context(), c.stop)
+				end = clock.Now().Add(c.stop)
 			}
-			defer cancel()
 			began := time.Now()
 			idle := make(chan int64, 1)
-			go func() { idle <- drain.RefuseAndWait(ctx) }()
+			go func() { idle <- drain.RefuseAndWait(t.Context(), end) }()
 			if c.isServed {
 				for drain.refused.Err() == nil {
 					time.Sleep(time.Millisecond)
--- a/internal/transport/front/waits_test.go
+++ b/internal/transport/front/waits_test.go
@@ -89,7 +89,7 @@
 func TestRefusalWaitsForBody(t *testing.T) {
 	handler := newTestHandler(serviceFunc(func(context.Context, *hookhall.Call, hookhall.AnswerWriter) error { return nil }))
 	drain := NewDrain(handler, handler.Refuse)
-	drain.RefuseAndWait(t.Context())
+	drain.RefuseAndWait(t.Context(), time.Time{})
 	c := connect(t, serveOn(t, drain))
 	_, _ = io.WriteString(c, halfRequest+strings.Repeat("b", 49))
 	assertStatusWithin(t, c, http.StatusServiceUnavailable, 2*refusalTimeout)
