backend: the test of the answers' budget sees memory that is not returned

The test could take the whole budget before the call had reserved any, so that nothing was left to return: with the release taken out, in a trial, it passed. It now waits until the call holds some.

--- a/internal/transport/backend/memory_test.go
+++ b/internal/transport/backend/memory_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hookhall/hookhall"
 	"github.com/hookhall/hookhall/internal/protocol/wire"
@@ -50,6 +51,9 @@
 		failed <- err
 	}()
 	<-reading
+	for budget.Held() == 0 {
+		time.Sleep(time.Millisecond) // until the call has reserved some of the budget
+	}
 	rest := limit - int(budget.Held())
 	for !budget.Reserve(rest) {
 		rest = limit - int(budget.Held()) // the call has reserved more meanwhile
